Pure core: control log, state machine, configuration, placement, clients

Cause: an empty repository; the deciding code comes first, as state machines without I/O, so that every later layer can be tested over it. Not run yet: no test exists at this commit.

--- /dev/null
+++ b/doc.go
@@ -0,0 +1,2 @@
+// Package celerylanding holds the domain types, verdicts and interfaces that the other packages of the serving system share.
+package celerylanding
--- /dev/null
+++ b/membership/directory.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/chart"
+)
+
+// The flag and events of the target chart.
+const (
+	FlagRoutable chart.Flag = "routable"
+
+	EventHeard   chart.Event = "heard"
+	EventSilent  chart.Event = "silent"
+	EventLeaving chart.Event = "leaving"
+	EventRefused chart.Event = "refused"
+)
+
+// Target is the latest that this node knows of a target.
+type Target struct {
+	announcement celerylanding.Announcement
+	state        chart.State
+	heard        time.Time
+	routable     bool
+}
+
+// Announcement returns the target's latest announcement.
+func (target *Target) Announcement() celerylanding.Announcement { return target.announcement }
+
+// State returns the state in the target chart.
+func (target *Target) State() chart.State { return target.state }
+
+// Heard returns when this node last heard of the target.
+func (target *Target) Heard() time.Time { return target.heard }
+
+// IsRoutable reports whether the target gets new work.
+func (target *Target) IsRoutable() bool { return target.routable }
+
+// Directory is one node's view of all targets.
+type Directory struct {
+	chart   *chart.Chart
+	silence time.Duration
+	targets map[celerylanding.TargetID]*Target
+}
+
+// NewDirectory returns an empty view; a target that is silent for longer than the given time is suspected.
+func NewDirectory(silence time.Duration) (*Directory, error) {
+	targetChart, err := chart.Load("target.yaml")
+	if err != nil {
+		return nil, err
+	}
+	return &Directory{chart: targetChart, silence: silence, targets: make(map[celerylanding.TargetID]*Target)}, nil
+}
+
+// Observe takes an announcement and reports whether it was news; old and repeated ones change nothing.
+func (directory *Directory) Observe(now time.Time, announcement celerylanding.Announcement) bool {
+	known, ok := directory.targets[announcement.Target]
+	if ok && !announcement.Supersedes(known.announcement) {
+		return false
+	}
+	state := directory.chart.Initial()
+	if ok && known.announcement.Incarnation == announcement.Incarnation {
+		state = known.state
+	}
+	target := &Target{announcement: announcement, state: state, heard: now}
+	event := EventHeard
+	if announcement.Leaving {
+		event = EventLeaving
+	}
+	directory.move(target, event)
+	directory.targets[announcement.Target] = target
+	return true
+}
+
+// Refused records that a target itself refused work of the incarnation, and reports whether that was news.
+func (directory *Directory) Refused(id celerylanding.TargetID, incarnation celerylanding.Incarnation) bool {
+	target, ok := directory.targets[id]
+	if !ok || target.announcement.Incarnation != incarnation {
+		return false
+	}
+	before := target.state
+	directory.move(target, EventRefused)
+	return target.state != before
+}
+
+// Expire suspects the targets that have been silent too long and returns the ones that changed.
+func (directory *Directory) Expire(now time.Time) []celerylanding.TargetID {
+	var changed []celerylanding.TargetID
+	for id, target := range directory.targets {
+		if now.Sub(target.heard) <= directory.silence {
+			continue
+		}
+		before := target.state
+		directory.move(target, EventSilent)
+		if target.state != before {
+			changed = append(changed, id)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// Target finds a target.
+func (directory *Directory) Target(id celerylanding.TargetID) (*Target, bool) {
+	target, ok := directory.targets[id]
+	return target, ok
+}
+
+// Targets returns all targets, ordered by their identifiers.
+func (directory *Directory) Targets() []*Target {
+	targets := make([]*Target, 0, len(directory.targets))
+	for _, target := range directory.targets {
+		targets = append(targets, target)
+	}
+	sort.Slice(targets, func(i, j int) bool {
+		return targets[i].announcement.Target < targets[j].announcement.Target
+	})
+	return targets
+}
+
+// Forget drops a target whose incarnation is gone.
+func (directory *Directory) Forget(id celerylanding.TargetID, incarnation celerylanding.Incarnation) {
+	if target, ok := directory.targets[id]; ok && target.announcement.Incarnation == incarnation {
+		delete(directory.targets, id)
+	}
+}
+
+// move carries out an event; one that the chart does not know in this state changes nothing.
+func (directory *Directory) move(target *Target, event chart.Event) {
+	next, err := directory.chart.Next(target.state, event)
+	if err != nil {
+		return
+	}
+	target.state = next
+	target.routable = directory.chart.Has(next, FlagRoutable)
+}
--- /dev/null
+++ b/placement/round.go
@@ -0,0 +1,321 @@
+package placement
+
+import (
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/keepalive"
+	"celerylanding.example/celerylanding/membership"
+	"celerylanding.example/celerylanding/state"
+)
+
+// round is one pass of decisions over an unchanged state.
+type round struct {
+	planner   *Planner
+	now       time.Time
+	state     *state.State
+	directory *membership.Directory
+	config    *config.Config
+	commands  []state.Command
+	// used holds the bytes that this round adds on each target.
+	used     map[celerylanding.TargetID]celerylanding.Bytes
+	loads    int
+	adapters int
+}
+
+// candidate is a target that could take a replica.
+type candidate struct {
+	id          celerylanding.TargetID
+	incarnation celerylanding.Incarnation
+	free        celerylanding.Bytes
+	tier        int
+	replicas    int
+}
+
+// countPending counts the loads that use the weight store now.
+func (round *round) countPending() {
+	for _, replica := range round.state.Replicas() {
+		if replica.State() != state.StateDecided {
+			continue
+		}
+		if model, ok := round.config.Model(replica.Model()); ok && model.IsAdapter() {
+			round.adapters++
+		} else {
+			round.loads++
+		}
+	}
+}
+
+// serve decides a replica for a model that has waiting requests.
+func (round *round) serve(need need) {
+	model, ok := round.config.Model(need.model)
+	if !ok {
+		return
+	}
+	replicas := round.state.ReplicasOf(need.model)
+	wanted := min(model.Replicas().Max, 1+need.waiting/waitersPerReplica)
+	if len(replicas) < wanted {
+		round.add(model)
+	}
+}
+
+func (round *round) add(model *config.Model) {
+	if failed, ok := round.planner.failed[model.ID()]; ok && round.now.Sub(failed) < failureBackoff {
+		return
+	}
+	if !round.storeAllows(model) {
+		return
+	}
+	if model.IsAdapter() && !round.baseReady(model) {
+		round.addBase(model)
+		return
+	}
+	best, ok := round.choose(model)
+	if !ok {
+		round.makeRoom(model)
+		return
+	}
+	round.place(model, best)
+}
+
+func (round *round) storeAllows(model *config.Model) bool {
+	if model.IsAdapter() {
+		return round.adapters < round.config.Store().AdaptersInFlight()
+	}
+	return round.loads < round.config.Store().FullSpeedLoads() && round.planner.tokens >= 1
+}
+
+// baseReady reports whether an adapter's base model is ready on any target that takes new work.
+func (round *round) baseReady(model *config.Model) bool {
+	for _, replica := range round.state.ReplicasOf(model.Base()) {
+		if round.state.IsRoutable(replica) && round.isRoutable(replica.Target()) {
+			return true
+		}
+	}
+	return false
+}
+
+// addBase loads the base model of an adapter unless that is under way.
+func (round *round) addBase(adapter *config.Model) {
+	base, ok := round.config.Model(adapter.Base())
+	if !ok {
+		return
+	}
+	for _, replica := range round.state.ReplicasOf(base.ID()) {
+		if replica.State() == state.StateDecided {
+			return
+		}
+	}
+	if len(round.state.ReplicasOf(base.ID())) < base.Replicas().Max && !round.isPlanned(base.ID()) {
+		round.add(base)
+	}
+}
+
+func (round *round) isPlanned(model celerylanding.ModelID) bool {
+	for _, command := range round.commands {
+		if command.Place != nil && command.Place.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (round *round) place(model *config.Model, on candidate) {
+	if round.isPlanned(model.ID()) {
+		return
+	}
+	if model.IsAdapter() {
+		round.adapters++
+	} else {
+		round.loads++
+		round.planner.tokens--
+	}
+	round.used[on.id] += model.Memory()
+	round.commands = append(round.commands, state.Command{Place: &state.Place{
+		Model: model.ID(), Target: on.id, Incarnation: on.incarnation}})
+}
+
+func (round *round) isRoutable(id celerylanding.TargetID) bool {
+	target, ok := round.directory.Target(id)
+	return ok && target.IsRoutable()
+}
+
+// choose prefers the nearest checkpoint, then the fewest replicas, then the most free memory.
+func (round *round) choose(model *config.Model) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, registered := range round.state.Targets() {
+		option, ok := round.consider(model, registered)
+		if ok && (!found || option.isBetter(best)) {
+			best, found = option, true
+		}
+	}
+	return best, found
+}
+
+func (option candidate) isBetter(best candidate) bool {
+	if option.tier != best.tier {
+		return option.tier < best.tier
+	}
+	if option.replicas != best.replicas {
+		return option.replicas < best.replicas
+	}
+	return option.free > best.free
+}
+
+func (round *round) consider(model *config.Model, registered state.Register) (candidate, bool) {
+	if !round.canHost(model, registered) {
+		return candidate{}, false
+	}
+	used := round.state.Used(registered.Target) + round.used[registered.Target]
+	option := candidate{
+		id:          registered.Target,
+		incarnation: registered.Incarnation,
+		free:        registered.Memory - used,
+		tier:        round.tier(registered.Target, model.ID()),
+		replicas:    len(round.state.ReplicasOn(registered.Target)),
+	}
+	return option, option.free >= model.Memory()
+}
+
+// canHost reports whether the target could take the model if it had the memory.
+func (round *round) canHost(model *config.Model, registered state.Register) bool {
+	target, ok := round.directory.Target(registered.Target)
+	if !ok || !target.IsRoutable() || target.Announcement().Incarnation != registered.Incarnation {
+		return false
+	}
+	if registered.Group != model.Group() || registered.Leaving || registered.Kind != celerylanding.KindEngine {
+		return false
+	}
+	hasBase := !model.IsAdapter()
+	for _, replica := range round.state.ReplicasOn(registered.Target) {
+		if replica.Model() == model.ID() {
+			return false
+		}
+		if replica.Model() == model.Base() && round.state.IsRoutable(replica) {
+			hasBase = true
+		}
+	}
+	return hasBase
+}
+
+// tier returns how far the checkpoint is from the target's accelerators; lower is nearer.
+func (round *round) tier(id celerylanding.TargetID, model celerylanding.ModelID) int {
+	target, _ := round.directory.Target(id)
+	for _, cached := range target.Announcement().Cached {
+		if cached.Model != model {
+			continue
+		}
+		switch cached.Tier {
+		case celerylanding.TierMemory:
+			return 0
+		case celerylanding.TierDisk:
+			return 1
+		}
+	}
+	return 2
+}
+
+// makeRoom unloads the least recently used idle replica of a target that could host the model.
+func (round *round) makeRoom(model *config.Model) {
+	var victim *state.Replica
+	var oldest time.Time
+	for _, registered := range round.state.Targets() {
+		if !round.canHost(model, registered) {
+			continue
+		}
+		if round.isUnloading(registered.Target) {
+			return
+		}
+		for _, replica := range round.state.ReplicasOn(registered.Target) {
+			last, ok := round.idleSince(replica)
+			if ok && replica.Model() != model.Base() && (victim == nil || last.Before(oldest)) {
+				victim, oldest = replica, last
+			}
+		}
+	}
+	if victim != nil {
+		round.unload(victim)
+	}
+}
+
+func (round *round) isUnloading(id celerylanding.TargetID) bool {
+	for _, replica := range round.state.ReplicasOn(id) {
+		if replica.State() == state.StateUnloading {
+			return true
+		}
+	}
+	return false
+}
+
+// idleSince returns since when a replica is unused, or false while it is needed.
+func (round *round) idleSince(replica *state.Replica) (time.Time, bool) {
+	ready, ok := round.planner.ready[replica.Order()]
+	if !ok || replica.State() != state.StateReady || round.now.Sub(ready) < minResidence {
+		return time.Time{}, false
+	}
+	if round.planner.isBusy(round.now, replica.Model()) || round.hasAdapter(replica) {
+		return time.Time{}, false
+	}
+	if last, ok := round.planner.policy.LastUse(replica.Model()); ok && last.After(ready) {
+		return last, true
+	}
+	return ready, true
+}
+
+func (round *round) hasAdapter(base *state.Replica) bool {
+	for _, replica := range round.state.ReplicasOn(base.Target()) {
+		model, ok := round.config.Model(replica.Model())
+		if ok && model.Base() == base.Model() {
+			return true
+		}
+	}
+	return false
+}
+
+func (round *round) unload(replica *state.Replica) {
+	round.commands = append(round.commands, state.Command{Advance: &state.Advance{
+		Order: replica.Order(), Event: string(state.EventUnload)}})
+}
+
+// holdMinimum loads what the configuration wants loaded at all times.
+func (round *round) holdMinimum() {
+	for _, model := range round.config.Models() {
+		if len(round.state.ReplicasOf(model.ID())) < model.Replicas().Min && !round.isPlanned(model.ID()) {
+			round.add(model)
+		}
+	}
+}
+
+// dropIdle unloads what has outlived its keep-alive or is no longer wanted.
+func (round *round) dropIdle() {
+	kept := make(map[celerylanding.ModelID]int)
+	for _, replica := range round.state.Replicas() {
+		model, ok := round.config.Model(replica.Model())
+		kept[replica.Model()]++
+		isSurplus := !ok || kept[replica.Model()] > model.Replicas().Max
+		if isSurplus && replica.State() == state.StateReady && !round.hasAdapter(replica) {
+			round.unload(replica)
+			continue
+		}
+		if !ok || len(round.state.ReplicasOf(replica.Model())) <= model.Replicas().Min {
+			continue
+		}
+		since, idle := round.idleSince(replica)
+		if idle && round.now.Sub(since) > round.keepAlive(replica.Model()) {
+			round.unload(replica)
+		}
+	}
+}
+
+func (round *round) keepAlive(model celerylanding.ModelID) time.Duration {
+	idling := round.config.Idling()
+	return round.planner.policy.KeepAlive(model, keepalive.Settings{
+		ColdStartWeight: idling.ColdStartWeight(),
+		Least:           idling.Least(),
+		Most:            idling.Most(),
+		Fixed:           defaultKeepAlive,
+		ColdStart:       round.planner.coldStart,
+	})
+}
--- /dev/null
+++ b/quorum/election.go
@@ -0,0 +1,143 @@
+package quorum
+
+import "time"
+
+func (core *Core) resetElection(now time.Time) {
+	spread := time.Duration(core.settings.Random.Int64N(int64(core.settings.ElectionTimeout)))
+	core.electionDue = now.Add(core.settings.ElectionTimeout + spread)
+}
+
+// hasLiveLeader keeps a member that returns from a partition from disturbing a working leader. A member that has just
+// started can't know whether it promised a leader to wait, so it waits.
+func (core *Core) hasLiveLeader(now time.Time) bool {
+	if core.role == Leader || now.Sub(core.started) < core.settings.ElectionTimeout {
+		return true
+	}
+	return core.leader != "" && now.Sub(core.leaderContact) < core.settings.ElectionTimeout
+}
+
+func (core *Core) becomeFollower(now time.Time, term uint64, leader MemberID) {
+	if term > core.hard.Term {
+		core.hard = HardState{Term: term}
+		core.saveHardState()
+	}
+	core.role = Follower
+	core.leader = leader
+	core.peers = nil
+	core.votes = nil
+	core.resetElection(now)
+}
+
+func (core *Core) startPreVote(now time.Time) {
+	core.resetElection(now)
+	if !core.isVoter(core.settings.ID) {
+		core.leader = ""
+		return
+	}
+	core.role = PreCandidate
+	core.leader = ""
+	core.votes = map[MemberID]bool{core.settings.ID: true}
+	if core.hasVoteQuorum() {
+		core.startElection(now)
+		return
+	}
+	core.askVotes(MessagePreVote, core.hard.Term+1)
+}
+
+func (core *Core) startElection(now time.Time) {
+	core.resetElection(now)
+	core.role = Candidate
+	core.hard = HardState{Term: core.hard.Term + 1, Vote: core.settings.ID}
+	core.saveHardState()
+	core.votes = map[MemberID]bool{core.settings.ID: true}
+	if core.hasVoteQuorum() {
+		core.becomeLeader(now)
+		return
+	}
+	core.askVotes(MessageVote, core.hard.Term)
+}
+
+func (core *Core) askVotes(kind MessageKind, term uint64) {
+	for _, member := range core.members {
+		if member.Learner || member.ID == core.settings.ID {
+			continue
+		}
+		core.send(Message{Kind: kind, To: member.ID, Term: term,
+			LastIndex: core.log.lastIndex(), LastTerm: core.log.lastTerm()})
+	}
+}
+
+func (core *Core) onPreVote(now time.Time, message Message) {
+	granted := message.Term > core.hard.Term &&
+		!core.hasLiveLeader(now) &&
+		core.log.isUpToDate(message.LastIndex, message.LastTerm)
+	reply := Message{Kind: MessagePreVoteReply, To: message.From, Granted: granted}
+	if granted {
+		reply.Term = message.Term
+	}
+	core.send(reply)
+}
+
+func (core *Core) onPreVoteReply(now time.Time, message Message) {
+	if !message.Granted {
+		if message.Term > core.hard.Term {
+			core.becomeFollower(now, message.Term, "")
+		}
+		return
+	}
+	if core.role != PreCandidate || message.Term != core.hard.Term+1 {
+		return
+	}
+	core.votes[message.From] = true
+	if core.hasVoteQuorum() {
+		core.startElection(now)
+	}
+}
+
+func (core *Core) onVote(now time.Time, message Message) {
+	granted := message.Term == core.hard.Term &&
+		(core.hard.Vote == "" || core.hard.Vote == message.From) &&
+		core.role != Leader &&
+		core.log.isUpToDate(message.LastIndex, message.LastTerm)
+	if granted {
+		core.hard.Vote = message.From
+		core.saveHardState()
+		core.resetElection(now)
+	}
+	core.send(Message{Kind: MessageVoteReply, To: message.From, Granted: granted})
+}
+
+func (core *Core) onVoteReply(now time.Time, message Message) {
+	if core.role != Candidate || message.Term != core.hard.Term || !message.Granted {
+		return
+	}
+	core.votes[message.From] = true
+	if core.hasVoteQuorum() {
+		core.becomeLeader(now)
+	}
+}
+
+func (core *Core) hasVoteQuorum() bool {
+	granted, voters := 0, 0
+	for _, member := range core.members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if core.votes[member.ID] {
+			granted++
+		}
+	}
+	return granted > voters/2
+}
+
+func (core *Core) becomeLeader(now time.Time) {
+	core.role = Leader
+	core.leader = core.settings.ID
+	core.votes = nil
+	core.peers = make(map[MemberID]*progress)
+	core.syncPeers(now)
+	core.quorumDue = now.Add(core.settings.ElectionTimeout)
+	core.appendEntry(Entry{Kind: EntryNoop})
+	core.replicate(now)
+}
--- /dev/null
+++ b/quorum/replication.go
@@ -0,0 +1,231 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+)
+
+// snapshotRetry is the time after which an unanswered snapshot is sent again.
+const snapshotRetry = 5 * time.Second
+
+func (core *Core) tickLeader(now time.Time) {
+	if !now.Before(core.quorumDue) {
+		core.quorumDue = now.Add(core.settings.ElectionTimeout)
+		if !core.hasContactQuorum(now, 2*core.settings.ElectionTimeout) {
+			core.becomeFollower(now, core.hard.Term, "")
+			return
+		}
+	}
+	if !now.Before(core.heartbeatDue) {
+		core.broadcast(now)
+	}
+}
+
+// hasContactQuorum reports whether a quorum has answered a message that was sent within the window.
+func (core *Core) hasContactQuorum(now time.Time, window time.Duration) bool {
+	heard, voters := 0, 0
+	for _, member := range core.members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		peer := core.peers[member.ID]
+		isSelf := member.ID == core.settings.ID
+		if isSelf || (peer != nil && now.Sub(peer.contact) <= window) {
+			heard++
+		}
+	}
+	return heard > voters/2
+}
+
+// appendEntry gives the entry the next position; replicate must follow in the same step.
+func (core *Core) appendEntry(entry Entry) {
+	entry.Index = core.log.lastIndex() + 1
+	entry.Term = core.hard.Term
+	core.log.append(entry)
+	core.saveEntry(entry)
+}
+
+func (core *Core) replicate(now time.Time) {
+	core.broadcast(now)
+	core.commitMatched(now)
+}
+
+func (core *Core) broadcast(now time.Time) {
+	core.heartbeatDue = now.Add(core.settings.Heartbeat)
+	for _, member := range core.members {
+		if member.ID != core.settings.ID {
+			core.sendAppend(now, member.ID)
+		}
+	}
+}
+
+func (core *Core) sendAppend(now time.Time, to MemberID) {
+	peer := core.peers[to]
+	previous := peer.next - 1
+	term, ok := core.log.term(previous)
+	if !ok {
+		core.sendSnapshot(now, to, peer)
+		return
+	}
+	last := min(core.log.lastIndex(), previous+uint64(core.settings.MaxAppend))
+	core.send(Message{Kind: MessageAppend, To: to, LastIndex: previous, LastTerm: term,
+		Entries: core.log.slice(peer.next, last), Commit: core.commit, Sent: now.Sub(core.started)})
+	peer.next = last + 1
+}
+
+func (core *Core) sendSnapshot(now time.Time, to MemberID, peer *progress) {
+	if now.Before(peer.snapshotUntil) {
+		// An empty append keeps the member from asking for votes while the snapshot is on its way.
+		core.send(Message{Kind: MessageAppend, To: to, LastIndex: core.log.snapshot.Index,
+			LastTerm: core.log.snapshot.Term, Commit: core.commit, Sent: now.Sub(core.started)})
+		return
+	}
+	peer.snapshotUntil = now.Add(snapshotRetry)
+	snapshot := core.log.snapshot
+	core.send(Message{Kind: MessageSnapshot, To: to, Snapshot: &snapshot, Commit: core.commit,
+		Sent: now.Sub(core.started)})
+}
+
+func (core *Core) onAppend(now time.Time, message Message) {
+	if message.Term < core.hard.Term {
+		core.send(Message{Kind: MessageAppendReply, To: message.From})
+		return
+	}
+	core.followLeader(now, message.From)
+	reply := Message{Kind: MessageAppendReply, To: message.From, Sent: message.Sent}
+	if message.LastIndex < core.commit {
+		// The leader lags behind what is committed here; committed entries never change.
+		reply.Granted = true
+		reply.Match = core.commit
+		reply.Applied = core.applied
+		core.send(reply)
+		return
+	}
+	term, ok := core.log.term(message.LastIndex)
+	if !ok || term != message.LastTerm {
+		reply.Match = core.conflictHint(message.LastIndex)
+		core.send(reply)
+		return
+	}
+	core.storeEntries(message.Entries)
+	last := message.LastIndex + uint64(len(message.Entries))
+	core.advanceCommit(min(message.Commit, last))
+	reply.Granted = true
+	reply.Match = last
+	reply.Applied = core.applied
+	core.send(reply)
+}
+
+func (core *Core) followLeader(now time.Time, leader MemberID) {
+	if core.role != Follower || core.leader != leader {
+		core.becomeFollower(now, core.hard.Term, leader)
+	}
+	core.leaderContact = now
+	core.resetElection(now)
+}
+
+// conflictHint returns an index from which the leader should try again.
+func (core *Core) conflictHint(index uint64) uint64 {
+	if index > core.log.lastIndex() {
+		return core.log.lastIndex()
+	}
+	conflict, _ := core.log.term(index)
+	for index > core.commit+1 {
+		if term, ok := core.log.term(index - 1); !ok || term != conflict {
+			break
+		}
+		index--
+	}
+	return max(index-1, core.commit)
+}
+
+func (core *Core) storeEntries(entries []Entry) {
+	changed := false
+	for _, entry := range entries {
+		if term, ok := core.log.term(entry.Index); ok && term == entry.Term {
+			continue
+		}
+		core.log.put(entry)
+		core.saveEntry(entry)
+		changed = true
+	}
+	if changed {
+		core.reloadMembers()
+	}
+}
+
+func (core *Core) onAppendReply(now time.Time, message Message) {
+	peer, ok := core.peers[message.From]
+	if core.role != Leader || !ok || message.Term < core.hard.Term {
+		return
+	}
+	if sent := core.started.Add(message.Sent); sent.After(peer.contact) && !sent.After(now) {
+		peer.contact = sent
+	}
+	if !message.Granted {
+		peer.next = max(peer.match, min(message.Match, core.log.lastIndex())) + 1
+		if !now.Before(peer.snapshotUntil) {
+			core.sendAppend(now, message.From)
+		}
+		return
+	}
+	peer.applied = max(peer.applied, message.Applied)
+	if message.Match > peer.match {
+		peer.match = message.Match
+		peer.snapshotUntil = time.Time{}
+		core.commitMatched(now)
+	}
+	peer.next = max(peer.next, peer.match+1)
+	if core.role == Leader && peer.next <= core.log.lastIndex() {
+		core.sendAppend(now, message.From)
+	}
+}
+
+// commitMatched commits what a quorum of the voters holds, if it is of this term.
+func (core *Core) commitMatched(now time.Time) {
+	var matched []uint64
+	for _, member := range core.members {
+		switch {
+		case member.Learner:
+		case member.ID == core.settings.ID:
+			matched = append(matched, core.log.lastIndex())
+		default:
+			matched = append(matched, core.peers[member.ID].match)
+		}
+	}
+	if len(matched) == 0 {
+		return
+	}
+	slices.Sort(matched)
+	index := matched[(len(matched)-1)/2]
+	term, ok := core.log.term(index)
+	if !ok || term != core.hard.Term || index <= core.commit {
+		return
+	}
+	core.advanceCommit(index)
+	if !core.isVoter(core.settings.ID) && core.membersIndex <= core.commit {
+		core.becomeFollower(now, core.hard.Term, "")
+		return
+	}
+	core.broadcast(now)
+}
+
+func (core *Core) onSnapshot(now time.Time, message Message) {
+	if message.Term < core.hard.Term {
+		core.send(Message{Kind: MessageAppendReply, To: message.From})
+		return
+	}
+	core.followLeader(now, message.From)
+	if message.Snapshot.Index > core.commit {
+		core.log.compact(*message.Snapshot)
+		core.commit = message.Snapshot.Index
+		core.applied = message.Snapshot.Index
+		core.effects.Install = message.Snapshot
+		core.effects.Committed = nil
+		core.effects.Records = append(core.effects.Records, Record{Snapshot: message.Snapshot})
+		core.reloadMembers()
+	}
+	core.send(Message{Kind: MessageAppendReply, To: message.From, Granted: true,
+		Match: core.commit, Applied: core.applied, Sent: message.Sent})
+}
--- /dev/null
+++ b/state/command.go
@@ -0,0 +1,127 @@
+package state
+
+import (
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/config"
+)
+
+// Command is one entry of the control log; exactly one of its fields is set.
+type Command struct {
+	Submit       *Submit       `cbor:"1,keyasint,omitempty"`
+	Register     *Register     `cbor:"2,keyasint,omitempty"`
+	Forget       *Forget       `cbor:"3,keyasint,omitempty"`
+	Place        *Place        `cbor:"4,keyasint,omitempty"`
+	Advance      *Advance      `cbor:"5,keyasint,omitempty"`
+	Adopt        *Adopt        `cbor:"6,keyasint,omitempty"`
+	GrantLease   *GrantLease   `cbor:"7,keyasint,omitempty"`
+	Claim        *Claim        `cbor:"8,keyasint,omitempty"`
+	SettleClaim  *SettleClaim  `cbor:"9,keyasint,omitempty"`
+	ReleaseClaim *ReleaseClaim `cbor:"10,keyasint,omitempty"`
+}
+
+// Submit puts a configuration in force.
+type Submit struct {
+	Document config.Document `cbor:"1,keyasint"`
+}
+
+// Register records a target's incarnation and the facts that do not change during it.
+type Register struct {
+	Target      celerylanding.TargetID      `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation   `cbor:"2,keyasint"`
+	Domain      celerylanding.FailureDomain `cbor:"3,keyasint"`
+	Group       string                      `cbor:"4,keyasint"`
+	Address     string                      `cbor:"5,keyasint"`
+	Kind        celerylanding.TargetKind    `cbor:"6,keyasint"`
+	Memory      celerylanding.Bytes         `cbor:"7,keyasint"`
+	Fencing     bool                        `cbor:"8,keyasint"`
+	Leaving     bool                        `cbor:"9,keyasint"`
+}
+
+// Forget records that an incarnation of a target is gone for good.
+type Forget struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+}
+
+// Place decides a replica; the log index becomes its order number.
+type Place struct {
+	Model       celerylanding.ModelID     `cbor:"1,keyasint"`
+	Target      celerylanding.TargetID    `cbor:"2,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"3,keyasint"`
+}
+
+// Advance moves a replica along its state chart.
+type Advance struct {
+	Order celerylanding.OrderNumber `cbor:"1,keyasint"`
+	Event string                    `cbor:"2,keyasint"`
+	// Fence is the executor's lease; zero for a decision of the leader.
+	Fence celerylanding.Fence `cbor:"3,keyasint"`
+	// Cause tells operators why a load failed.
+	Cause string `cbor:"4,keyasint,omitempty"`
+}
+
+// Adopt counts what was found on a target without a replica in the state.
+type Adopt struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+	Model       celerylanding.ModelID     `cbor:"3,keyasint"`
+	Bytes       celerylanding.Bytes       `cbor:"4,keyasint"`
+}
+
+// GrantLease gives a failure domain's executor lease to a member, if the present fence is the expected one.
+type GrantLease struct {
+	Domain celerylanding.FailureDomain `cbor:"1,keyasint"`
+	Holder string                      `cbor:"2,keyasint"`
+	Expect celerylanding.Fence         `cbor:"3,keyasint"`
+}
+
+// Claim reserves an idempotency key.
+type Claim struct {
+	Service     celerylanding.ServiceID `cbor:"1,keyasint"`
+	Key         string                  `cbor:"2,keyasint"`
+	Fingerprint uint64                  `cbor:"3,keyasint"`
+	Owner       string                  `cbor:"4,keyasint"`
+	// AtMillis is the proposer's wall time in milliseconds since the Unix epoch.
+	AtMillis int64 `cbor:"5,keyasint"`
+}
+
+// SettleClaim records the answer to an idempotency key.
+type SettleClaim struct {
+	Service celerylanding.ServiceID      `cbor:"1,keyasint"`
+	Key     string                       `cbor:"2,keyasint"`
+	Owner   string                       `cbor:"3,keyasint"`
+	Answer  celerylanding.RecordedAnswer `cbor:"4,keyasint"`
+}
+
+// ReleaseClaim gives up an idempotency key whose request has not run.
+type ReleaseClaim struct {
+	Service celerylanding.ServiceID `cbor:"1,keyasint"`
+	Key     string                  `cbor:"2,keyasint"`
+	Owner   string                  `cbor:"3,keyasint"`
+}
+
+// Code is the outcome of a command.
+type Code uint8
+
+// The outcomes.
+const (
+	// CodeAccepted means that the command changed the state.
+	CodeAccepted Code = iota + 1
+	// CodeAlready means that the state was as the command wants it.
+	CodeAlready
+	// CodeRefused means that the command changed nothing.
+	CodeRefused
+)
+
+// Result is the outcome of a command, the same on every member.
+type Result struct {
+	Code   Code   `cbor:"1,keyasint"`
+	Index  uint64 `cbor:"2,keyasint"`
+	Detail string `cbor:"3,keyasint,omitempty"`
+	// Number and Digest name the revision that won, for a submit.
+	Number uint64        `cbor:"4,keyasint,omitempty"`
+	Digest config.Digest `cbor:"5,keyasint,omitempty"`
+	// Claim and Answer tell what is known of an idempotency key.
+	Claim  celerylanding.ClaimState      `cbor:"6,keyasint,omitempty"`
+	Answer *celerylanding.RecordedAnswer `cbor:"7,keyasint,omitempty"`
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,146 @@
+package state
+
+import (
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/chart"
+	"celerylanding.example/celerylanding/config"
+)
+
+// image is the durable form of the state; its rows are ordered, so that equal states have equal bytes.
+type image struct {
+	Index    uint64          `cbor:"1,keyasint"`
+	Document config.Document `cbor:"2,keyasint"`
+	History  []revisionImage `cbor:"3,keyasint"`
+	Targets  []Register      `cbor:"4,keyasint"`
+	Replicas []replicaImage  `cbor:"5,keyasint"`
+	Leases   []leaseImage    `cbor:"6,keyasint"`
+	Claims   []claimImage    `cbor:"7,keyasint"`
+	Failures []failureImage  `cbor:"8,keyasint"`
+}
+
+type revisionImage struct {
+	Number uint64        `cbor:"1,keyasint"`
+	Digest config.Digest `cbor:"2,keyasint"`
+}
+
+type replicaImage struct {
+	Order       celerylanding.OrderNumber `cbor:"1,keyasint"`
+	Model       celerylanding.ModelID     `cbor:"2,keyasint"`
+	Target      celerylanding.TargetID    `cbor:"3,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"4,keyasint"`
+	Bytes       celerylanding.Bytes       `cbor:"5,keyasint"`
+	State       chart.State               `cbor:"6,keyasint"`
+	Ghost       bool                      `cbor:"7,keyasint,omitempty"`
+}
+
+type leaseImage struct {
+	Domain celerylanding.FailureDomain `cbor:"1,keyasint"`
+	Holder string                      `cbor:"2,keyasint"`
+	Fence  celerylanding.Fence         `cbor:"3,keyasint"`
+}
+
+type claimImage struct {
+	Service     celerylanding.ServiceID       `cbor:"1,keyasint"`
+	Key         string                        `cbor:"2,keyasint"`
+	Fingerprint uint64                        `cbor:"3,keyasint"`
+	Owner       string                        `cbor:"4,keyasint"`
+	AtMillis    int64                         `cbor:"5,keyasint"`
+	Answer      *celerylanding.RecordedAnswer `cbor:"6,keyasint,omitempty"`
+}
+
+type failureImage struct {
+	Model celerylanding.ModelID `cbor:"1,keyasint"`
+	Cause string                `cbor:"2,keyasint"`
+}
+
+// Snapshot returns the state in its durable form.
+func (state *State) Snapshot() ([]byte, error) {
+	image := image{Index: state.index, Document: state.document, Targets: state.Targets()}
+	for _, past := range state.history {
+		image.History = append(image.History, revisionImage{past.number, past.digest})
+	}
+	for _, replica := range state.Replicas() {
+		image.Replicas = append(image.Replicas, replicaImage{replica.order, replica.model, replica.target,
+			replica.incarnation, replica.bytes, replica.state, replica.ghost})
+	}
+	for domain, lease := range state.leases {
+		image.Leases = append(image.Leases, leaseImage{domain, lease.holder, lease.fence})
+	}
+	sort.Slice(image.Leases, func(i, j int) bool { return image.Leases[i].Domain < image.Leases[j].Domain })
+	image.Claims = state.claimImages()
+	for model, cause := range state.failures {
+		image.Failures = append(image.Failures, failureImage{model, cause})
+	}
+	sort.Slice(image.Failures, func(i, j int) bool { return image.Failures[i].Model < image.Failures[j].Model })
+	return cbor.Marshal(image)
+}
+
+// claimImages returns the claims by age, each once.
+func (state *State) claimImages() []claimImage {
+	images := make([]claimImage, 0, len(state.claims))
+	seen := make(map[claimID]bool, len(state.claims))
+	for _, id := range state.claimOrder {
+		row, ok := state.claims[id]
+		if !ok || seen[id] {
+			continue
+		}
+		seen[id] = true
+		images = append(images, claimImage{id.service, id.key, row.fingerprint, row.owner, row.atMillis, row.answer})
+	}
+	return images
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(data []byte) (*State, error) {
+	state, err := New()
+	if err != nil || len(data) == 0 {
+		return state, err
+	}
+	var image image
+	if err := snapshotDecoder.Unmarshal(data, &image); err != nil {
+		return nil, err
+	}
+	state.index = image.Index
+	if image.Document.Base != "" {
+		if state.config, err = config.Parse(image.Document); err != nil {
+			return nil, err
+		}
+		state.document = image.Document
+	}
+	for _, past := range image.History {
+		state.history = append(state.history, revision{past.Number, past.Digest})
+	}
+	for _, target := range image.Targets {
+		state.targets[target.Target] = target
+	}
+	for _, row := range image.Replicas {
+		state.insert(&Replica{row.Order, row.Model, row.Target, row.Incarnation, row.Bytes, row.State, row.Ghost})
+	}
+	for _, lease := range image.Leases {
+		state.leases[lease.Domain] = Lease{lease.Holder, lease.Fence}
+	}
+	for _, claim := range image.Claims {
+		id := claimID{claim.Service, claim.Key}
+		state.claims[id] = &claimRow{claim.Fingerprint, claim.Owner, claim.AtMillis, claim.Answer}
+		state.claimOrder = append(state.claimOrder, id)
+	}
+	for _, failure := range image.Failures {
+		state.failures[failure.Model] = failure.Cause
+	}
+	return state, nil
+}
+
+// snapshotDecoder allows for the rows of a large site.
+var snapshotDecoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/target/doc.go
@@ -0,0 +1,2 @@
+// Package target holds the clients for model engines and plain services.
+package target
--- /dev/null
+++ b/target/orders.go
@@ -0,0 +1,146 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"syscall"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+// maxReply bounds the answer to an order in bytes.
+const maxReply = 4 << 20
+
+var (
+	// ErrOrderRefused means that the engine did not carry out the order and will not do so.
+	ErrOrderRefused = celerylanding.Namespace.NewType("order_refused")
+	// ErrStaleFence means that the engine knows a later executor.
+	ErrStaleFence = celerylanding.Namespace.NewType("stale_fence")
+	// ErrOrderUnknown means that the engine may have carried out the order or may still do so.
+	ErrOrderUnknown = celerylanding.Namespace.NewType("order_unknown")
+	// ErrProcessGone means that nothing listens at the engine's address any more.
+	ErrProcessGone = celerylanding.Namespace.NewType("process_gone")
+)
+
+// OrderBody is the body of a load or unload call, after the model repository extension of the Open Inference Protocol.
+type OrderBody struct {
+	Parameters OrderParameters `json:"parameters"`
+}
+
+// OrderParameters are this system's parameters of a load or unload call.
+type OrderParameters struct {
+	Order       celerylanding.OrderNumber `json:"order"`
+	Fence       celerylanding.Fence       `json:"fence"`
+	Incarnation celerylanding.Incarnation `json:"incarnation"`
+	Base        celerylanding.ModelID     `json:"base,omitempty"`
+	Bytes       celerylanding.Bytes       `json:"bytes"`
+}
+
+// IndexEntry is one entry of an engine's repository index.
+type IndexEntry struct {
+	Name  celerylanding.ModelID `json:"name"`
+	State string                `json:"state"`
+	Bytes celerylanding.Bytes   `json:"bytes"`
+}
+
+// Index is an engine's answer to a repository index call.
+type Index struct {
+	Incarnation celerylanding.Incarnation `json:"incarnation"`
+	Models      []IndexEntry              `json:"models"`
+}
+
+// Orders gives orders over HTTP.
+type Orders struct {
+	client *http.Client
+}
+
+// NewOrders returns a client without connections; the context of a call bounds its time.
+func NewOrders() *Orders {
+	return &Orders{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Send gives the order and waits until the engine has carried it out.
+func (orders *Orders) Send(ctx context.Context, endpoint celerylanding.Endpoint, order celerylanding.Order) error {
+	body := OrderBody{Parameters: OrderParameters{Order: order.Number, Fence: order.Fence,
+		Incarnation: order.Incarnation, Base: order.Base, Bytes: order.Bytes}}
+	path := "/v2/repository/models/" + url.PathEscape(string(order.Model)) + "/" + string(order.Kind)
+	_, err := orders.call(ctx, endpoint, path, body)
+	return err
+}
+
+// Inventory returns what the engine holds now.
+func (orders *Orders) Inventory(ctx context.Context, endpoint celerylanding.Endpoint) ([]celerylanding.LoadedModel, error) {
+	reply, err := orders.call(ctx, endpoint, "/v2/repository/index", struct{}{})
+	if err != nil {
+		return nil, err
+	}
+	var index Index
+	if err := json.Unmarshal(reply, &index); err != nil {
+		return nil, ErrOrderUnknown.Wrap(err, "index of %s", endpoint.Target)
+	}
+	if index.Incarnation != endpoint.Incarnation {
+		return nil, ErrProcessGone.New("%s is at incarnation %d", endpoint.Target, index.Incarnation)
+	}
+	loaded := make([]celerylanding.LoadedModel, 0, len(index.Models))
+	for _, entry := range index.Models {
+		loaded = append(loaded, celerylanding.LoadedModel{Model: entry.Name, Bytes: entry.Bytes, State: entry.State})
+	}
+	return loaded, nil
+}
+
+// Fence makes the engine refuse orders with a lower fencing number.
+func (orders *Orders) Fence(ctx context.Context, endpoint celerylanding.Endpoint, fence celerylanding.Fence) error {
+	body := OrderBody{Parameters: OrderParameters{Fence: fence, Incarnation: endpoint.Incarnation}}
+	_, err := orders.call(ctx, endpoint, "/v2/repository/fence", body)
+	return err
+}
+
+func (orders *Orders) call(ctx context.Context, endpoint celerylanding.Endpoint, path string, body any) ([]byte, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint.Address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := orders.client.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrProcessGone.Wrap(err, "%s at %s", endpoint.Target, endpoint.Address)
+	}
+	if err != nil {
+		return nil, ErrOrderUnknown.Wrap(err, "%s to %s", path, endpoint.Target)
+	}
+	defer closeBody(response.Body)
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return nil, ErrOrderUnknown.Wrap(err, "%s to %s", path, endpoint.Target)
+	}
+	return reply, orderError(response.StatusCode, reply)
+}
+
+// orderError tells apart the engine's refusals from failures whose outcome is unknown.
+func orderError(status int, reply []byte) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusConflict:
+		return ErrStaleFence.New("%s", reply)
+	case status == http.StatusGone:
+		return ErrProcessGone.New("%s", reply)
+	case status >= 400 && status < 500, status == http.StatusInsufficientStorage:
+		return ErrOrderRefused.New("status %d: %s", status, reply)
+	}
+	return ErrOrderUnknown.New("status %d: %s", status, reply)
+}
+
+// closeBody ends an exchange whose answer was read; an error changes nothing for the caller.
+func closeBody(body io.Closer) {
+	_ = body.Close()
+}
--- /dev/null
+++ b/types.go
@@ -0,0 +1,162 @@
+package celerylanding
+
+import (
+	"strings"
+	"time"
+)
+
+// NodeID names an entry VM's process; it stays the same over restarts.
+type NodeID string
+
+// FailureDomain names a set of VMs and targets that can fail together.
+type FailureDomain string
+
+// TargetID names a model engine or plain service; it stays the same over restarts.
+type TargetID string
+
+// Incarnation numbers the starts of one target; a later start has a higher number.
+type Incarnation uint64
+
+// ModelID names a loadable unit: "base@version" for a model, or the adapter's name.
+type ModelID string
+
+// ServiceID names a plain service.
+type ServiceID string
+
+// Bytes is a size in bytes.
+type Bytes int64
+
+// Fence is the log index of the executor lease under which an order was given.
+type Fence uint64
+
+// OrderNumber is the log index of the decision that an order carries out.
+type OrderNumber uint64
+
+// TargetKind tells model engines from plain services.
+type TargetKind string
+
+// The kinds of target.
+const (
+	KindEngine  TargetKind = "engine"
+	KindService TargetKind = "service"
+)
+
+// Tier is the place where a checkpoint is cached on a target.
+type Tier string
+
+// The tiers, nearest first.
+const (
+	TierMemory Tier = "memory"
+	TierDisk   Tier = "disk"
+	TierRemote Tier = "remote"
+)
+
+// Priority is the class of a request; lower values are served first.
+type Priority int
+
+// The priority classes.
+const (
+	PriorityInteractive Priority = iota
+	PriorityNormal
+	PriorityBatch
+	PriorityCount
+)
+
+// ParsePriority reads a priority class by its name; an unknown name is false.
+func ParsePriority(name string) (Priority, bool) {
+	switch strings.ToLower(name) {
+	case "interactive":
+		return PriorityInteractive, true
+	case "", "normal":
+		return PriorityNormal, true
+	case "batch":
+		return PriorityBatch, true
+	}
+	return PriorityNormal, false
+}
+
+// String returns the name of the class.
+func (priority Priority) String() string {
+	switch priority {
+	case PriorityInteractive:
+		return "interactive"
+	case PriorityBatch:
+		return "batch"
+	}
+	return "normal"
+}
+
+// CachedCheckpoint says where a target holds a checkpoint.
+type CachedCheckpoint struct {
+	Model ModelID `json:"model" cbor:"1,keyasint"`
+	Tier  Tier    `json:"tier" cbor:"2,keyasint"`
+}
+
+// LoadedModel is one entry of a target's inventory.
+type LoadedModel struct {
+	Model ModelID `json:"model" cbor:"1,keyasint"`
+	Bytes Bytes   `json:"bytes" cbor:"2,keyasint"`
+	// State is "ready", "loading" or "unloading".
+	State string `json:"state" cbor:"3,keyasint"`
+}
+
+// TargetLoad is a target's own, lagging report of its load.
+type TargetLoad struct {
+	Running int `json:"running" cbor:"1,keyasint"`
+	Waiting int `json:"waiting" cbor:"2,keyasint"`
+}
+
+// Announcement is what a target says of itself to any one node.
+type Announcement struct {
+	Target      TargetID           `json:"target" cbor:"1,keyasint"`
+	Incarnation Incarnation        `json:"incarnation" cbor:"2,keyasint"`
+	Sequence    uint64             `json:"sequence" cbor:"3,keyasint"`
+	Domain      FailureDomain      `json:"failure_domain" cbor:"4,keyasint"`
+	Group       string             `json:"group" cbor:"5,keyasint"`
+	Address     string             `json:"address" cbor:"6,keyasint"`
+	Kind        TargetKind         `json:"kind" cbor:"7,keyasint"`
+	Memory      Bytes              `json:"memory" cbor:"8,keyasint"`
+	Fencing     bool               `json:"fencing" cbor:"9,keyasint"`
+	Leaving     bool               `json:"leaving" cbor:"10,keyasint"`
+	Slots       int                `json:"slots" cbor:"11,keyasint"`
+	Inventory   []LoadedModel      `json:"inventory" cbor:"12,keyasint"`
+	Cached      []CachedCheckpoint `json:"cached" cbor:"13,keyasint"`
+	Load        TargetLoad         `json:"load" cbor:"14,keyasint"`
+}
+
+// Supersedes reports whether the announcement is newer than the other one of the same target.
+func (ann Announcement) Supersedes(other Announcement) bool {
+	if ann.Incarnation != other.Incarnation {
+		return ann.Incarnation > other.Incarnation
+	}
+	return ann.Sequence > other.Sequence
+}
+
+// OrderKind is what an order asks of a target.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+)
+
+// Order asks one incarnation of a target to load or unload a model.
+type Order struct {
+	Number      OrderNumber   `json:"order"`
+	Fence       Fence         `json:"fence"`
+	Kind        OrderKind     `json:"kind"`
+	Target      TargetID      `json:"target"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Model       ModelID       `json:"model"`
+	Base        ModelID       `json:"base,omitempty"`
+	Bytes       Bytes         `json:"bytes"`
+	Timeout     time.Duration `json:"timeout"`
+}
+
+// Endpoint is where an incarnation of a target can be reached.
+type Endpoint struct {
+	Target      TargetID
+	Incarnation Incarnation
+	Address     string
+}
--- /dev/null
+++ b/verdict.go
@@ -0,0 +1,122 @@
+package celerylanding
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Verdict says whether a request may have run on a target.
+type Verdict int
+
+// The verdicts; the zero value is the cautious one.
+const (
+	// MayHaveRun means that a target may have acted on the request.
+	MayHaveRun Verdict = iota
+	// NotRun means that no target acted on the request or will do so.
+	NotRun
+	// Ran means that a target acted on the request and answered.
+	Ran
+)
+
+// String returns the name used in headers and bodies.
+func (verdict Verdict) String() string {
+	switch verdict {
+	case NotRun:
+		return "not_run"
+	case Ran:
+		return "ran"
+	}
+	return "may_have_run"
+}
+
+// Reason is the machine-readable cause of a refusal or failure.
+type Reason string
+
+// The reasons a caller can be given.
+const (
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonUnknownModel     Reason = "unknown_model"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadline         Reason = "deadline_exceeded"
+	ReasonWaitTooLong      Reason = "wait_exceeds_deadline"
+	ReasonNoTarget         Reason = "no_target"
+	ReasonNoQuorum         Reason = "no_quorum"
+	ReasonQuarantined      Reason = "request_quarantined"
+	ReasonDraining         Reason = "draining"
+	ReasonTargetFailed     Reason = "target_failed"
+	ReasonTargetRefused    Reason = "target_refused"
+	ReasonAnswerIncomplete Reason = "answer_incomplete"
+	ReasonKeyInProgress    Reason = "idempotency_key_in_progress"
+	ReasonKeyReused        Reason = "idempotency_key_reused"
+	ReasonCallerGone       Reason = "caller_gone"
+)
+
+// Status returns the HTTP status that a caller sees for the reason.
+func (reason Reason) Status() int {
+	switch reason {
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonUnknownModel, ReasonUnknownService:
+		return http.StatusNotFound
+	case ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case ReasonQuarantined, ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case ReasonKeyInProgress:
+		return http.StatusConflict
+	case ReasonTargetFailed, ReasonAnswerIncomplete:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// RetryAfter returns how long a caller should wait before it tries again; zero means that trying again does not help.
+func (reason Reason) RetryAfter() time.Duration {
+	switch reason {
+	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused:
+		return 2 * time.Second
+	case ReasonDraining, ReasonKeyInProgress:
+		return time.Second
+	}
+	return 0
+}
+
+// Namespace is the root of the error types of this module.
+var Namespace = errorx.NewNamespace("celerylanding")
+
+// CallFailed is the type of every error that ends a caller's request.
+var CallFailed = Namespace.NewType("call_failed")
+
+var (
+	verdictProperty = errorx.RegisterProperty("verdict")
+	reasonProperty  = errorx.RegisterProperty("reason")
+)
+
+// NewCallError returns an error that ends a request with a verdict and a reason.
+func NewCallError(verdict Verdict, reason Reason, format string, args ...any) error {
+	return CallFailed.New("%s", fmt.Sprintf(format, args...)).
+		WithProperty(verdictProperty, verdict).
+		WithProperty(reasonProperty, reason)
+}
+
+// VerdictOf returns the verdict that an error carries; an error without one may have run.
+func VerdictOf(err error) Verdict {
+	if value, ok := errorx.ExtractProperty(err, verdictProperty); ok {
+		return value.(Verdict)
+	}
+	return MayHaveRun
+}
+
+// ReasonOf returns the reason that an error carries; an error without one is a failure of the target.
+func ReasonOf(err error) Reason {
+	if value, ok := errorx.ExtractProperty(err, reasonProperty); ok {
+		return value.(Reason)
+	}
+	return ReasonTargetFailed
+}
