--- /dev/null
+++ b/commands/check.go
@@ -0,0 +1,59 @@
+package commands
+
+import (
+	"fmt"
+	"os"
+
+	"celerylanding.example/celerylanding/config"
+)
+
+// documentFiles names the files of an intended state.
+type documentFiles struct {
+	Base    string `arg:"" help:"Base file."`
+	Overlay string `arg:"" optional:"" help:"Overlay of the site."`
+}
+
+func (files documentFiles) read() (config.Document, error) {
+	base, err := os.ReadFile(files.Base)
+	if err != nil {
+		return config.Document{}, exit(ExitUsage, err)
+	}
+	document := config.Document{BaseName: files.Base, Base: string(base)}
+	if files.Overlay == "" {
+		return document, nil
+	}
+	overlay, err := os.ReadFile(files.Overlay)
+	if err != nil {
+		return config.Document{}, exit(ExitUsage, err)
+	}
+	document.OverlayName, document.Overlay = files.Overlay, string(overlay)
+	return document, nil
+}
+
+// parse reads and checks the files.
+func (files documentFiles) parse() (config.Document, *config.Config, error) {
+	document, err := files.read()
+	if err != nil {
+		return document, nil, err
+	}
+	parsed, err := config.Parse(document)
+	if err != nil {
+		return document, nil, exit(ExitUsage, err)
+	}
+	return document, parsed, nil
+}
+
+type checkCommand struct {
+	documentFiles
+}
+
+// Run checks the files and prints what they state.
+func (command *checkCommand) Run(deps *deps) error {
+	_, parsed, err := command.parse()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(deps.out, "revision %d of %s is valid: %d models and adapters, %d services, digest %s\n",
+		parsed.Number(), parsed.Site(), len(parsed.Models()), len(parsed.Services()), parsed.Digest())
+	return err
+}
--- /dev/null
+++ b/commands/demo.go
@@ -0,0 +1,231 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/node"
+	"celerylanding.example/celerylanding/target/fake"
+)
+
+//go:embed demo/base.yaml
+var demoBase string
+
+//go:embed demo/overlay.yaml
+var demoOverlay string
+
+const (
+	demoMemory    = 80 << 30
+	demoSlots     = 16
+	demoTokenTime = 20 * time.Millisecond
+	demoTokens    = 12
+	demoAnnounce  = 500 * time.Millisecond
+	demoSubmitTry = 200 * time.Millisecond
+	demoService   = 5 * time.Millisecond
+)
+
+type demoCommand struct {
+	Callers     string   `default:"127.0.0.1:7001" help:"Address for callers."`
+	Data        string   `help:"Data folder; default is a temporary one."`
+	TargetsOnly bool     `help:"Run the stand-in targets only."`
+	Nodes       []string `help:"Target addresses of the nodes, with --targets-only."`
+	Domains     []string `default:"a,b" help:"Failure domains of the stand-in engines; the service is in the first one."`
+	LoadTime    string   `default:"800ms" help:"Load time of a stand-in engine."`
+}
+
+// Run serves until it is interrupted.
+func (command *demoCommand) Run(deps *deps) error {
+	loadTime, err := time.ParseDuration(command.LoadTime)
+	if err != nil {
+		return exit(ExitUsage, fmt.Errorf("--load-time: %w", err))
+	}
+	var group run.Group
+	if command.TargetsOnly {
+		if len(command.Nodes) == 0 {
+			return exit(ExitUsage, errors.New("--nodes is missing"))
+		}
+		if err := command.addTargets(deps, &group, command.Nodes, loadTime); err != nil {
+			return err
+		}
+		addInterrupt(&group)
+		return group.Run()
+	}
+	cleanUp, err := command.addNode(deps, &group, loadTime)
+	if err != nil {
+		return err
+	}
+	return errors.Join(group.Run(), cleanUp())
+}
+
+// addInterrupt ends the group at the first signal.
+func addInterrupt(group *run.Group) {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	group.Add(func() error {
+		<-ctx.Done()
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addNode adds a node with a control log of its own, its targets and the submission of the embedded files.
+func (command *demoCommand) addNode(deps *deps, group *run.Group, loadTime time.Duration) (func() error, error) {
+	folder, cleanUp := command.Data, func() error { return nil }
+	if folder == "" {
+		temporary, err := os.MkdirTemp("", "celerylanding-demo-")
+		if err != nil {
+			return nil, err
+		}
+		folder, cleanUp = temporary, func() error { return os.RemoveAll(temporary) }
+	}
+	listeners, err := demoListeners(command.Callers)
+	if err != nil {
+		return nil, errors.Join(err, cleanUp())
+	}
+	seed := newSeed()
+	_, err = node.Bootstrap(node.BootstrapOptions{ID: "demo", Domain: celerylanding.FailureDomain(command.Domains[0]),
+		DataFolder: folder, Address: listeners.Peers.Addr().String(), Seed: seed})
+	if err != nil && !node.IsHasLog(err) {
+		return nil, errors.Join(err, cleanUp())
+	}
+	timing := node.DefaultTiming()
+	timing.DrainNotice = 0
+	process, err := node.New(node.Options{ID: "demo", Domain: celerylanding.FailureDomain(command.Domains[0]),
+		DataFolder: folder, MaxVoters: 1, SnapshotAt: 1000, Listeners: listeners, Timing: timing, Log: deps.log,
+		Timeline: syncWriter(deps.err), Seed: seed})
+	if err != nil {
+		return nil, errors.Join(err, cleanUp())
+	}
+	ended := make(chan struct{})
+	group.Add(func() error {
+		go terminateOnSignal(process, ended)
+		return process.Run(context.Background())
+	}, func(error) {
+		process.Terminate()
+		close(ended)
+	})
+	if err := command.addTargets(deps, group, []string{listeners.Targets.Addr().String()}, loadTime); err != nil {
+		return nil, errors.Join(err, cleanUp())
+	}
+	addDemoSubmit(deps, group, listeners)
+	return cleanUp, nil
+}
+
+func demoListeners(callers string) (node.Listeners, error) {
+	var listeners node.Listeners
+	for _, plane := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{callers, &listeners.Callers},
+		{"127.0.0.1:0", &listeners.Targets},
+		{"127.0.0.1:0", &listeners.Peers},
+		{"127.0.0.1:0", &listeners.Operators},
+	} {
+		listener, err := net.Listen("tcp", plane.address)
+		if err != nil {
+			return node.Listeners{}, err
+		}
+		*plane.listener = listener
+	}
+	return listeners, nil
+}
+
+// addTargets adds an engine for each failure domain and one service.
+func (command *demoCommand) addTargets(deps *deps, group *run.Group, nodes []string, loadTime time.Duration) error {
+	for i, domain := range command.Domains {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		announcement := demoAnnouncement(fmt.Sprintf("engine-%d", i+1), domain, "engines", celerylanding.KindEngine, listener)
+		engine := fake.NewEngine(fake.EngineOptions{Announcement: announcement, LoadTime: loadTime,
+			TokenTime: demoTokenTime, Tokens: demoTokens})
+		addHost(group, fake.NewHost(listener, engine, nodes, demoAnnounce))
+		if _, err := fmt.Fprintf(deps.out, "engine %s in %s at %s\n", announcement.Target, domain, listener.Addr()); err != nil {
+			return err
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	announcement := demoAnnouncement("ledger-1", command.Domains[0], "ledgers", celerylanding.KindService, listener)
+	service := fake.NewService(fake.ServiceOptions{Announcement: announcement, Delay: demoService})
+	addHost(group, fake.NewHost(listener, service, nodes, demoAnnounce))
+	_, err = fmt.Fprintf(deps.out, "service %s in %s at %s\n", announcement.Target, command.Domains[0], listener.Addr())
+	return err
+}
+
+func demoAnnouncement(name, domain, group string, kind celerylanding.TargetKind, listener net.Listener) celerylanding.Announcement {
+	announcement := celerylanding.Announcement{
+		Target:      celerylanding.TargetID(name),
+		Incarnation: celerylanding.Incarnation(time.Now().UnixNano()),
+		Domain:      celerylanding.FailureDomain(domain),
+		Group:       group,
+		Address:     listener.Addr().String(),
+		Kind:        kind,
+		Slots:       demoSlots,
+	}
+	if kind == celerylanding.KindEngine {
+		announcement.Memory = demoMemory
+		announcement.Fencing = true
+	}
+	return announcement
+}
+
+func addHost(group *run.Group, host *fake.Host) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return host.Run(ctx) }, func(error) { cancel() })
+}
+
+// addDemoSubmit puts the embedded files in force and prints what to try.
+func addDemoSubmit(deps *deps, group *run.Group, listeners node.Listeners) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		document := config.Document{BaseName: "demo/base.yaml", Base: demoBase, OverlayName: "demo/overlay.yaml", Overlay: demoOverlay}
+		for !demoSubmit(ctx, listeners.Operators.Addr().String(), document) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(demoSubmitTry):
+			}
+		}
+		_, err := fmt.Fprintf(deps.out, "callers at %s, operators at %s, targets at %s\ntry: curl -s http://%s/v1/chat/completions -d '%s'\n",
+			listeners.Callers.Addr(), listeners.Operators.Addr(), listeners.Targets.Addr(), listeners.Callers.Addr(),
+			`{"model":"drafting","messages":[{"role":"user","content":"hello"}]}`)
+		if err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	}, func(error) { cancel() })
+}
+
+func demoSubmit(ctx context.Context, operators string, document config.Document) bool {
+	body, err := json.Marshal(document)
+	if err != nil {
+		return false
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+operators+"/operate/submit", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/commands/doc.go
@@ -0,0 +1,2 @@
+// Package commands is the command line, one file a command.
+package commands
--- /dev/null
+++ b/commands/operator.go
@@ -0,0 +1,111 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"celerylanding.example/celerylanding/node"
+)
+
+// operatorClient reaches a node's operator interface.
+type operatorClient struct {
+	Operator string        `default:"127.0.0.1:7004" help:"Operator address of any node."`
+	Timeout  time.Duration `default:"15s" help:"Longest wait for an answer."`
+	TLS      tlsFiles      `embed:"" prefix:"tls-"`
+}
+
+func (client operatorClient) call(method, path string, body any) ([]byte, error) {
+	var encoded bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&encoded).Encode(body); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), client.Timeout)
+	defer cancel()
+	scheme, transport, err := client.transport()
+	if err != nil {
+		return nil, exit(ExitUsage, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+client.Operator+path, &encoded)
+	if err != nil {
+		return nil, exit(ExitUsage, err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, exit(ExitUnknown, fmt.Errorf("no answer from %s, so the outcome is unknown: %w; the same call may be made again", client.Operator, err))
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, exit(ExitUnknown, err)
+	}
+	return answer, nil
+}
+
+func (client operatorClient) transport() (string, http.RoundTripper, error) {
+	if !client.TLS.isSet() {
+		return "http", &http.Transport{DisableKeepAlives: true}, nil
+	}
+	source, err := newTLSSource(client.TLS)
+	if err != nil {
+		return "", nil, err
+	}
+	return "https", &http.Transport{DisableKeepAlives: true, TLSClientConfig: source.client()}, nil
+}
+
+type submitCommand struct {
+	documentFiles
+	operatorClient
+}
+
+// Run puts the files in force and says what became of them.
+func (command *submitCommand) Run(deps *deps) error {
+	document, parsed, err := command.parse()
+	if err != nil {
+		return err
+	}
+	answer, err := command.call(http.MethodPost, "/operate/submit", document)
+	if err != nil {
+		return err
+	}
+	var reply node.SubmitReply
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		return exit(ExitUnknown, fmt.Errorf("unreadable answer: %w", err))
+	}
+	switch reply.Outcome {
+	case node.OutcomeAccepted, node.OutcomeAlready:
+		_, err = fmt.Fprintf(deps.out, "revision %d %s, digest %s\n", reply.Number, reply.Outcome, reply.Digest)
+		return err
+	case node.OutcomeRefused:
+		return exit(ExitRefused, fmt.Errorf("revision %d with digest %s is refused: %s", parsed.Number(), parsed.Digest(), reply.Detail))
+	}
+	return exit(ExitUnknown, fmt.Errorf("the outcome is unknown; submit the same files again: %s", reply.Detail))
+}
+
+type showCommand struct {
+	operatorClient
+	JSON bool `help:"Print the answer as JSON."`
+}
+
+// Run prints the intended state and what is true of it.
+func (command *showCommand) Run(deps *deps) error {
+	answer, err := command.call(http.MethodGet, "/operate/show", nil)
+	if err != nil {
+		return err
+	}
+	if command.JSON {
+		_, err = deps.out.Write(answer)
+		return err
+	}
+	var reply node.ShowReply
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		return exit(ExitUnknown, fmt.Errorf("unreadable answer: %w", err))
+	}
+	return printShow(deps.out, reply)
+}
--- /dev/null
+++ b/common/tasks/doc.go
@@ -0,0 +1,2 @@
+// Package tasks keeps track of short-lived goroutines, so that their owner can wait for all of them.
+package tasks
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -72,3 +72,8 @@
 	}
 	return !now.Before(until)
 }
+
+// Free ends the promise for a domain whose holder has given its lease up.
+func (granter *Granter) Free(now time.Time, domain celerylanding.FailureDomain) {
+	granter.until[domain] = now
+}
--- a/membership/voters.go
+++ b/membership/voters.go
@@ -11,8 +11,10 @@
 type Progress struct {
 	// Match is the last index that the member holds durably.
 	Match uint64
-	// Silent is set when the member has not answered for long.
+	// Silent is set when the member does not answer now.
 	Silent bool
+	// Lost is set when the member has not answered for long.
+	Lost bool
 }
 
 // Joined returns the membership with the newcomer as a learner; a newcomer that is known already changes nothing.
@@ -96,7 +98,7 @@
 func dropSilentLearner(members []quorum.Member,
 	progress func(quorum.MemberID) Progress) ([]quorum.Member, bool) {
 	for i, member := range members {
-		if member.Learner && progress(member.ID).Silent {
+		if member.Learner && progress(member.ID).Lost {
 			return slices.Delete(slices.Clone(members), i, i+1), true
 		}
 	}
--- /dev/null
+++ b/node/lead.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/lease"
+	"celerylanding.example/celerylanding/placement"
+	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/state"
+)
+
+const (
+	planInterval    = 50 * time.Millisecond
+	reshapeInterval = 100 * time.Millisecond
+	// pendingTime is how long a proposal of the leader's own is not repeated.
+	pendingTime = time.Second
+	// orphanGrace is the time without a sign of a domain's own nodes after which the leader gives its orders.
+	orphanGrace = 5 * time.Second
+)
+
+// leaderDuties is what only the leader does; it is made anew in each term.
+type leaderDuties struct {
+	granter    *lease.Granter
+	planDue    time.Time
+	reshapeDue time.Time
+	registered map[celerylanding.TargetID]time.Time
+	grants     map[celerylanding.FailureDomain]time.Time
+	ownSeen    map[celerylanding.FailureDomain]time.Time
+	since      time.Time
+}
+
+func (ctl *control) leaseSettings() lease.Settings {
+	return lease.Settings{TTL: ctl.options.Timing.LeaseTTL, Drift: ctl.options.Timing.ClockDrift}
+}
+
+// lead does the leader's work, once all that earlier terms committed has been applied.
+func (ctl *control) lead(now time.Time) {
+	if !ctl.core.IsSettled() {
+		return
+	}
+	if ctl.leader == nil {
+		ctl.leader = &leaderDuties{
+			granter:    lease.NewGranter(now, ctl.leaseSettings()),
+			registered: make(map[celerylanding.TargetID]time.Time),
+			grants:     make(map[celerylanding.FailureDomain]time.Time),
+			ownSeen:    make(map[celerylanding.FailureDomain]time.Time),
+			since:      now,
+		}
+		ctl.planner = placement.New(now)
+	}
+	if !now.Before(ctl.leader.reshapeDue) {
+		ctl.leader.reshapeDue = now.Add(reshapeInterval)
+		ctl.reshape(now)
+	}
+	if now.Before(ctl.leader.planDue) || len(ctl.batch) > 0 {
+		return
+	}
+	ctl.leader.planDue = now.Add(planInterval)
+	ctl.registerTargets(now)
+	if ctl.core.HasLeadership(now) {
+		ctl.submit(ctl.planner.Decide(now, ctl.state, ctl.directory))
+	}
+}
+
+// registerTargets records new incarnations and changed facts of the engines that were heard of.
+func (ctl *control) registerTargets(now time.Time) {
+	for _, target := range ctl.directory.Targets() {
+		announcement := target.Announcement()
+		if announcement.Kind != celerylanding.KindEngine || !now.After(ctl.leader.registered[announcement.Target]) {
+			continue
+		}
+		facts := factsOf(announcement)
+		known, ok := ctl.state.Target(announcement.Target)
+		if ok && (known == facts || known.Incarnation > facts.Incarnation) {
+			continue
+		}
+		if ok && known.Incarnation == facts.Incarnation && known.Leaving && !facts.Leaving {
+			continue
+		}
+		ctl.leader.registered[announcement.Target] = now.Add(pendingTime)
+		ctl.submit([]state.Command{{Register: &state.Register{Facts: facts, Inventory: announcement.Inventory}}})
+	}
+}
+
+func factsOf(announcement celerylanding.Announcement) state.Target {
+	return state.Target{
+		ID:          announcement.Target,
+		Incarnation: announcement.Incarnation,
+		Domain:      announcement.Domain,
+		Group:       announcement.Group,
+		Address:     announcement.Address,
+		Kind:        announcement.Kind,
+		Memory:      announcement.Memory,
+		Fencing:     announcement.Fencing,
+		Leaving:     announcement.Leaving,
+	}
+}
+
+// report takes a node's demand if this node leads, and returns the expected load time.
+func (ctl *control) report(now time.Time, node celerylanding.NodeID, reports []celerylanding.DemandReport) time.Duration {
+	if ctl.leader == nil {
+		return 0
+	}
+	ctl.planner.Report(now, node, reports)
+	return ctl.planner.ColdStart()
+}
+
+// renew extends, grants or ends a lease; the fence is that of a lease which the caller holds.
+func (ctl *control) renew(now time.Time, args RenewArgs) (celerylanding.Fence, bool) {
+	if ctl.leader == nil || !ctl.core.HasLeadership(now) {
+		return 0, false
+	}
+	current := ctl.state.Lease(args.Domain)
+	isHolder := current.Fence() != 0 && current.Holder() == string(args.Holder)
+	if args.Release {
+		if isHolder {
+			ctl.leader.granter.Free(now, args.Domain)
+			ctl.leader.grants[args.Domain] = now.Add(-pendingTime)
+		}
+		return 0, false
+	}
+	if args.Own {
+		ctl.leader.ownSeen[args.Domain] = now
+	}
+	if now.Before(ctl.leader.grants[args.Domain]) {
+		return 0, false
+	}
+	if isHolder && (args.Own || !ctl.isOwnNodeAlive(now, args.Domain)) {
+		ctl.leader.granter.Promise(now, args.Domain)
+		return current.Fence(), true
+	}
+	// A lease that the log never granted can't have been promised to anybody.
+	isFree := current.Fence() == 0 || ctl.leader.granter.IsFree(now, args.Domain)
+	if !isHolder && isFree {
+		ctl.leader.grants[args.Domain] = now.Add(pendingTime)
+		ctl.submit([]state.Command{{GrantLease: &state.GrantLease{Domain: args.Domain, Holder: string(args.Holder), Expect: current.Fence()}}})
+	}
+	return 0, false
+}
+
+// isOwnNodeAlive reports whether a node of the domain has asked for its lease lately.
+func (ctl *control) isOwnNodeAlive(now time.Time, domain celerylanding.FailureDomain) bool {
+	seen, ok := ctl.leader.ownSeen[domain]
+	if !ok {
+		seen = ctl.leader.since
+	}
+	return now.Sub(seen) < orphanGrace
+}
+
+// noteApplied records what a command changed.
+func (ctl *control) noteApplied(now time.Time, entry quorum.Entry, result state.Result) {
+	if result.Code == state.CodeRefused {
+		ctl.log.Debug().Uint64("index", entry.Index).Str("detail", result.Detail).Msg("command refused")
+	}
+	configuration := ctl.state.Config()
+	if configuration != nil && configuration.Number() != ctl.lastNumber {
+		ctl.lastNumber = configuration.Number()
+		ctl.recorder.Record(now, celerylanding.Event{Kind: "revision_in_force",
+			Detail: fmt.Sprintf("%d %s", configuration.Number(), configuration.Digest())})
+	}
+}
--- /dev/null
+++ b/node/operate.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/state"
+)
+
+const (
+	maxDocument   = 32 << 20
+	submitTimeout = 10 * time.Second
+	statusTimeout = 2 * time.Second
+)
+
+// The outcomes of a submission.
+const (
+	OutcomeAccepted = "accepted"
+	OutcomeAlready  = "already accepted"
+	OutcomeRefused  = "refused"
+	OutcomeUnknown  = "unknown"
+)
+
+// SubmitReply tells an operator what became of a submission.
+type SubmitReply struct {
+	Outcome string        `json:"outcome"`
+	Number  uint64        `json:"number,omitempty"`
+	Digest  config.Digest `json:"digest,omitempty"`
+	Detail  string        `json:"detail,omitempty"`
+}
+
+// ShowReply is the intended and the actual state of a site.
+type ShowReply struct {
+	Site     string        `json:"site"`
+	Revision uint64        `json:"revision"`
+	Digest   config.Digest `json:"digest"`
+	Nodes    []Status      `json:"nodes"`
+	Targets  []TargetShow  `json:"targets"`
+	Models   []ModelShow   `json:"models"`
+}
+
+// TargetShow is one target as the asked node sees it.
+type TargetShow struct {
+	Target      celerylanding.TargetID      `json:"target"`
+	Incarnation celerylanding.Incarnation   `json:"incarnation"`
+	Domain      celerylanding.FailureDomain `json:"failure_domain"`
+	Group       string                      `json:"group"`
+	State       string                      `json:"state"`
+	Memory      celerylanding.Bytes         `json:"memory"`
+	Used        celerylanding.Bytes         `json:"used"`
+	Replicas    int                         `json:"replicas"`
+}
+
+// ModelShow is one model with its replicas, or the reason why it has none.
+type ModelShow struct {
+	Model    celerylanding.ModelID `json:"model"`
+	Min      int                   `json:"min"`
+	Max      int                   `json:"max"`
+	Replicas []ReplicaShow         `json:"replicas"`
+	Reason   string                `json:"reason,omitempty"`
+}
+
+// ReplicaShow is one replica.
+type ReplicaShow struct {
+	Target celerylanding.TargetID    `json:"target"`
+	State  string                    `json:"state"`
+	Order  celerylanding.OrderNumber `json:"order"`
+}
+
+// serveSubmit puts a configuration in force; the answer leaves after the commit.
+func (node *Node) serveSubmit(writer http.ResponseWriter, request *http.Request) {
+	var document config.Document
+	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxDocument)).Decode(&document); err != nil {
+		writeReply(writer, http.StatusBadRequest, SubmitReply{Outcome: OutcomeRefused, Detail: err.Error()})
+		return
+	}
+	if _, err := config.Parse(document); err != nil {
+		writeReply(writer, http.StatusBadRequest, SubmitReply{Outcome: OutcomeRefused, Detail: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), submitTimeout)
+	defer cancel()
+	result, err := node.control.propose(ctx, state.Command{Submit: &state.Submit{Document: document}})
+	reply := submitReply(result, err)
+	status := http.StatusOK
+	switch reply.Outcome {
+	case OutcomeRefused:
+		status = http.StatusConflict
+	case OutcomeUnknown:
+		status = http.StatusServiceUnavailable
+	}
+	node.recorder.Record(time.Now(), celerylanding.Event{Kind: "submit", Detail: reply.Outcome})
+	writeReply(writer, status, reply)
+}
+
+func submitReply(result state.Result, err error) SubmitReply {
+	if err != nil {
+		outcome := OutcomeUnknown
+		if errorx.IsOfType(err, celerylanding.CallFailed) && celerylanding.VerdictOf(err) == celerylanding.NotRun {
+			outcome = OutcomeRefused
+		}
+		return SubmitReply{Outcome: outcome, Detail: err.Error()}
+	}
+	reply := SubmitReply{Outcome: OutcomeRefused, Number: result.Number, Digest: result.Digest, Detail: result.Detail}
+	switch result.Code {
+	case state.CodeAccepted:
+		reply.Outcome = OutcomeAccepted
+	case state.CodeAlready:
+		reply.Outcome = OutcomeAlready
+	}
+	return reply
+}
+
+// writeReply answers an operator, who may be gone; nothing can be done about that here.
+func writeReply(writer http.ResponseWriter, status int, reply any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(reply)
+}
+
+// status returns what this node says of itself.
+func (node *Node) status(ctx context.Context) (Status, error) {
+	var status Status
+	err := node.control.ask(ctx, func(time.Time) { status = node.control.status() })
+	status.State = string(node.life())
+	return status, err
+}
+
+func (ctl *control) status() Status {
+	status := Status{
+		Node:    ctl.options.ID,
+		Member:  ctl.member.ID,
+		Domain:  ctl.options.Domain,
+		Role:    ctl.core.Role().String(),
+		Term:    ctl.core.Term(),
+		Leader:  ctl.core.Leader(),
+		Applied: ctl.state.Index(),
+	}
+	configuration := ctl.state.Config()
+	if configuration == nil {
+		return status
+	}
+	status.Revision, status.Digest = configuration.Number(), configuration.Digest()
+	if ctl.leader == nil {
+		return status
+	}
+	for _, model := range configuration.Models() {
+		if reason := ctl.planner.Blocked(model.ID()); reason != "" {
+			status.Blocked = append(status.Blocked, BlockedModel{model.ID(), reason})
+		}
+	}
+	return status
+}
+
+// serveShow prints the intended state and what is true of it on each node.
+func (node *Node) serveShow(writer http.ResponseWriter, request *http.Request) {
+	var reply ShowReply
+	var addresses []string
+	err := node.control.ask(request.Context(), func(time.Time) {
+		reply = node.control.show()
+		for _, member := range node.control.core.Members() {
+			addresses = append(addresses, member.Address)
+		}
+	})
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	reply.Nodes = node.statuses(request.Context(), addresses)
+	for _, status := range reply.Nodes {
+		for _, blocked := range status.Blocked {
+			reply.explain(blocked)
+		}
+	}
+	writeReply(writer, http.StatusOK, reply)
+}
+
+func (reply *ShowReply) explain(blocked BlockedModel) {
+	for i := range reply.Models {
+		if reply.Models[i].Model == blocked.Model {
+			reply.Models[i].Reason = blocked.Reason
+		}
+	}
+}
+
+// statuses asks all members at once; one that does not answer is listed with the error.
+func (node *Node) statuses(ctx context.Context, addresses []string) []Status {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	statuses := make([]Status, len(addresses))
+	var asked sync.WaitGroup
+	for i, address := range addresses {
+		asked.Go(func() {
+			if err := node.peers.Call(ctx, address, "Peer.Status", &Empty{}, &statuses[i]); err != nil {
+				statuses[i] = Status{Member: "?", Error: address + ": " + err.Error()}
+			}
+		})
+	}
+	asked.Wait()
+	return statuses
+}
+
+func (ctl *control) show() ShowReply {
+	reply := ShowReply{Targets: []TargetShow{}, Models: []ModelShow{}}
+	for _, target := range ctl.directory.Targets() {
+		announcement := target.Announcement()
+		reply.Targets = append(reply.Targets, TargetShow{
+			Target:      announcement.Target,
+			Incarnation: announcement.Incarnation,
+			Domain:      announcement.Domain,
+			Group:       announcement.Group,
+			State:       string(target.State()),
+			Memory:      announcement.Memory,
+			Used:        ctl.state.Used(announcement.Target),
+			Replicas:    len(ctl.state.ReplicasOn(announcement.Target)),
+		})
+	}
+	configuration := ctl.state.Config()
+	if configuration == nil {
+		return reply
+	}
+	reply.Site, reply.Revision, reply.Digest = configuration.Site(), configuration.Number(), configuration.Digest()
+	for _, model := range configuration.Models() {
+		shown := ModelShow{Model: model.ID(), Min: model.Replicas().Min, Max: model.Replicas().Max, Replicas: []ReplicaShow{}}
+		for _, replica := range ctl.state.ReplicasOf(model.ID()) {
+			shown.Replicas = append(shown.Replicas, ReplicaShow{replica.Target(), string(replica.State()), replica.Order()})
+		}
+		if len(shown.Replicas) == 0 {
+			shown.Reason = "no request needs it"
+			if failure := ctl.state.Failure(model.ID()); failure != "" {
+				shown.Reason = "the last load failed: " + failure
+			}
+		}
+		reply.Models = append(reply.Models, shown)
+	}
+	return reply
+}
--- /dev/null
+++ b/node/peer.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/gateway"
+	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/router"
+	"celerylanding.example/celerylanding/state"
+)
+
+// peerTimeout bounds the work for one call of a peer.
+const peerTimeout = 5 * time.Second
+
+// Empty is the answer to a call that returns nothing.
+type Empty struct{}
+
+// DeliverArgs carry messages of the control log.
+type DeliverArgs struct {
+	Messages []quorum.Message `cbor:"1,keyasint"`
+	// Address is where the sender can be reached.
+	Address string `cbor:"2,keyasint"`
+}
+
+// ProposeArgs carry an encoded command for the leader.
+type ProposeArgs struct {
+	Command []byte `cbor:"1,keyasint"`
+}
+
+// ProposeReply is the outcome of a proposal.
+type ProposeReply struct {
+	Result    state.Result `cbor:"1,keyasint"`
+	NotLeader bool         `cbor:"2,keyasint"`
+	Unknown   bool         `cbor:"3,keyasint"`
+}
+
+// JoinArgs ask the leader to add a member.
+type JoinArgs struct {
+	Member quorum.Member `cbor:"1,keyasint"`
+}
+
+// JoinReply names the leader's address when the asked node does not lead.
+type JoinReply struct {
+	Leader string `cbor:"1,keyasint"`
+	Taken  bool   `cbor:"2,keyasint"`
+}
+
+// AnnounceArgs pass announcements on.
+type AnnounceArgs struct {
+	Announcements []celerylanding.Announcement `cbor:"1,keyasint"`
+}
+
+// ReportArgs carry one node's demand to the leader.
+type ReportArgs struct {
+	Node    celerylanding.NodeID         `cbor:"1,keyasint"`
+	Reports []celerylanding.DemandReport `cbor:"2,keyasint"`
+}
+
+// ReportReply tells a router what the leader knows.
+type ReportReply struct {
+	ColdStart time.Duration `cbor:"1,keyasint"`
+}
+
+// RenewArgs ask for an executor lease or give it up.
+type RenewArgs struct {
+	Domain  celerylanding.FailureDomain `cbor:"1,keyasint"`
+	Holder  quorum.MemberID             `cbor:"2,keyasint"`
+	Own     bool                        `cbor:"3,keyasint"`
+	Release bool                        `cbor:"4,keyasint"`
+}
+
+// RenewReply carries the fence of a lease that the caller holds.
+type RenewReply struct {
+	Granted bool                `cbor:"1,keyasint"`
+	Fence   celerylanding.Fence `cbor:"2,keyasint"`
+}
+
+// CrashArgs share the requests that were in flight on targets that died.
+type CrashArgs struct {
+	Crashes []router.Crash `cbor:"1,keyasint"`
+}
+
+// RefusedArgs share that an incarnation refuses new work.
+type RefusedArgs struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+}
+
+// Status is what one node says of itself.
+type Status struct {
+	Node     celerylanding.NodeID        `cbor:"1,keyasint" json:"node"`
+	Member   quorum.MemberID             `cbor:"2,keyasint" json:"member"`
+	Domain   celerylanding.FailureDomain `cbor:"3,keyasint" json:"failure_domain"`
+	Role     string                      `cbor:"4,keyasint" json:"role"`
+	Term     uint64                      `cbor:"5,keyasint" json:"term"`
+	Leader   quorum.MemberID             `cbor:"6,keyasint" json:"leader"`
+	Applied  uint64                      `cbor:"7,keyasint" json:"applied"`
+	Revision uint64                      `cbor:"8,keyasint" json:"revision"`
+	Digest   config.Digest               `cbor:"9,keyasint" json:"digest"`
+	State    string                      `cbor:"10,keyasint" json:"state"`
+	Blocked  []BlockedModel              `cbor:"11,keyasint" json:"blocked,omitempty"`
+	Error    string                      `cbor:"12,keyasint,omitempty" json:"error,omitempty"`
+}
+
+// BlockedModel says why a wanted model is not loaded.
+type BlockedModel struct {
+	Model  celerylanding.ModelID `cbor:"1,keyasint" json:"model"`
+	Reason string                `cbor:"2,keyasint" json:"reason"`
+}
+
+// PeerService answers the calls of other nodes.
+type PeerService struct {
+	ctx     context.Context
+	control *control
+	traffic *gateway.Traffic
+	status  func(ctx context.Context) (Status, error)
+}
+
+// Deliver takes messages of the control log.
+func (service *PeerService) Deliver(args *DeliverArgs, _ *Empty) error {
+	if len(args.Messages) == 0 {
+		return quorum.ErrBadMessage.New("no messages")
+	}
+	refused := make(chan error, 1)
+	posted := service.control.post(service.ctx, func(now time.Time) { refused <- service.control.receive(now, args) })
+	if !posted {
+		return service.ctx.Err()
+	}
+	select {
+	case err := <-refused:
+		return err
+	case <-service.ctx.Done():
+		return service.ctx.Err()
+	}
+}
+
+// Propose commits a command if this node leads.
+func (service *PeerService) Propose(args *ProposeArgs, reply *ProposeReply) error {
+	ctx, cancel := context.WithTimeout(service.ctx, proposeTry)
+	defer cancel()
+	outcome := service.control.proposeLocal(ctx, args.Command)
+	reply.Result = outcome.result
+	reply.NotLeader = errorx.IsOfType(outcome.err, quorum.ErrNotLeader)
+	reply.Unknown = outcome.err != nil && !reply.NotLeader
+	return nil
+}
+
+// Join adds a member if this node leads.
+func (service *PeerService) Join(args *JoinArgs, reply *JoinReply) error {
+	if args.Member.ID == "" || args.Member.Address == "" {
+		return quorum.ErrBadMessage.New("member without ID or address")
+	}
+	return service.ask(func(now time.Time) {
+		reply.Leader = service.control.leaderAddress()
+		reply.Taken = service.control.admit(now, args.Member)
+	})
+}
+
+// Announce takes announcements that another node has heard.
+func (service *PeerService) Announce(args *AnnounceArgs, _ *Empty) error {
+	return service.ask(func(now time.Time) {
+		for _, announcement := range args.Announcements {
+			service.control.observe(now, announcement)
+		}
+	})
+}
+
+// Report takes a node's demand.
+func (service *PeerService) Report(args *ReportArgs, reply *ReportReply) error {
+	return service.ask(func(now time.Time) {
+		reply.ColdStart = service.control.report(now, args.Node, args.Reports)
+	})
+}
+
+// Renew extends, grants or ends an executor lease.
+func (service *PeerService) Renew(args *RenewArgs, reply *RenewReply) error {
+	return service.ask(func(now time.Time) {
+		reply.Fence, reply.Granted = service.control.renew(now, *args)
+	})
+}
+
+// Crashes takes the requests that another node suspects.
+func (service *PeerService) Crashes(args *CrashArgs, _ *Empty) error {
+	service.traffic.Heard(time.Now(), args.Crashes)
+	return nil
+}
+
+// Refused takes another node's word that a target refuses new work.
+func (service *PeerService) Refused(args *RefusedArgs, _ *Empty) error {
+	return service.ask(func(now time.Time) { service.control.refused(now, args.Target, args.Incarnation) })
+}
+
+// Status returns what this node says of itself.
+func (service *PeerService) Status(_ *Empty, reply *Status) error {
+	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
+	defer cancel()
+	var err error
+	*reply, err = service.status(ctx)
+	return err
+}
+
+func (service *PeerService) ask(run func(now time.Time)) error {
+	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
+	defer cancel()
+	return service.control.ask(ctx, run)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,12 @@
 	due      time.Time
 }
 
+// loadStart is when a replica was first seen.
+type loadStart struct {
+	model celerylanding.ModelID
+	at    time.Time
+}
+
 // Planner is the leader's placement; it keeps what the nodes report and no I/O.
 type Planner struct {
 	demands   map[celerylanding.ModelID]map[celerylanding.NodeID]demand
@@ -47,8 +53,9 @@
 	tokens    float64
 	refilled  time.Time
 	ready     map[celerylanding.OrderNumber]time.Time
-	began     map[celerylanding.OrderNumber]time.Time
+	began     map[celerylanding.OrderNumber]loadStart
 	failed    map[celerylanding.ModelID]time.Time
+	blocked   map[celerylanding.ModelID]string
 	coldStart time.Duration
 }
 
@@ -59,8 +66,9 @@
 		policy:    keepalive.New(),
 		refilled:  now,
 		ready:     make(map[celerylanding.OrderNumber]time.Time),
-		began:     make(map[celerylanding.OrderNumber]time.Time),
+		began:     make(map[celerylanding.OrderNumber]loadStart),
 		failed:    make(map[celerylanding.ModelID]time.Time),
+		blocked:   make(map[celerylanding.ModelID]string),
 		coldStart: defaultColdStart,
 	}
 }
@@ -81,6 +89,9 @@
 // ColdStart returns the expected load time of a model.
 func (planner *Planner) ColdStart() time.Duration { return planner.coldStart }
 
+// Blocked returns why a model that is wanted could not be placed in the last round, or "".
+func (planner *Planner) Blocked(model celerylanding.ModelID) string { return planner.blocked[model] }
+
 // Decide returns the commands that the present state calls for. The caller proposes them before it asks again.
 func (planner *Planner) Decide(now time.Time, current *state.State, directory *membership.Directory) []state.Command {
 	intended := current.Config()
@@ -89,6 +100,7 @@
 	}
 	planner.learn(now, current)
 	planner.refill(now, intended.Store())
+	clear(planner.blocked)
 	round := &round{planner: planner, now: now, state: current, directory: directory, config: intended,
 		used: make(map[celerylanding.TargetID]celerylanding.Bytes)}
 	round.countPending()
@@ -105,26 +117,25 @@
 	for _, replica := range current.Replicas() {
 		order := replica.Order()
 		if _, ok := planner.began[order]; !ok {
-			planner.began[order] = now
+			planner.began[order] = loadStart{replica.Model(), now}
 		}
 		if _, ok := planner.ready[order]; !ok && replica.State() == state.StateReady {
 			planner.ready[order] = now
-			planner.coldStart += (now.Sub(planner.began[order]) - planner.coldStart) / 8
+			planner.coldStart += (now.Sub(planner.began[order].at) - planner.coldStart) / 8
 		}
 	}
-	for order := range planner.began {
-		if _, ok := current.Replica(order); !ok {
-			delete(planner.began, order)
-			delete(planner.ready, order)
+	for order, start := range planner.began {
+		if _, ok := current.Replica(order); ok {
+			continue
+		}
+		if _, wasReady := planner.ready[order]; !wasReady && current.Failure(start.model) != "" {
+			planner.failed[start.model] = now
 		}
+		delete(planner.began, order)
+		delete(planner.ready, order)
 	}
 }
 
-// LoadFailed starts the pause before the model is tried again.
-func (planner *Planner) LoadFailed(now time.Time, model celerylanding.ModelID) {
-	planner.failed[model] = now
-}
-
 // refill implements the weight store's loads a second as a token bucket of one second's depth.
 func (planner *Planner) refill(now time.Time, store config.Store) {
 	depth := max(1, store.LoadsPerSecond())
@@ -136,25 +147,12 @@
 func (planner *Planner) needs(now time.Time) []need {
 	var needs []need
 	for model, nodes := range planner.demands {
-		sum := need{model: model}
-		for node, demand := range nodes {
-			if now.Sub(demand.reported) > demandTTL {
-				delete(nodes, node)
-				continue
-			}
-			sum.inFlight += demand.report.InFlight
-			sum.waiting += demand.report.Waiting
-			due := demand.reported.Add(demand.report.Patience)
-			if demand.report.Waiting > 0 && (sum.due.IsZero() || due.Before(sum.due)) {
-				sum.due = due
-			}
+		if sum := sumDemand(now, model, nodes); sum.waiting > 0 && now.Before(sum.due) {
+			needs = append(needs, sum)
 		}
 		if len(nodes) == 0 {
 			delete(planner.demands, model)
 		}
-		if sum.waiting > 0 && now.Before(sum.due) {
-			needs = append(needs, sum)
-		}
 	}
 	sort.Slice(needs, func(i, j int) bool {
 		if !needs[i].due.Equal(needs[j].due) {
@@ -165,6 +163,24 @@
 	return needs
 }
 
+// sumDemand adds up the fresh reports of a model and drops the others.
+func sumDemand(now time.Time, model celerylanding.ModelID, nodes map[celerylanding.NodeID]demand) need {
+	sum := need{model: model}
+	for node, demand := range nodes {
+		if now.Sub(demand.reported) > demandTTL {
+			delete(nodes, node)
+			continue
+		}
+		sum.inFlight += demand.report.InFlight
+		sum.waiting += demand.report.Waiting
+		due := demand.reported.Add(demand.report.Patience)
+		if demand.report.Waiting > 0 && (sum.due.IsZero() || due.Before(sum.due)) {
+			sum.due = due
+		}
+	}
+	return sum
+}
+
 // isBusy reports whether any node has requests for the model.
 func (planner *Planner) isBusy(now time.Time, model celerylanding.ModelID) bool {
 	for _, demand := range planner.demands[model] {
--- a/placement/round.go
+++ b/placement/round.go
@@ -62,17 +62,21 @@
 
 func (round *round) add(model *config.Model) {
 	if failed, ok := round.planner.failed[model.ID()]; ok && round.now.Sub(failed) < failureBackoff {
+		round.planner.blocked[model.ID()] = "the last load failed; it is tried again soon"
 		return
 	}
 	if !round.storeAllows(model) {
+		round.planner.blocked[model.ID()] = "the weight store's limits are used up"
 		return
 	}
 	if model.IsAdapter() && !round.baseReady(model) {
+		round.planner.blocked[model.ID()] = "its base model is not ready"
 		round.addBase(model)
 		return
 	}
 	best, ok := round.choose(model)
 	if !ok {
+		round.planner.blocked[model.ID()] = "no target of its group has room"
 		round.makeRoom(model)
 		return
 	}
@@ -164,24 +168,24 @@
 	return option.free > best.free
 }
 
-func (round *round) consider(model *config.Model, registered state.Register) (candidate, bool) {
+func (round *round) consider(model *config.Model, registered state.Target) (candidate, bool) {
 	if !round.canHost(model, registered) {
 		return candidate{}, false
 	}
-	used := round.state.Used(registered.Target) + round.used[registered.Target]
+	used := round.state.Used(registered.ID) + round.used[registered.ID]
 	option := candidate{
-		id:          registered.Target,
+		id:          registered.ID,
 		incarnation: registered.Incarnation,
 		free:        registered.Memory - used,
-		tier:        round.tier(registered.Target, model.ID()),
-		replicas:    len(round.state.ReplicasOn(registered.Target)),
+		tier:        round.tier(registered.ID, model.ID()),
+		replicas:    len(round.state.ReplicasOn(registered.ID)),
 	}
 	return option, option.free >= model.Memory()
 }
 
 // canHost reports whether the target could take the model if it had the memory.
-func (round *round) canHost(model *config.Model, registered state.Register) bool {
-	target, ok := round.directory.Target(registered.Target)
+func (round *round) canHost(model *config.Model, registered state.Target) bool {
+	target, ok := round.directory.Target(registered.ID)
 	if !ok || !target.IsRoutable() || target.Announcement().Incarnation != registered.Incarnation {
 		return false
 	}
@@ -189,7 +193,7 @@
 		return false
 	}
 	hasBase := !model.IsAdapter()
-	for _, replica := range round.state.ReplicasOn(registered.Target) {
+	for _, replica := range round.state.ReplicasOn(registered.ID) {
 		if replica.Model() == model.ID() {
 			return false
 		}
@@ -225,10 +229,10 @@
 		if !round.canHost(model, registered) {
 			continue
 		}
-		if round.isUnloading(registered.Target) {
+		if round.isUnloading(registered.ID) {
 			return
 		}
-		for _, replica := range round.state.ReplicasOn(registered.Target) {
+		for _, replica := range round.state.ReplicasOn(registered.ID) {
 			last, ok := round.idleSince(replica)
 			if ok && replica.Model() != model.Base() && (victim == nil || last.Before(oldest)) {
 				victim, oldest = replica, last
--- /dev/null
+++ b/router/hash.go
@@ -0,0 +1,25 @@
+package router
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func hashText(text string, seed uint64) uint64 {
+	digest := xxhash.NewWithSeed(seed)
+	// A digest's WriteString never fails.
+	_, _ = digest.WriteString(text)
+	return digest.Sum64()
+}
+
+// Fingerprint identifies a request by what it asks for and its body.
+func Fingerprint(subject string, body []byte) uint64 {
+	digest := xxhash.New()
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(subject)))
+	_, _ = digest.Write(length[:])
+	_, _ = digest.WriteString(subject)
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- a/state/apply.go
+++ b/state/apply.go
@@ -92,28 +92,55 @@
 	return result
 }
 
-// register takes a newer incarnation as proof that the older one is gone.
-func (state *State) register(target Register) Result {
-	known, ok := state.targets[target.Target]
+// register takes a newer incarnation as proof that the older one is gone. What the newer one holds already is counted with
+// the same entry, so that no replica can be decided in between.
+func (state *State) register(register Register) Result {
+	target := register.Facts
+	known, ok := state.targets[target.ID]
 	if ok && target.Incarnation < known.Incarnation {
-		return state.refuse("incarnation %d of %s is older than %d", target.Incarnation, target.Target, known.Incarnation)
+		return state.refuse("incarnation %d of %s is older than %d", target.Incarnation, target.ID, known.Incarnation)
 	}
 	if ok && target.Incarnation == known.Incarnation {
-		target.Leaving = target.Leaving || known.Leaving
-		if known == target {
-			return state.already()
-		}
-		if target.Memory < known.Memory {
-			return state.refuse("memory of %s shrinks within incarnation %d", target.Target, target.Incarnation)
+		return state.refresh(known, target)
+	}
+	if len(register.Inventory) >= ordersPerEntry {
+		return state.refuse("inventory of %s has %d entries", target.ID, len(register.Inventory))
+	}
+	state.releaseAll(target.ID)
+	state.targets[target.ID] = target
+	for i, found := range register.Inventory {
+		if state.find(target.ID, found.Model) == nil {
+			state.insertGhost(OrderAt(state.index, i), target, found.Model, found.Bytes)
 		}
 	}
-	if ok && target.Incarnation > known.Incarnation {
-		state.releaseAll(target.Target)
+	return state.accept()
+}
+
+// refresh takes changed facts of the same incarnation; leaving is final and memory never shrinks.
+func (state *State) refresh(known, target Target) Result {
+	target.Leaving = target.Leaving || known.Leaving
+	if known == target {
+		return state.already()
 	}
-	state.targets[target.Target] = target
+	if target.Memory < known.Memory {
+		return state.refuse("memory of %s shrinks within incarnation %d", target.ID, target.Incarnation)
+	}
+	state.targets[target.ID] = target
 	return state.accept()
 }
 
+func (state *State) insertGhost(order celerylanding.OrderNumber, target Target, model celerylanding.ModelID, size celerylanding.Bytes) {
+	state.insert(&Replica{
+		order:       order,
+		model:       model,
+		target:      target.ID,
+		incarnation: target.Incarnation,
+		bytes:       size,
+		state:       StateUnloading,
+		ghost:       true,
+	})
+}
+
 func (state *State) forget(gone Forget) Result {
 	known, ok := state.targets[gone.Target]
 	if !ok || known.Incarnation != gone.Incarnation {
@@ -160,7 +187,7 @@
 		return state.refuse("base model %s is not ready on %s", model.Base(), place.Target)
 	}
 	state.insert(&Replica{
-		order:       celerylanding.OrderNumber(state.index),
+		order:       OrderAt(state.index, 0),
 		model:       place.Model,
 		target:      place.Target,
 		incarnation: place.Incarnation,
@@ -247,15 +274,7 @@
 	if state.find(adopt.Target, adopt.Model) != nil {
 		return state.already()
 	}
-	state.insert(&Replica{
-		order:       celerylanding.OrderNumber(state.index),
-		model:       adopt.Model,
-		target:      adopt.Target,
-		incarnation: adopt.Incarnation,
-		bytes:       adopt.Bytes,
-		state:       StateUnloading,
-		ghost:       true,
-	})
+	state.insertGhost(OrderAt(state.index, 0), target, adopt.Model, adopt.Bytes)
 	return state.accept()
 }
 
--- a/state/command.go
+++ b/state/command.go
@@ -24,9 +24,15 @@
 	Document config.Document `cbor:"1,keyasint"`
 }
 
-// Register records a target's incarnation and the facts that do not change during it.
+// Register records a target's incarnation and counts what it holds already.
 type Register struct {
-	Target      celerylanding.TargetID      `cbor:"1,keyasint"`
+	Facts     Target                      `cbor:"1,keyasint"`
+	Inventory []celerylanding.LoadedModel `cbor:"2,keyasint,omitempty"`
+}
+
+// Target holds the facts of a target that do not change during an incarnation, but for Leaving.
+type Target struct {
+	ID          celerylanding.TargetID      `cbor:"1,keyasint"`
 	Incarnation celerylanding.Incarnation   `cbor:"2,keyasint"`
 	Domain      celerylanding.FailureDomain `cbor:"3,keyasint"`
 	Group       string                      `cbor:"4,keyasint"`
@@ -100,6 +106,19 @@
 	Owner   string                  `cbor:"3,keyasint"`
 }
 
+// ordersPerEntry is the number of order numbers that one log entry can give out.
+const ordersPerEntry = 1 << 16
+
+// OrderAt returns the order number of the n-th decision of the entry at the log index.
+func OrderAt(index uint64, n int) celerylanding.OrderNumber {
+	return celerylanding.OrderNumber(index*ordersPerEntry + uint64(n))
+}
+
+// DecidedUnder reports whether the order was decided after the lease was granted, so that no earlier holder gave it.
+func DecidedUnder(order celerylanding.OrderNumber, fence celerylanding.Fence) bool {
+	return uint64(order)/ordersPerEntry > uint64(fence)
+}
+
 // Code is the outcome of a command.
 type Code uint8
 
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -15,7 +15,7 @@
 	Index    uint64          `cbor:"1,keyasint"`
 	Document config.Document `cbor:"2,keyasint"`
 	History  []revisionImage `cbor:"3,keyasint"`
-	Targets  []Register      `cbor:"4,keyasint"`
+	Targets  []Target        `cbor:"4,keyasint"`
 	Replicas []replicaImage  `cbor:"5,keyasint"`
 	Leases   []leaseImage    `cbor:"6,keyasint"`
 	Claims   []claimImage    `cbor:"7,keyasint"`
@@ -115,7 +115,7 @@
 		state.history = append(state.history, revision{past.Number, past.Digest})
 	}
 	for _, target := range image.Targets {
-		state.targets[target.Target] = target
+		state.targets[target.ID] = target
 	}
 	for _, row := range image.Replicas {
 		state.insert(&Replica{row.Order, row.Model, row.Target, row.Incarnation, row.Bytes, row.State, row.Ghost})
--- a/state/state.go
+++ b/state/state.go
@@ -39,7 +39,7 @@
 	ghost       bool
 }
 
-// Order returns the log index of the decision.
+// Order returns the number of the decision.
 func (replica *Replica) Order() celerylanding.OrderNumber { return replica.order }
 
 // Model returns the model.
@@ -99,7 +99,7 @@
 	document config.Document
 	config   *config.Config
 	history  []revision
-	targets  map[celerylanding.TargetID]Register
+	targets  map[celerylanding.TargetID]Target
 	replicas map[celerylanding.OrderNumber]*Replica
 	leases   map[celerylanding.FailureDomain]Lease
 	claims   map[claimID]*claimRow
@@ -119,7 +119,7 @@
 	}
 	return &State{
 		chart:    replicaChart,
-		targets:  make(map[celerylanding.TargetID]Register),
+		targets:  make(map[celerylanding.TargetID]Target),
 		replicas: make(map[celerylanding.OrderNumber]*Replica),
 		leases:   make(map[celerylanding.FailureDomain]Lease),
 		claims:   make(map[claimID]*claimRow),
@@ -139,18 +139,18 @@
 func (state *State) Document() config.Document { return state.document }
 
 // Target returns the registered facts of a target.
-func (state *State) Target(id celerylanding.TargetID) (Register, bool) {
+func (state *State) Target(id celerylanding.TargetID) (Target, bool) {
 	target, ok := state.targets[id]
 	return target, ok
 }
 
 // Targets returns all registered targets, ordered by their identifiers.
-func (state *State) Targets() []Register {
-	targets := make([]Register, 0, len(state.targets))
+func (state *State) Targets() []Target {
+	targets := make([]Target, 0, len(state.targets))
 	for _, target := range state.targets {
 		targets = append(targets, target)
 	}
-	sort.Slice(targets, func(i, j int) bool { return targets[i].Target < targets[j].Target })
+	sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
 	return targets
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -43,7 +43,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	Length int64
+	// Framed is set when the answer states its length or carries an end marker.
+	Framed bool
 }
 
 // Client sends requests to targets and never sends one twice.
@@ -106,7 +107,8 @@
 // Do sends the call and returns the answer once its head has arrived and carries the call's request ID.
 func (client *Client) Do(ctx context.Context, endpoint celerylanding.Endpoint, call Call) (Answer, error) {
 	exchange := &exchange{}
-	ctx, cancel := context.WithCancelCause(ctx)
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(caller)
 	timer := time.AfterFunc(call.FirstByte, func() { cancel(context.DeadlineExceeded) })
 	request, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: exchange.gotConn}), endpoint, call)
 	if err != nil {
@@ -116,12 +118,8 @@
 	response, err := client.pool(endpoint).RoundTrip(request)
 	timer.Stop()
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
 		cancel(err)
-		return Answer{}, celerylanding.NewCallError(exchange.verdict(), celerylanding.ReasonTargetFailed,
-			"%s: %v", endpoint.Target, err)
+		return Answer{}, celerylanding.NewCallError(exchange.verdict(), failureReason(caller), "%s: %v", endpoint.Target, err)
 	}
 	body := &cancelBody{ReadCloser: response.Body, cancel: cancel}
 	if id := response.Header.Get(HeaderRequestID); id != call.RequestID {
@@ -129,7 +127,19 @@
 		return Answer{}, celerylanding.NewCallError(celerylanding.MayHaveRun, celerylanding.ReasonAnswerIncomplete,
 			"%s answered request %q instead of %q", endpoint.Target, id, call.RequestID)
 	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
+	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Framed: isFramed}, nil
+}
+
+// failureReason tells the caller's own end apart from the target's failure.
+func failureReason(caller context.Context) celerylanding.Reason {
+	switch {
+	case errors.Is(caller.Err(), context.DeadlineExceeded):
+		return celerylanding.ReasonDeadline
+	case caller.Err() != nil:
+		return celerylanding.ReasonCallerGone
+	}
+	return celerylanding.ReasonTargetFailed
 }
 
 // cancelBody ends the target's work when the body is closed early.
--- /dev/null
+++ b/tests/doc.go
@@ -0,0 +1,2 @@
+// Package tests holds the tests that need whole processes.
+package tests
--- /dev/null
+++ b/tests/harness_test.go
@@ -0,0 +1,312 @@
+package tests_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"celerylanding.example/celerylanding/node"
+)
+
+const (
+	patience  = 30 * time.Second
+	callerAt  = 7001
+	targetAt  = 7002
+	peerAt    = 7003
+	operateAt = 7004
+)
+
+var (
+	binary string
+	sites  atomic.Int32
+)
+
+func TestMain(main *testing.M) {
+	folder, err := os.MkdirTemp("", "celerylanding-tests-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(folder, "celerylanding")
+	build := exec.Command("go", "build", "-o", binary, "celerylanding.example/celerylanding/cmd/celerylanding")
+	if text, err := build.CombinedOutput(); err != nil {
+		panic(string(text))
+	}
+	code := main.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// site is a set of node processes on loopback addresses of its own.
+type site struct {
+	t      *testing.T
+	number int32
+	folder string
+	nodes  []*process
+	flags  []string
+}
+
+// process is one node process, which can be stopped and started again.
+type process struct {
+	site    *site
+	name    string
+	domain  string
+	ip      string
+	data    string
+	flags   []string
+	command *exec.Cmd
+	ended   chan struct{}
+	mutex   sync.Mutex
+}
+
+// newSite prepares nodes a, b, c, … in failure domains of their own; the first one holds a new control log.
+func newSite(t *testing.T, count int, flags ...string) *site {
+	t.Helper()
+	site := &site{t: t, number: sites.Add(1), folder: t.TempDir(), flags: flags}
+	for i := range count {
+		name := string(rune('a' + i))
+		process := &process{site: site, name: name, domain: "domain-" + name, data: filepath.Join(site.folder, name),
+			ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, site.number, i+1)}
+		site.nodes = append(site.nodes, process)
+	}
+	first := site.nodes[0]
+	site.run("init", "--id", first.name, "--domain", first.domain, "--data", first.data, "--peers", first.at(peerAt))
+	return site
+}
+
+func (site *site) startAll() *site {
+	site.t.Helper()
+	for _, process := range site.nodes {
+		process.start()
+	}
+	for _, process := range site.nodes {
+		process.awaitReady()
+	}
+	return site
+}
+
+// run runs a command to its end and returns what it printed.
+func (site *site) run(arguments ...string) string {
+	site.t.Helper()
+	text, code := site.try(arguments...)
+	assert.Equal(site.t, code, 0, text)
+	return text
+}
+
+func (site *site) try(arguments ...string) (string, int) {
+	command := exec.Command(binary, arguments...)
+	text, err := command.CombinedOutput()
+	if err != nil && command.ProcessState == nil {
+		site.t.Fatal(err)
+	}
+	return string(text), command.ProcessState.ExitCode()
+}
+
+// submit writes the texts to files and submits them through the node.
+func (site *site) submit(through *process, base, overlay string) (string, int) {
+	site.t.Helper()
+	basePath := filepath.Join(site.folder, "base.yaml")
+	overlayPath := filepath.Join(site.folder, "overlay.yaml")
+	assert.NilError(site.t, os.WriteFile(basePath, []byte(base), 0o600))
+	assert.NilError(site.t, os.WriteFile(overlayPath, []byte(overlay), 0o600))
+	return site.try("submit", basePath, overlayPath, "--operator", through.at(operateAt))
+}
+
+// startTargets runs the stand-in targets in a process of their own.
+func (site *site) startTargets(flags ...string) *process {
+	var domains, nodes []string
+	for _, process := range site.nodes {
+		domains = append(domains, process.domain)
+		nodes = append(nodes, process.at(targetAt))
+	}
+	targets := &process{site: site, name: "targets"}
+	targets.launch(append([]string{"demo", "--targets-only", "--nodes", strings.Join(nodes, ","), "--domains",
+		strings.Join(domains, ",")}, flags...))
+	return targets
+}
+
+func (process *process) at(port int) string { return fmt.Sprintf("%s:%d", process.ip, port) }
+
+func (process *process) start() {
+	process.site.t.Helper()
+	var join []string
+	for _, other := range process.site.nodes {
+		if other != process {
+			join = append(join, other.at(peerAt))
+		}
+	}
+	arguments := []string{"node", "--id", process.name, "--domain", process.domain,
+		"--callers", process.at(callerAt), "--targets", process.at(targetAt), "--peers", process.at(peerAt),
+		"--operators", process.at(operateAt), "--timeline", process.timeline(), "--drain-notice", "200ms"}
+	if process.data != "" {
+		arguments = append(arguments, "--data", process.data)
+	}
+	if len(join) > 0 {
+		arguments = append(arguments, "--join", strings.Join(join, ","))
+	}
+	arguments = append(arguments, process.site.flags...)
+	process.launch(append(arguments, process.flags...))
+}
+
+func (process *process) timeline() string {
+	return filepath.Join(process.site.folder, process.name+".timeline")
+}
+
+func (process *process) launch(arguments []string) {
+	t := process.site.t
+	t.Helper()
+	output, err := os.OpenFile(filepath.Join(process.site.folder, process.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	process.command = exec.Command(binary, arguments...)
+	process.command.Stdout = output
+	process.command.Stderr = output
+	assert.NilError(t, process.command.Start())
+	ended := make(chan struct{})
+	process.ended = ended
+	command := process.command
+	go func() {
+		_ = command.Wait()
+		_ = output.Close()
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		<-ended
+		if t.Failed() {
+			process.printLog()
+		}
+	})
+}
+
+func (process *process) printLog() {
+	text, err := os.ReadFile(filepath.Join(process.site.folder, process.name+".log"))
+	if err == nil && len(text) > 0 {
+		process.site.t.Logf("log of %s:\n%s", process.name, text[max(0, len(text)-3000):])
+	}
+}
+
+func (process *process) signal(signal syscall.Signal) {
+	process.site.t.Helper()
+	assert.NilError(process.site.t, process.command.Process.Signal(signal))
+}
+
+func (process *process) kill() {
+	process.signal(syscall.SIGKILL)
+	<-process.ended
+}
+
+// awaitEnd waits for the process and returns its exit code.
+func (process *process) awaitEnd() int {
+	process.site.t.Helper()
+	select {
+	case <-process.ended:
+	case <-time.After(patience):
+		process.site.t.Fatalf("%s did not end", process.name)
+	}
+	return process.command.ProcessState.ExitCode()
+}
+
+func (process *process) wipe() {
+	assert.NilError(process.site.t, os.RemoveAll(process.data))
+}
+
+func (process *process) awaitReady() {
+	process.site.t.Helper()
+	process.site.await(process.name+" is ready", func() bool {
+		answer, err := http.Get("http://" + process.at(callerAt) + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	})
+}
+
+func (site *site) await(what string, check func() bool) {
+	site.t.Helper()
+	poll.WaitOn(site.t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+}
+
+// show returns what the node shows to operators.
+func (process *process) show() (node.ShowReply, error) {
+	var reply node.ShowReply
+	client := http.Client{Timeout: 3 * time.Second}
+	answer, err := client.Get("http://" + process.at(operateAt) + "/operate/show")
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return reply, json.NewDecoder(answer.Body).Decode(&reply)
+}
+
+// awaitVoters waits until the membership has that many voters and no learner with a disk.
+func (site *site) awaitShow(through *process, what string, check func(node.ShowReply) bool) {
+	site.t.Helper()
+	site.await(what, func() bool {
+		reply, err := through.show()
+		return err == nil && check(reply)
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	verdict string
+	code    string
+	body    string
+	err     error
+}
+
+// errorReply is the part of an error body that tests look at.
+type errorReply struct {
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (process *process) post(path, body string, header http.Header) reply {
+	request, err := http.NewRequest(http.MethodPost, "http://"+process.at(callerAt)+path, bytes.NewBufferString(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	answer, err := (&http.Client{Timeout: time.Minute}).Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	var failed errorReply
+	_ = json.Unmarshal(text, &failed)
+	return reply{status: answer.StatusCode, verdict: answer.Header.Get("X-Celerylanding-Verdict"), code: failed.Error.Code,
+		body: string(text), err: err}
+}
+
+func (process *process) chat(model, prompt string) reply {
+	return process.post("/v1/chat/completions", chatBody(model, prompt, false), nil)
+}
+
+func chatBody(model, prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, prompt)
+}
--- /dev/null
+++ b/timeline/doc.go
@@ -0,0 +1,2 @@
+// Package timeline records the events of one process and merges the records of many.
+package timeline
--- /dev/null
+++ b/timeline/html.go
@@ -0,0 +1,26 @@
+package timeline
+
+import (
+	_ "embed"
+	"encoding/json"
+	"html/template"
+	"io"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Parse(pageText))
+
+// WriteHTML prints one self-contained page with a lane for each process.
+func WriteHTML(out io.Writer, entries []Entry) error {
+	encoded, err := json.Marshal(entries)
+	if err != nil {
+		return err
+	}
+	if len(entries) == 0 {
+		encoded = []byte("[]")
+	}
+	// The JSON encoder escapes <, > and &, so that the text can't leave its script element.
+	return page.Execute(out, template.JS(encoded))
+}
--- a/types.go
+++ b/types.go
@@ -29,7 +29,7 @@
 // Fence is the log index of the executor lease under which an order was given.
 type Fence uint64
 
-// OrderNumber is the log index of the decision that an order carries out.
+// OrderNumber identifies the decision that an order carries out; later decisions have higher numbers.
 type OrderNumber uint64
 
 // TargetKind tells model engines from plain services.
--- a/verdict.go
+++ b/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -120,3 +121,19 @@
 	}
 	return ReasonTargetFailed
 }
+
+// MessageOf returns the text of an error without the name of its type.
+func MessageOf(err error) string {
+	if typed := errorx.Cast(err); typed != nil {
+		return strings.TrimPrefix(typed.Error(), typed.Type().FullName()+": ")
+	}
+	return err.Error()
+}
+
+// BadField is the type of the error that names a wrong field of a message.
+var BadField = Namespace.NewType("bad_field")
+
+// NewFieldError returns an error that names the field.
+func NewFieldError(field, format string, args ...any) error {
+	return BadField.New("%s: %s", field, fmt.Sprintf(format, args...))
+}
