Control log: property test under faults, directed tests, mutations

Cause: the log had no proof. The first property test (uniform single actions) passed every mutation: it reached one term and no conflict. Change: histories now run in bursts under drawn rates of loss, delay, repetition, crashes before and after the durable write, one-way cuts and lost disks; directed tests hold what chance reaches too rarely. tests/mutate.sh breaks one mechanism at a time.

--- /dev/null
+++ b/quorum/core_test.go
@@ -0,0 +1,197 @@
+package quorum_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/quorum"
+)
+
+var (
+	begin   = time.Unix(1000, 0)
+	members = []quorum.Member{
+		{ID: "a/1", Node: "a", Durable: true},
+		{ID: "b/1", Node: "b", Durable: true},
+		{ID: "c/1", Node: "c", Durable: true},
+	}
+)
+
+// newMember returns the member with the given log, whose entries name their terms, after the membership at index 1.
+func newMember(id quorum.MemberID, term uint64, terms ...uint64) *quorum.Core {
+	entries := []quorum.Entry{{Index: 1, Term: 1, Kind: quorum.EntryMembers, Members: members}}
+	for i, entryTerm := range terms {
+		entries = append(entries, quorum.Entry{Index: uint64(i) + 2, Term: entryTerm, Kind: quorum.EntryCommand})
+	}
+	return quorum.New(begin, quorum.Settings{ID: id, ElectionTimeout: electionTimeout, Heartbeat: electionTimeout / 10,
+		MaxAppend: 1, Random: rand.New(rand.NewPCG(1, 1))}, quorum.HardState{Term: term}, quorum.Snapshot{}, entries)
+}
+
+func receive(t *testing.T, core *quorum.Core, now time.Time, message quorum.Message) quorum.Effects {
+	t.Helper()
+	effects, err := core.Receive(now, message)
+	assert.NilError(t, err)
+	return effects
+}
+
+func grants(effects quorum.Effects) bool {
+	for _, message := range effects.Messages {
+		if message.Granted {
+			return true
+		}
+	}
+	return false
+}
+
+// elect makes the member leader with the votes of b.
+func elect(t *testing.T, core *quorum.Core, now time.Time) time.Time {
+	t.Helper()
+	now = now.Add(2 * electionTimeout)
+	core.Tick(now)
+	receive(t, core, now, quorum.Message{Kind: quorum.MessagePreVoteReply, From: "b/1", To: "a/1", Term: core.Term() + 1, Granted: true})
+	receive(t, core, now, quorum.Message{Kind: quorum.MessageVoteReply, From: "b/1", To: "a/1", Term: core.Term(), Granted: true})
+	assert.Equal(t, core.Role(), quorum.Leader)
+	return now
+}
+
+func TestVoteSurvivesRestart(t *testing.T) {
+	now := begin.Add(2 * electionTimeout)
+	core := newMember("a/1", 1)
+	vote := quorum.Message{Kind: quorum.MessageVote, From: "b/1", To: "a/1", Term: 2, LastIndex: 1, LastTerm: 1}
+	effects := receive(t, core, now, vote)
+	assert.Assert(t, grants(effects))
+
+	durable := quorum.Durable{}
+	for _, record := range effects.Records {
+		assert.NilError(t, durable.Replay(record))
+	}
+	restarted := quorum.New(now, quorum.Settings{ID: "a/1", ElectionTimeout: electionTimeout, Heartbeat: electionTimeout / 10,
+		MaxAppend: 1, Random: rand.New(rand.NewPCG(1, 1))}, durable.HardState, quorum.Snapshot{Index: 1, Term: 1, Members: members}, nil)
+	vote.From = "c/1"
+	assert.Assert(t, !grants(receive(t, restarted, now.Add(2*electionTimeout), vote)), "second vote in term 2")
+}
+
+func TestVoteNeedsUpToDateLog(t *testing.T) {
+	for _, row := range []struct {
+		name                string
+		lastIndex, lastTerm uint64
+		granted             bool
+	}{
+		{"same log", 3, 2, true},
+		{"longer log", 4, 2, true},
+		{"later term, shorter log", 2, 3, true},
+		{"shorter log", 2, 2, false},
+		{"earlier term, longer log", 9, 1, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			core := newMember("a/1", 2, 2, 2)
+			vote := quorum.Message{Kind: quorum.MessageVote, From: "b/1", To: "a/1", Term: 3, LastIndex: row.lastIndex, LastTerm: row.lastTerm}
+			assert.Equal(t, grants(receive(t, core, begin.Add(2*electionTimeout), vote)), row.granted)
+		})
+	}
+}
+
+func TestNoVoteRightAfterStart(t *testing.T) {
+	core := newMember("a/1", 1)
+	vote := quorum.Message{Kind: quorum.MessageVote, From: "b/1", To: "a/1", Term: 2, LastIndex: 1, LastTerm: 1}
+	assert.Assert(t, !grants(receive(t, core, begin.Add(electionTimeout/2), vote)),
+		"a member that has just started may have promised a leader to wait")
+	assert.Assert(t, grants(receive(t, core, begin.Add(electionTimeout), vote)))
+}
+
+func TestNoVoteWhileLeaderIsHeard(t *testing.T) {
+	core := newMember("a/1", 2)
+	now := begin.Add(3 * electionTimeout)
+	receive(t, core, now, quorum.Message{Kind: quorum.MessageAppend, From: "c/1", To: "a/1", Term: 2, LastIndex: 1, LastTerm: 1})
+	vote := quorum.Message{Kind: quorum.MessageVote, From: "b/1", To: "a/1", Term: 7, LastIndex: 9, LastTerm: 2}
+	assert.Assert(t, !grants(receive(t, core, now.Add(electionTimeout/2), vote)))
+	assert.Equal(t, core.Term(), uint64(2), "a member that returns from a partition must not raise the term")
+	pre := vote
+	pre.Kind = quorum.MessagePreVote
+	assert.Assert(t, !grants(receive(t, core, now.Add(electionTimeout/2), pre)))
+}
+
+func TestEntryOfOlderTermIsNotCommittedAlone(t *testing.T) {
+	core := newMember("a/1", 3, 2)
+	now := elect(t, core, begin)
+	term := core.Term()
+	reply := quorum.Message{Kind: quorum.MessageAppendReply, From: "b/1", To: "a/1", Term: term, Granted: true, Match: 2}
+	assert.Equal(t, len(receive(t, core, now, reply).Committed), 0, "index 2 is of term 2")
+	reply.Match = 3
+	assert.Equal(t, len(receive(t, core, now, reply).Committed), 3, "an entry of the own term commits those before it")
+}
+
+func TestLeadershipCountsFromSending(t *testing.T) {
+	core := newMember("a/1", 1)
+	now := elect(t, core, begin)
+	var sent quorum.Message
+	for _, message := range core.Tick(now.Add(electionTimeout / 10)).Messages {
+		if message.To == "b/1" {
+			sent = message
+		}
+	}
+	answered := now.Add(electionTimeout)
+	receive(t, core, answered, quorum.Message{Kind: quorum.MessageAppendReply, From: "b/1", To: "a/1", Term: core.Term(),
+		Granted: true, Match: core.LastIndex(), Sent: sent.Sent})
+	assert.Assert(t, core.IsSettled())
+	assert.Assert(t, !core.HasLeadership(answered), "the answer belongs to a message that was sent long ago")
+}
+
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	core := newMember("a/1", 1)
+	now := elect(t, core, begin)
+	_, err := core.ProposeMembers(now, members[:2])
+	assert.Assert(t, errorx.IsOfType(err, quorum.ErrMembershipPending), "before the first commit of the term: %v", err)
+	reply := quorum.Message{Kind: quorum.MessageAppendReply, From: "b/1", To: "a/1", Term: core.Term(), Granted: true, Match: core.LastIndex()}
+	receive(t, core, now, reply)
+	_, err = core.ProposeMembers(now, members[:1])
+	assert.Assert(t, errorx.IsOfType(err, quorum.ErrBadMessage), "two voters at once: %v", err)
+	_, err = core.ProposeMembers(now, members[:2])
+	assert.NilError(t, err)
+	_, err = core.ProposeMembers(now, members[:1])
+	assert.Assert(t, errorx.IsOfType(err, quorum.ErrMembershipPending), "%v", err)
+}
+
+func TestMalformedMessagesChangeNothing(t *testing.T) {
+	good := quorum.Message{Kind: quorum.MessageAppend, From: "b/1", To: "a/1", Term: 5, LastIndex: 1, LastTerm: 1,
+		Entries: []quorum.Entry{{Index: 2, Term: 5}}}
+	for _, row := range []struct {
+		name  string
+		spoil func(*quorum.Message)
+	}{
+		{"no kind", func(message *quorum.Message) { message.Kind = 0 }},
+		{"unknown kind", func(message *quorum.Message) { message.Kind = 99 }},
+		{"for another member", func(message *quorum.Message) { message.To = "a/2" }},
+		{"from nobody", func(message *quorum.Message) { message.From = "" }},
+		{"from itself", func(message *quorum.Message) { message.From = "a/1" }},
+		{"gap in the entries", func(message *quorum.Message) { message.Entries[0].Index = 4 }},
+		{"entry of a later term", func(message *quorum.Message) { message.Entries[0].Term = 6 }},
+		{"snapshot without content", func(message *quorum.Message) { message.Kind = quorum.MessageSnapshot }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			core := newMember("a/1", 1)
+			message := good
+			message.Entries = []quorum.Entry{good.Entries[0]}
+			row.spoil(&message)
+			effects, err := core.Receive(begin, message)
+			assert.Assert(t, errorx.IsOfType(err, quorum.ErrBadMessage), "%v", err)
+			assert.Assert(t, effects.IsEmpty())
+			assert.Equal(t, core.Term(), uint64(1))
+			assert.Equal(t, core.LastIndex(), uint64(1))
+		})
+	}
+}
+
+func TestOldTermChangesNothing(t *testing.T) {
+	for _, kind := range []quorum.MessageKind{quorum.MessageAppend, quorum.MessageVote, quorum.MessageAppendReply, quorum.MessageVoteReply} {
+		core := newMember("a/1", 5, 5)
+		effects := receive(t, core, begin.Add(3*electionTimeout), quorum.Message{Kind: kind, From: "b/1", To: "a/1", Term: 4,
+			LastIndex: 1, LastTerm: 1, Entries: []quorum.Entry{{Index: 2, Term: 4}}, Granted: true})
+		assert.Assert(t, !grants(effects))
+		assert.Equal(t, len(effects.Records), 0)
+		assert.Equal(t, core.LastIndex(), uint64(2))
+	}
+}
--- a/quorum/wal/wal.go
+++ b/quorum/wal/wal.go
@@ -36,13 +36,9 @@
 
 // Recovered is what the file held when it was opened.
 type Recovered struct {
-	HardState quorum.HardState
-	Snapshot  quorum.Snapshot
-	Entries   []quorum.Entry
+	quorum.Durable
 	// Torn is the number of bytes cut from an unfinished last write.
 	Torn int64
-	// Records is the number of records read.
-	Records int
 }
 
 // IsEmpty reports whether the folder holds no log.
@@ -284,44 +280,9 @@
 		return err
 	}
 	for _, record := range records {
-		if err := recovered.replay(record); err != nil {
+		if err := recovered.Replay(record); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-// replay applies one record to what was read so far.
-func (recovered *Recovered) replay(record quorum.Record) error {
-	recovered.Records++
-	switch {
-	case record.HardState != nil:
-		recovered.HardState = *record.HardState
-	case record.Snapshot != nil:
-		recovered.installSnapshot(*record.Snapshot)
-	case record.Entry != nil:
-		return recovered.putEntry(*record.Entry)
-	}
-	return nil
-}
-
-func (recovered *Recovered) installSnapshot(snapshot quorum.Snapshot) {
-	var rest []quorum.Entry
-	for i, entry := range recovered.Entries {
-		if entry.Index == snapshot.Index && entry.Term == snapshot.Term {
-			rest = append(rest, recovered.Entries[i+1:]...)
-		}
-	}
-	recovered.Snapshot = snapshot
-	recovered.Entries = rest
-}
-
-func (recovered *Recovered) putEntry(entry quorum.Entry) error {
-	first := recovered.Snapshot.Index + 1
-	next := first + uint64(len(recovered.Entries))
-	if entry.Index < first || entry.Index > next {
-		return errors.New("entry does not follow the ones before it")
-	}
-	recovered.Entries = append(recovered.Entries[:entry.Index-first], entry)
-	return nil
-}
--- /dev/null
+++ b/tests/mutate.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Breaks one mechanism at a time on a scratch copy and checks that the named test notices. Prints one line a mutation;
+# the exit status is 1 if a mutation goes unnoticed. Usage: tests/mutate.sh [NAME-PATTERN]
+set -u
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+status=0
+
+# mutate NAME FILE PACKAGE TEST PERL-EXPRESSION
+mutate() {
+  local name=$1 file=$2 package=$3 test=$4 expression=$5
+  [[ "$name" =~ ${pattern:-.} ]] || return 0
+  rm -rf "$scratch/tree"
+  mkdir -p "$scratch/tree"
+  git ls-files -co --exclude-standard | tar -cf - -T - 2>/dev/null | tar -xf - -C "$scratch/tree"
+  perl -0pi -e "$expression" "$scratch/tree/$file"
+  if cmp -s "$file" "$scratch/tree/$file"; then
+    echo "$name: the mutation changes nothing"
+    status=1
+    return
+  fi
+  local output
+  output=$(cd "$scratch/tree" && go test -count=1 "$package" -run "$test" 2>&1)
+  if [ $? -eq 0 ]; then
+    echo "$name: NOT noticed by $test"
+    status=1
+  elif grep -q 'build failed\|setup failed' <<<"$output"; then
+    echo "$name: does not compile"
+    grep -m3 '\.go:' <<<"$output"
+    status=1
+  else
+    echo "$name: noticed by $(grep -oE -- '--- FAIL: [A-Za-z]+' <<<"$output" | cut -d' ' -f3 | sort -u | paste -sd' ') $(grep -m1 -oE '\[rapid\] (failed|panic).*' <<<"$output" | cut -c1-120)"
+  fi
+}
+
+pattern=${1:-}
+. tests/mutations.sh
+exit $status
