--- a/quorum/wal/wal.go
+++ b/quorum/wal/wal.go
@@ -67,12 +67,15 @@
 	path := filepath.Join(folder, logName)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, Recovered{}, errors.Join(err, lock.Close())
+		_ = lock.Close()
+		return nil, Recovered{}, err
 	}
 	wal := &WAL{folder: folder, file: file, lock: lock, sync: sync}
 	recovered, err := wal.recover(path)
 	if err != nil {
-		return nil, Recovered{}, errors.Join(err, wal.Close())
+		// The first error names the cause; closing adds nothing to it.
+		_ = wal.Close()
+		return nil, Recovered{}, err
 	}
 	return wal, recovered, syncFolder(folder)
 }
@@ -137,7 +140,8 @@
 		return nil, err
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, errors.Join(ErrLocked.Wrap(err, "%s is used by another process", folder), lock.Close())
+		_ = lock.Close()
+		return nil, ErrLocked.Wrap(err, "%s is used by another process", folder)
 	}
 	return lock, nil
 }
