--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,34 +46,3 @@
 func (holder *Holder) Fence(now time.Time) (celerylanding.Fence, bool) {
 	return holder.fence, now.Before(holder.expires)
 }
-
-// Granter is the leader's view of all leases during its term.
-type Granter struct {
-	settings Settings
-	since    time.Time
-	until    map[celerylanding.FailureDomain]time.Time
-}
-
-// NewGranter returns the view of a leader elected now; it does not know what its predecessor promised.
-func NewGranter(now time.Time, settings Settings) *Granter {
-	return &Granter{settings: settings, since: now, until: make(map[celerylanding.FailureDomain]time.Time)}
-}
-
-// Promise extends the lease of a domain; the answer to the holder must leave after this.
-func (granter *Granter) Promise(now time.Time, domain celerylanding.FailureDomain) {
-	granter.until[domain] = now.Add(granter.settings.TTL + granter.settings.Drift)
-}
-
-// IsFree reports whether every promise for the domain has run out.
-func (granter *Granter) IsFree(now time.Time, domain celerylanding.FailureDomain) bool {
-	until, ok := granter.until[domain]
-	if !ok {
-		until = granter.since.Add(granter.settings.TTL + granter.settings.Drift)
-	}
-	return !now.Before(until)
-}
-
-// Free ends the promise for a domain whose holder has given its lease up.
-func (granter *Granter) Free(now time.Time, domain celerylanding.FailureDomain) {
-	granter.until[domain] = now
-}
--- a/node/control.go
+++ b/node/control.go
@@ -67,7 +67,10 @@
 	publisher publisher
 	inbox     chan func(now time.Time)
 
-	member    quorum.Member
+	member quorum.Member
+	// holderID names this start of the process in leases: a restarted process knows nothing of the orders it gave before, so
+	// it needs a fence of its own.
+	holderID  string
 	core      *quorum.Core
 	wal       *wal.WAL
 	state     *state.State
@@ -138,6 +141,7 @@
 		Address: cmp.Or(options.Advertise, options.Listeners.Peers.Addr().String()),
 		Durable: options.DataFolder != "",
 	}
+	ctl.holderID = fmt.Sprintf("%s#%x", ctl.member.ID, options.Seed)
 	ctl.core = quorum.New(now, ctl.settings(), recovered.HardState, recovered.Snapshot, recovered.Entries)
 	ctl.leaderSeen = now
 	ctl.log.Info().Str("member", string(ctl.member.ID)).Uint64("snapshot", recovered.Snapshot.Index).
--- a/node/execute.go
+++ b/node/execute.go
@@ -50,7 +50,7 @@
 	}
 	seen := map[celerylanding.FailureDomain]bool{ctl.options.Domain: true}
 	for _, registered := range ctl.state.Targets() {
-		if !seen[registered.Domain] && !ctl.isOwnNodeAlive(now, registered.Domain) {
+		if !seen[registered.Domain] && !ctl.leader.granter.IsOwnNodeAlive(now, registered.Domain) {
 			wanted = append(wanted, registered.Domain)
 		}
 		seen[registered.Domain] = true
@@ -102,7 +102,7 @@
 		interval /= 4
 	}
 	work.renewDue = now.Add(interval)
-	args := RenewArgs{Domain: domain, Holder: ctl.member.ID, Own: domain == ctl.options.Domain}
+	args := RenewArgs{Domain: domain, Holder: ctl.holderID, Own: domain == ctl.options.Domain}
 	if ctl.leader != nil {
 		if fence, granted := ctl.renew(now, args); granted {
 			ctl.takeLease(now, domain, work, now, fence)
@@ -152,7 +152,7 @@
 			continue
 		}
 		delete(ctl.executors, domain)
-		args := RenewArgs{Domain: domain, Holder: ctl.member.ID, Release: true}
+		args := RenewArgs{Domain: domain, Holder: ctl.holderID, Release: true}
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "lease_released", Detail: string(domain)})
 		if ctl.leader != nil {
 			ctl.renew(now, args)
@@ -221,7 +221,7 @@
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "order_ended", Model: order.Model, Target: order.Target,
 			Detail: fmt.Sprintf("%s %s %s", order.Kind, completion.Outcome, completion.Cause)})
 	}
-	if ctl.state.Lease(domain).Holder() != string(ctl.member.ID) {
+	if ctl.state.Lease(domain).Holder() != ctl.holderID {
 		return
 	}
 	for _, command := range work.executor.Complete(now, ctl.state, completion) {
--- a/node/lead.go
+++ b/node/lead.go
@@ -16,8 +16,6 @@
 	reshapeInterval = 100 * time.Millisecond
 	// pendingTime is how long a proposal of the leader's own is not repeated.
 	pendingTime = time.Second
-	// orphanGrace is the time without a sign of a domain's own nodes after which the leader gives its orders.
-	orphanGrace = 5 * time.Second
 )
 
 // leaderDuties is what only the leader does; it is made anew in each term.
@@ -26,9 +24,6 @@
 	planDue    time.Time
 	reshapeDue time.Time
 	registered map[celerylanding.TargetID]time.Time
-	grants     map[celerylanding.FailureDomain]time.Time
-	ownSeen    map[celerylanding.FailureDomain]time.Time
-	since      time.Time
 }
 
 func (ctl *control) leaseSettings() lease.Settings {
@@ -44,9 +39,6 @@
 		ctl.leader = &leaderDuties{
 			granter:    lease.NewGranter(now, ctl.leaseSettings()),
 			registered: make(map[celerylanding.TargetID]time.Time),
-			grants:     make(map[celerylanding.FailureDomain]time.Time),
-			ownSeen:    make(map[celerylanding.FailureDomain]time.Time),
-			since:      now,
 		}
 		ctl.planner = placement.New(now)
 	}
@@ -112,43 +104,24 @@
 	if ctl.leader == nil || !ctl.core.HasLeadership(now) {
 		return 0, false
 	}
-	current := ctl.state.Lease(args.Domain)
-	isHolder := current.Fence() != 0 && current.Holder() == string(args.Holder)
+	held := ctl.state.Lease(args.Domain)
+	current := lease.Current{Holder: held.Holder(), Fence: held.Fence()}
 	if args.Release {
-		if isHolder {
+		if current.Holder == args.Holder {
 			ctl.leader.granter.Free(now, args.Domain)
-			ctl.leader.grants[args.Domain] = now.Add(-pendingTime)
 		}
 		return 0, false
 	}
-	if args.Own {
-		ctl.leader.ownSeen[args.Domain] = now
-	}
-	if now.Before(ctl.leader.grants[args.Domain]) {
-		return 0, false
-	}
-	if isHolder && (args.Own || !ctl.isOwnNodeAlive(now, args.Domain)) {
-		ctl.leader.granter.Promise(now, args.Domain)
-		return current.Fence(), true
-	}
-	// A lease that the log never granted can't have been promised to anybody.
-	isFree := current.Fence() == 0 || ctl.leader.granter.IsFree(now, args.Domain)
-	if !isHolder && isFree {
-		ctl.leader.grants[args.Domain] = now.Add(pendingTime)
-		ctl.submit([]state.Command{{GrantLease: &state.GrantLease{Domain: args.Domain, Holder: string(args.Holder), Expect: current.Fence()}}})
+	request := lease.Request{Domain: args.Domain, Holder: args.Holder, Own: args.Own}
+	switch ctl.leader.granter.Ask(now, request, current) {
+	case lease.AnswerRenewed:
+		return current.Fence, true
+	case lease.AnswerGrant:
+		ctl.submit([]state.Command{{GrantLease: &state.GrantLease{Domain: args.Domain, Holder: args.Holder, Expect: current.Fence}}})
 	}
 	return 0, false
 }
 
-// isOwnNodeAlive reports whether a node of the domain has asked for its lease lately.
-func (ctl *control) isOwnNodeAlive(now time.Time, domain celerylanding.FailureDomain) bool {
-	seen, ok := ctl.leader.ownSeen[domain]
-	if !ok {
-		seen = ctl.leader.since
-	}
-	return now.Sub(seen) < orphanGrace
-}
-
 // noteApplied records what a command changed.
 func (ctl *control) noteApplied(now time.Time, entry quorum.Entry, result state.Result) {
 	if result.Code == state.CodeRefused {
--- a/node/peer.go
+++ b/node/peer.go
@@ -69,7 +69,7 @@
 // RenewArgs ask for an executor lease or give it up.
 type RenewArgs struct {
 	Domain  celerylanding.FailureDomain `cbor:"1,keyasint"`
-	Holder  quorum.MemberID             `cbor:"2,keyasint"`
+	Holder  string                      `cbor:"2,keyasint"`
 	Own     bool                        `cbor:"3,keyasint"`
 	Release bool                        `cbor:"4,keyasint"`
 }
