--- a/commands/demo.go
+++ b/commands/demo.go
@@ -32,10 +32,8 @@
 	demoMemory    = 80 << 30
 	demoSlots     = 16
 	demoTokenTime = 20 * time.Millisecond
-	demoTokens    = 12
 	demoAnnounce  = 500 * time.Millisecond
 	demoSubmitTry = 200 * time.Millisecond
-	demoService   = 5 * time.Millisecond
 )
 
 type demoCommand struct {
@@ -44,33 +42,57 @@
 	TargetsOnly bool     `help:"Run the stand-in targets only."`
 	Nodes       []string `help:"Target addresses of the nodes, with --targets-only."`
 	Domains     []string `default:"a,b" help:"Failure domains of the stand-in engines; the service is in the first one."`
+	Prefix      string   `default:"engine" help:"Beginning of the stand-in engines' names."`
+	NoService   bool     `help:"Run no stand-in service."`
+	NoFencing   bool     `help:"The stand-in engines ignore fencing numbers."`
+	Fragile     bool     `help:"A prompt with the word CRASH ends the process of its stand-in engine."`
+	Tokens      int      `default:"12" help:"Tokens of an answer."`
+	ServiceTime string   `default:"5ms" help:"Time of a call to the stand-in service."`
 	LoadTime    string   `default:"800ms" help:"Load time of a stand-in engine."`
 }
 
 // Run serves until it is interrupted.
 func (command *demoCommand) Run(deps *deps) error {
-	loadTime, err := time.ParseDuration(command.LoadTime)
+	times, err := command.parseTimes()
 	if err != nil {
-		return exit(ExitUsage, fmt.Errorf("--load-time: %w", err))
+		return exit(ExitUsage, err)
 	}
 	var group run.Group
 	if command.TargetsOnly {
 		if len(command.Nodes) == 0 {
 			return exit(ExitUsage, errors.New("--nodes is missing"))
 		}
-		if err := command.addTargets(deps, &group, command.Nodes, loadTime); err != nil {
+		if err := command.addTargets(deps, &group, command.Nodes, times); err != nil {
 			return err
 		}
 		addInterrupt(&group)
 		return group.Run()
 	}
-	cleanUp, err := command.addNode(deps, &group, loadTime)
+	cleanUp, err := command.addNode(deps, &group, times)
 	if err != nil {
 		return err
 	}
 	return errors.Join(group.Run(), cleanUp())
 }
 
+// standInTimes are the times of the stand-in targets.
+type standInTimes struct {
+	load    time.Duration
+	service time.Duration
+}
+
+func (command *demoCommand) parseTimes() (standInTimes, error) {
+	load, err := time.ParseDuration(command.LoadTime)
+	if err != nil {
+		return standInTimes{}, fmt.Errorf("--load-time: %w", err)
+	}
+	service, err := time.ParseDuration(command.ServiceTime)
+	if err != nil {
+		return standInTimes{}, fmt.Errorf("--service-time: %w", err)
+	}
+	return standInTimes{load, service}, nil
+}
+
 // addInterrupt ends the group at the first signal.
 func addInterrupt(group *run.Group) {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -81,7 +103,7 @@
 }
 
 // addNode adds a node with a control log of its own, its targets and the submission of the embedded files.
-func (command *demoCommand) addNode(deps *deps, group *run.Group, loadTime time.Duration) (func() error, error) {
+func (command *demoCommand) addNode(deps *deps, group *run.Group, times standInTimes) (func() error, error) {
 	folder, cleanUp := command.Data, func() error { return nil }
 	if folder == "" {
 		temporary, err := os.MkdirTemp("", "celerylanding-demo-")
@@ -116,7 +138,7 @@
 		process.Terminate()
 		close(ended)
 	})
-	if err := command.addTargets(deps, group, []string{listeners.Targets.Addr().String()}, loadTime); err != nil {
+	if err := command.addTargets(deps, group, []string{listeners.Targets.Addr().String()}, times); err != nil {
 		return nil, errors.Join(err, cleanUp())
 	}
 	addDemoSubmit(deps, group, listeners)
@@ -144,26 +166,33 @@
 }
 
 // addTargets adds an engine for each failure domain and one service.
-func (command *demoCommand) addTargets(deps *deps, group *run.Group, nodes []string, loadTime time.Duration) error {
+func (command *demoCommand) addTargets(deps *deps, group *run.Group, nodes []string, times standInTimes) error {
 	for i, domain := range command.Domains {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
-		announcement := demoAnnouncement(fmt.Sprintf("engine-%d", i+1), domain, "engines", celerylanding.KindEngine, listener)
-		engine := fake.NewEngine(fake.EngineOptions{Announcement: announcement, LoadTime: loadTime,
-			TokenTime: demoTokenTime, Tokens: demoTokens})
+		announcement := demoAnnouncement(fmt.Sprintf("%s-%d", command.Prefix, i+1), domain, "engines", celerylanding.KindEngine, listener)
+		announcement.Fencing = !command.NoFencing
+		options := fake.EngineOptions{Announcement: announcement, LoadTime: times.load, TokenTime: demoTokenTime, Tokens: command.Tokens}
+		if command.Fragile {
+			options.Crash = func() { os.Exit(ExitFailed) }
+		}
+		engine := fake.NewEngine(options)
 		addHost(group, fake.NewHost(listener, engine, nodes, demoAnnounce))
 		if _, err := fmt.Fprintf(deps.out, "engine %s in %s at %s\n", announcement.Target, domain, listener.Addr()); err != nil {
 			return err
 		}
 	}
+	if command.NoService {
+		return nil
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	announcement := demoAnnouncement("ledger-1", command.Domains[0], "ledgers", celerylanding.KindService, listener)
-	service := fake.NewService(fake.ServiceOptions{Announcement: announcement, Delay: demoService})
+	service := fake.NewService(fake.ServiceOptions{Announcement: announcement, Delay: times.service})
 	addHost(group, fake.NewHost(listener, service, nodes, demoAnnounce))
 	_, err = fmt.Fprintf(deps.out, "service %s in %s at %s\n", announcement.Target, command.Domains[0], listener.Addr())
 	return err
@@ -181,7 +210,6 @@
 	}
 	if kind == celerylanding.KindEngine {
 		announcement.Memory = demoMemory
-		announcement.Fencing = true
 	}
 	return announcement
 }
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -6,8 +6,8 @@
 	celerylanding "celerylanding.example/celerylanding"
 )
 
-// orphanGrace is the time without a sign of a domain's own nodes after which a member of another domain may hold it.
-const orphanGrace = 5 * time.Second
+// orphanTTLs is the number of TTLs without a sign of a domain's own nodes after which a member of another domain may hold it.
+const orphanTTLs = 2
 
 // Request asks for a lease or its renewal.
 type Request struct {
@@ -91,7 +91,7 @@
 	if !ok {
 		seen = granter.since
 	}
-	return now.Sub(seen) < orphanGrace
+	return now.Sub(seen) < orphanTTLs*granter.settings.TTL
 }
 
 // isFree reports whether every promise for the domain has run out.
--- a/node/control.go
+++ b/node/control.go
@@ -13,6 +13,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/common/tasks"
+	"celerylanding.example/celerylanding/config"
 	"celerylanding.example/celerylanding/membership"
 	"celerylanding.example/celerylanding/placement"
 	"celerylanding.example/celerylanding/quorum"
@@ -98,6 +99,7 @@
 	lastNumber  uint64
 	stopping    bool
 	lastPublish time.Time
+	lastConfig  *config.Config
 }
 
 // newControl recovers the control state from the data folder.
--- a/node/operate.go
+++ b/node/operate.go
@@ -143,6 +143,9 @@
 		Leader:  ctl.core.Leader(),
 		Applied: ctl.state.Index(),
 	}
+	for _, member := range ctl.core.Members() {
+		status.Voter = status.Voter || (member.ID == ctl.member.ID && !member.Learner)
+	}
 	configuration := ctl.state.Config()
 	if configuration == nil {
 		return status
--- a/node/peer.go
+++ b/node/peer.go
@@ -104,6 +104,7 @@
 	Digest   config.Digest               `cbor:"9,keyasint" json:"digest"`
 	State    string                      `cbor:"10,keyasint" json:"state"`
 	Blocked  []BlockedModel              `cbor:"11,keyasint" json:"blocked,omitempty"`
+	Voter    bool                        `cbor:"13,keyasint" json:"voter"`
 	Error    string                      `cbor:"12,keyasint,omitempty" json:"error,omitempty"`
 }
 
--- a/node/view.go
+++ b/node/view.go
@@ -14,9 +14,12 @@
 
 // publish hands traffic an immutable snapshot if anything has changed.
 func (ctl *control) publish(now time.Time) {
-	if !ctl.dirty || now.Sub(ctl.lastPublish) < publishInterval {
+	// A new configuration is in force on this node only once traffic has it, so it does not wait.
+	isNewConfig := ctl.state.Config() != ctl.lastConfig
+	if !ctl.dirty || (now.Sub(ctl.lastPublish) < publishInterval && !isNewConfig) {
 		return
 	}
+	ctl.lastConfig = ctl.state.Config()
 	ctl.dirty = false
 	ctl.lastPublish = now
 	ctl.publisher.Update(now, ctl.view(now))
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"celerylanding.example/celerylanding/config"
 	"celerylanding.example/celerylanding/node"
 )
 
@@ -61,18 +62,20 @@
 
 // process is one node process, which can be stopped and started again.
 type process struct {
-	site    *site
-	name    string
-	domain  string
-	ip      string
-	data    string
-	flags   []string
-	command *exec.Cmd
-	ended   chan struct{}
-	mutex   sync.Mutex
+	site   *site
+	name   string
+	domain string
+	ip     string
+	data   string
+	flags  []string
+	// advertised is the address of a relay, or "".
+	advertised string
+	command    *exec.Cmd
+	ended      chan struct{}
+	mutex      sync.Mutex
 }
 
-// newSite prepares nodes a, b, c, … in failure domains of their own; the first one holds a new control log.
+// newSite prepares nodes a, b, c, … in failure domains of their own.
 func newSite(t *testing.T, count int, flags ...string) *site {
 	t.Helper()
 	site := &site{t: t, number: sites.Add(1), folder: t.TempDir(), flags: flags}
@@ -82,11 +85,25 @@
 			ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, site.number, i+1)}
 		site.nodes = append(site.nodes, process)
 	}
+	return site
+}
+
+// init starts the control log on the first node.
+func (site *site) init() *site {
+	site.t.Helper()
 	first := site.nodes[0]
-	site.run("init", "--id", first.name, "--domain", first.domain, "--data", first.data, "--peers", first.at(peerAt))
+	site.run("init", "--id", first.name, "--domain", first.domain, "--data", first.data, "--peers", first.reachable())
 	return site
 }
 
+// reachable returns where other nodes reach the process.
+func (process *process) reachable() string {
+	if process.advertised != "" {
+		return process.advertised
+	}
+	return process.at(peerAt)
+}
+
 func (site *site) startAll() *site {
 	site.t.Helper()
 	for _, process := range site.nodes {
@@ -127,12 +144,22 @@
 
 // startTargets runs the stand-in targets in a process of their own.
 func (site *site) startTargets(flags ...string) *process {
+	site.t.Helper()
+	return site.startTargetsIn("targets", nil, flags...)
+}
+
+// startTargetsIn runs stand-in targets for the given failure domains; none given means those of all nodes.
+func (site *site) startTargetsIn(name string, only []string, flags ...string) *process {
+	site.t.Helper()
 	var domains, nodes []string
 	for _, process := range site.nodes {
 		domains = append(domains, process.domain)
 		nodes = append(nodes, process.at(targetAt))
 	}
-	targets := &process{site: site, name: "targets"}
+	if only != nil {
+		domains = only
+	}
+	targets := &process{site: site, name: name}
 	targets.launch(append([]string{"demo", "--targets-only", "--nodes", strings.Join(nodes, ","), "--domains",
 		strings.Join(domains, ",")}, flags...))
 	return targets
@@ -145,12 +172,15 @@
 	var join []string
 	for _, other := range process.site.nodes {
 		if other != process {
-			join = append(join, other.at(peerAt))
+			join = append(join, other.reachable())
 		}
 	}
 	arguments := []string{"node", "--id", process.name, "--domain", process.domain,
 		"--callers", process.at(callerAt), "--targets", process.at(targetAt), "--peers", process.at(peerAt),
 		"--operators", process.at(operateAt), "--timeline", process.timeline(), "--drain-notice", "200ms"}
+	if process.advertised != "" {
+		arguments = append(arguments, "--advertise", process.advertised)
+	}
 	if process.data != "" {
 		arguments = append(arguments, "--data", process.data)
 	}
@@ -258,7 +288,7 @@
 	return reply, json.NewDecoder(answer.Body).Decode(&reply)
 }
 
-// awaitVoters waits until the membership has that many voters and no learner with a disk.
+// awaitShow waits until what the node shows satisfies the check.
 func (site *site) awaitShow(through *process, what string, check func(node.ShowReply) bool) {
 	site.t.Helper()
 	site.await(what, func() bool {
@@ -310,3 +340,16 @@
 func chatBody(model, prompt string, stream bool) string {
 	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, prompt)
 }
+
+// submitText submits over HTTP and returns the outcome.
+func (process *process) submitText(base string) string {
+	process.site.t.Helper()
+	body, err := json.Marshal(config.Document{BaseName: "base.yaml", Base: base, OverlayName: "overlay.yaml", Overlay: sessionOverlay})
+	assert.NilError(process.site.t, err)
+	answer, err := http.Post("http://"+process.at(operateAt)+"/operate/submit", "application/json", bytes.NewReader(body))
+	assert.NilError(process.site.t, err)
+	defer func() { _ = answer.Body.Close() }()
+	var submitted node.SubmitReply
+	assert.NilError(process.site.t, json.NewDecoder(answer.Body).Decode(&submitted))
+	return submitted.Outcome
+}
--- a/tests/session_test.go
+++ b/tests/session_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestSessionGolden(t *testing.T) {
-	site := newSite(t, 3).startAll()
+	site := newSite(t, 3).init().startAll()
 	site.startTargets()
 	var record transcript
 
