Crashing requests: innocent ones survive, and later refusals stay honest

Causes, each seen in TestCrashingRequestCostsTwoTargets with the merged time line: (1) a refusal after a first try that may have run said not_run; (2) requests granted a dead target but never sent to it were blamed for its death; (3) tries that had not run used up the bound on tries; (4) a suspect could meet the culprit again on the next target, from another node; (5) a probe of a dying process was taken for a sign of life. Ruled out: lost crash reports between nodes (all three nodes had them). Change: the verdict of a call is the worst of its tries; a request is blamed only for a target it was sent to; only tries that may have run are counted; the leader gives a suspect a target without other suspects; broken probes are repeated; unreachable targets are avoided at once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	// maxAttempts bounds the tries of one request that may have run.
-	maxAttempts = 3
+	// maxRuns bounds the tries of one request that may have run.
+	maxRuns = 3
 	// retryPause is the wait before a refused request is tried again, times the number of tries.
 	retryPause    = 10 * time.Millisecond
 	maxRetryPause = 250 * time.Millisecond
+	probeTries    = 4
+	probePause    = 50 * time.Millisecond
 )
 
 // attempt sends a call to the granted target and passes its answer on.
@@ -31,29 +33,53 @@
 	run        attempt
 }
 
-// try runs the attempts of a call until one ends it.
+// try runs the attempts of a call until one ends it. Once an attempt may have run, no later refusal says otherwise.
 func (gateway *Gateway) try(request *http.Request, call *call, plan plan) error {
 	var avoid celerylanding.TargetID
 	for {
-		grant, err := gateway.acquire(request, call, plan.group, avoid, plan.prefix)
+		grant, leave, err := gateway.acquire(request, call, plan, avoid)
 		if err != nil {
-			return err
+			return call.honest(err)
+		}
+		err = gateway.tryOnce(request, call, plan, grant)
+		leave()
+		if err == nil {
+			return nil
 		}
-		// Once the request has been sent, its deadline ends the work on the target too.
-		ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
-		err = plan.run(ctx, grant)
-		cancel()
-		gateway.settle(request.Context(), grant, err)
-		if err == nil || !gateway.mayRetry(request, call, plan, err) {
+		verdict := celerylanding.VerdictOf(err)
+		err = call.honest(err)
+		if !gateway.mayRetry(request, call, plan, verdict) {
 			return err
 		}
-		avoid = grant.Endpoint.Target
+		avoid = call.target
 		gateway.deps.Recorder.Record(time.Now(), celerylanding.Event{Kind: "request_retry", Request: call.id,
-			Model: call.model, Target: avoid, Detail: err.Error()})
+			Model: call.model, Target: avoid, Detail: celerylanding.MessageOf(err)})
 		pause(request.Context(), min(maxRetryPause, time.Duration(call.attempts)*retryPause))
 	}
 }
 
+// tryOnce sends the call to the granted target and ends the grant.
+func (gateway *Gateway) tryOnce(request *http.Request, call *call, plan plan, grant router.Grant) error {
+	// Once the request has been sent, its deadline ends the work on the target too.
+	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
+	defer cancel()
+	err := plan.run(ctx, grant)
+	gateway.settle(request.Context(), grant, err)
+	return err
+}
+
+// honest counts the tries that may have run, and corrects the verdict of an error that speaks of the last try only.
+func (call *call) honest(err error) error {
+	if celerylanding.VerdictOf(err) != celerylanding.NotRun {
+		call.runs++
+		return err
+	}
+	if call.runs > 0 {
+		return celerylanding.WithVerdict(err, celerylanding.MayHaveRun)
+	}
+	return err
+}
+
 func pause(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
@@ -63,8 +89,8 @@
 	}
 }
 
-func (gateway *Gateway) mayRetry(request *http.Request, call *call, plan plan, err error) bool {
-	verdict := celerylanding.VerdictOf(err)
+// mayRetry decides by the verdict of the last try; tries that have not run cost nothing.
+func (gateway *Gateway) mayRetry(request *http.Request, call *call, plan plan, verdict celerylanding.Verdict) bool {
 	if request.Context().Err() != nil || !time.Now().Before(call.deadline) {
 		return false
 	}
@@ -74,7 +100,7 @@
 	if verdict == celerylanding.NotRun {
 		return true
 	}
-	return call.attempts < maxAttempts && gateway.deps.Traffic.TakeRetry()
+	return call.runs < maxRuns && gateway.deps.Traffic.TakeRetry()
 }
 
 // settle ends the grant and finds out what a failure says of the target.
@@ -88,19 +114,31 @@
 		traffic.Release(grant, router.OutcomeNeutral)
 	case reason == celerylanding.ReasonTargetRefused:
 		traffic.Release(grant, router.OutcomeOverloaded)
+	case celerylanding.VerdictOf(err) == celerylanding.NotRun:
+		// What never reached the target can't have harmed it.
+		gateway.deps.Client.Drop(grant.Endpoint)
+		traffic.Release(grant, router.OutcomeUnreachable)
 	default:
-		// The grant stays open during the probe, so that the request counts as in flight on a dead target.
+		traffic.Remember(time.Now(), grant)
 		gateway.examine(caller, grant.Endpoint)
 		traffic.Release(grant, router.OutcomeFailed)
 	}
 }
 
-// examine probes a target on a new connection: the target may be dead, or only its old connections.
+// examine probes a target on a new connection: the target may be dead, or only its old connections. A dying process may
+// take a connection that it never serves, so a broken probe is repeated.
 func (gateway *Gateway) examine(ctx context.Context, endpoint celerylanding.Endpoint) {
 	gateway.deps.Client.Drop(endpoint)
-	err := gateway.deps.Client.Probe(ctx, endpoint)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		gateway.deps.Traffic.TargetDied(time.Now(), endpoint)
+	for range probeTries {
+		err := gateway.deps.Client.Probe(ctx, endpoint)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			gateway.deps.Traffic.TargetDied(time.Now(), endpoint)
+			return
+		}
+		if err == nil || errors.Is(err, context.DeadlineExceeded) {
+			return
+		}
+		pause(ctx, probePause)
 	}
 }
 
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -94,6 +94,15 @@
 	return nil
 }
 
+// openIsolation lets every request in.
+type openIsolation struct{}
+
+func (openIsolation) Enter(context.Context, celerylanding.Endpoint, uint64, time.Time) bool {
+	return true
+}
+
+func (openIsolation) Leave(context.Context, celerylanding.Endpoint, uint64) {}
+
 // bench is a gateway before targets that the test scripts byte by byte.
 type bench struct {
 	t        *testing.T
@@ -114,6 +123,7 @@
 		Traffic:    bench.traffic,
 		Client:     target.NewClient(),
 		Claims:     bench.claims,
+		Isolation:  openIsolation{},
 		Recorder:   bench.recorder,
 		Metrics:    tally.NoopScope,
 		Refused:    func(celerylanding.Endpoint) { bench.refused.Add(1) },
--- a/gateway/contract_test.go
+++ b/gateway/contract_test.go
@@ -377,3 +377,15 @@
 		})
 	}
 }
+
+// TestRefusalAfterARunIsNotCalledNotRun sends an idempotent call whose first try may have run; whatever refuses the next
+// try, the verdict must not say that nothing has run.
+func TestRefusalAfterARunIsNotCalledNotRun(t *testing.T) {
+	bench := newBench(t)
+	raw := newRawTarget(t, hangUp, send(notLoaded))
+	bench.serve(raw.address())
+	got := bench.call("/v1/chat/completions", `{"model":"m"}`, http.Header{"X-Request-Timeout": {"400ms"}})
+	assert.Equal(t, got.verdict, "may_have_run", got.body)
+	assert.Assert(t, raw.requests.Load() > 1)
+	bench.checkOneEnd(1)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
-	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/target"
 )
 
@@ -33,11 +32,12 @@
 
 // Deps are what the gateway works with.
 type Deps struct {
-	Traffic  *Traffic
-	Client   *target.Client
-	Claims   celerylanding.ClaimStore
-	Recorder celerylanding.Recorder
-	Metrics  tally.Scope
+	Traffic   *Traffic
+	Client    *target.Client
+	Claims    celerylanding.ClaimStore
+	Isolation celerylanding.Isolation
+	Recorder  celerylanding.Recorder
+	Metrics   tally.Scope
 	// Refused is told of a target that refuses new work.
 	Refused func(endpoint celerylanding.Endpoint)
 	// Node names this process in claims.
@@ -86,6 +86,8 @@
 	body     []byte
 	target   celerylanding.TargetID
 	attempts int
+	// runs counts the attempts that may have run.
+	runs int
 	// begun is set once a part of an answer has been sent to the caller.
 	begun bool
 }
@@ -169,39 +171,6 @@
 	scope.Timer("request_time").Record(now.Sub(call.started))
 }
 
-// acquire waits for a target and refuses requests that have cost too many targets.
-func (gateway *Gateway) acquire(request *http.Request, call *call, group string, avoid celerylanding.TargetID,
-	prefix uint64) (router.Grant, error) {
-	now := time.Now()
-	fingerprint := router.Fingerprint(call.subject, call.body)
-	if gateway.deps.Traffic.IsQuarantined(now, fingerprint) {
-		return router.Grant{}, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonQuarantined,
-			"targets died while they ran this request; it is refused for a while")
-	}
-	grant, err := gateway.deps.Traffic.Acquire(request.Context(), router.Request{
-		Model:    call.model,
-		Group:    group,
-		Priority: call.priority,
-		Deadline: call.deadline,
-		Bytes:    len(call.body),
-		Prefix:   prefix,
-		Suspect:  gateway.deps.Traffic.Crashes(now, fingerprint) > 0,
-		Avoid:    avoid,
-	}, fingerprint)
-	if err != nil {
-		return router.Grant{}, err
-	}
-	call.target = grant.Endpoint.Target
-	call.attempts++
-	// Another node may have lost a target to the request while this one waited.
-	if gateway.deps.Traffic.IsQuarantined(time.Now(), fingerprint) {
-		gateway.deps.Traffic.Release(grant, router.OutcomeNeutral)
-		return router.Grant{}, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonQuarantined,
-			"targets died while they ran this request; it is refused for a while")
-	}
-	return grant, nil
-}
-
 // firstByte bounds the wait for the head of an answer.
 func (gateway *Gateway) firstByte(call *call) time.Duration {
 	return min(gateway.deps.FirstByte, time.Until(call.deadline))
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -155,44 +155,38 @@
 	if len(traffic.running[grant.Endpoint]) == 0 {
 		delete(traffic.running, grant.Endpoint)
 	}
-	switch outcome {
-	case router.OutcomeFailed:
-		traffic.remember(now, grant.Endpoint, fingerprint)
-	case router.OutcomeAnswered:
+	if outcome == router.OutcomeAnswered {
 		traffic.quarantine.Clear(fingerprint)
 	}
 	traffic.deliver(traffic.scheduler.Finish(now, grant.Ticket, outcome))
 }
 
-func (traffic *Traffic) remember(now time.Time, endpoint celerylanding.Endpoint, fingerprint uint64) {
-	for known, list := range traffic.recent {
+// Remember notes a request that broke off after it had been sent, in case its target turns out to have died.
+func (traffic *Traffic) Remember(now time.Time, grant router.Grant) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	for endpoint, list := range traffic.recent {
 		for len(list) > 0 && now.Sub(list[0].at) > recentTime {
 			list = list[1:]
 		}
-		traffic.recent[known] = list
+		traffic.recent[endpoint] = list
 		if len(list) == 0 {
-			delete(traffic.recent, known)
+			delete(traffic.recent, endpoint)
 		}
 	}
-	traffic.recent[endpoint] = append(traffic.recent[endpoint], failedRequest{fingerprint, now})
+	failed := failedRequest{traffic.running[grant.Endpoint][grant.Ticket], now}
+	traffic.recent[grant.Endpoint] = append(traffic.recent[grant.Endpoint], failed)
 }
 
-// TargetDied marks every request that was in flight on the incarnation as a possible cause and tells the other nodes.
+// TargetDied marks the requests that broke off on the incarnation as possible causes and tells the other nodes. Each of
+// them marks itself when it breaks off; one that was granted the target and never sent is not a cause.
 func (traffic *Traffic) TargetDied(now time.Time, endpoint celerylanding.Endpoint) {
 	traffic.mutex.Lock()
 	var crashes []router.Crash
-	mark := func(fingerprint uint64) {
-		crash := router.Crash{Fingerprint: fingerprint, Target: endpoint.Target, Incarnation: endpoint.Incarnation}
-		if traffic.quarantine.Add(now, crash) {
-			crashes = append(crashes, crash)
-		}
-	}
-	for _, fingerprint := range traffic.running[endpoint] {
-		mark(fingerprint)
-	}
 	for _, failed := range traffic.recent[endpoint] {
-		if now.Sub(failed.at) <= recentTime {
-			mark(failed.fingerprint)
+		crash := router.Crash{Fingerprint: failed.fingerprint, Target: endpoint.Target, Incarnation: endpoint.Incarnation}
+		if now.Sub(failed.at) <= recentTime && traffic.quarantine.Add(now, crash) {
+			crashes = append(crashes, crash)
 		}
 	}
 	delete(traffic.recent, endpoint)
--- a/node/lead.go
+++ b/node/lead.go
@@ -24,6 +24,7 @@
 	planDue    time.Time
 	reshapeDue time.Time
 	registered map[celerylanding.TargetID]time.Time
+	isolated   map[celerylanding.Endpoint]isolationRow
 }
 
 func (ctl *control) leaseSettings() lease.Settings {
@@ -39,6 +40,7 @@
 		ctl.leader = &leaderDuties{
 			granter:    lease.NewGranter(now, ctl.leaseSettings()),
 			registered: make(map[celerylanding.TargetID]time.Time),
+			isolated:   make(map[celerylanding.Endpoint]isolationRow),
 		}
 		ctl.planner = placement.New(now)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -118,6 +119,7 @@
 		Traffic:    node.traffic,
 		Client:     node.client,
 		Claims:     claims{node.control},
+		Isolation:  isolation{node},
 		Recorder:   node.recorder,
 		Metrics:    node.metrics,
 		Refused:    node.targetRefused,
@@ -151,7 +153,7 @@
 
 func (node *Node) shareCrashes(crashes []router.Crash) {
 	node.control.post(context.Background(), func(now time.Time) {
-		node.recorder.Record(now, celerylanding.Event{Kind: "target_died", Target: crashes[0].Target})
+		node.recorder.Record(now, celerylanding.Event{Kind: "target_died", Target: crashes[0].Target, Detail: fmt.Sprintf("%d requests are suspected", len(crashes))})
 		node.control.broadcast("Peer.Crashes", &CrashArgs{Crashes: crashes})
 	})
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -196,6 +196,11 @@
 	return service.ask(func(now time.Time) { service.control.refused(now, args.Target, args.Incarnation) })
 }
 
+// Isolate reserves a target for a suspect.
+func (service *PeerService) Isolate(args *IsolateArgs, reply *IsolateReply) error {
+	return service.ask(func(now time.Time) { reply.Entered = service.control.isolate(now, *args) })
+}
+
 // Status returns what this node says of itself.
 func (service *PeerService) Status(_ *Empty, reply *Status) error {
 	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
--- a/router/load.go
+++ b/router/load.go
@@ -71,6 +71,8 @@
 		}
 	case OutcomeOverloaded:
 		load.limit = max(minSlots, load.limit*decrease)
+	case OutcomeUnreachable:
+		load.ejected = now.Add(ejectTime)
 	case OutcomeFailed:
 		load.failures++
 		if load.failures >= ejectAfter {
@@ -91,6 +93,8 @@
 	OutcomeOverloaded
 	// OutcomeFailed means that the target failed.
 	OutcomeFailed
+	// OutcomeUnreachable means that no connection to the target could be made.
+	OutcomeUnreachable
 	// OutcomeNeutral means that the end says nothing of the target.
 	OutcomeNeutral
 )
--- a/target/client.go
+++ b/target/client.go
@@ -109,7 +109,7 @@
 	exchange := &exchange{}
 	caller := ctx
 	ctx, cancel := context.WithCancelCause(caller)
-	timer := time.AfterFunc(call.FirstByte, func() { cancel(context.DeadlineExceeded) })
+	timer := time.AfterFunc(firstByteLimit(caller, call.FirstByte), func() { cancel(context.DeadlineExceeded) })
 	request, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: exchange.gotConn}), endpoint, call)
 	if err != nil {
 		cancel(err)
@@ -131,6 +131,14 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Framed: isFramed}, nil
 }
 
+// firstByteLimit leaves the end to the caller's deadline where that comes first, so that the reason is certain.
+func firstByteLimit(caller context.Context, limit time.Duration) time.Duration {
+	if deadline, ok := caller.Deadline(); ok && time.Until(deadline) <= limit {
+		return limit + dialTimeout
+	}
+	return limit
+}
+
 // failureReason tells the caller's own end apart from the target's failure.
 func failureReason(caller context.Context) celerylanding.Reason {
 	switch {
--- a/verdict.go
+++ b/verdict.go
@@ -114,6 +114,14 @@
 	return MayHaveRun
 }
 
+// WithVerdict returns the error with another verdict, for a request that was tried more than once.
+func WithVerdict(err error, verdict Verdict) error {
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.WithProperty(verdictProperty, verdict)
+	}
+	return err
+}
+
 // ReasonOf returns the reason that an error carries; an error without one is a failure of the target.
 func ReasonOf(err error) Reason {
 	if value, ok := errorx.ExtractProperty(err, reasonProperty); ok {
