Refusals arrive before the deadline, also beside a frozen target

Cause: after a time-out at the deadline the caller's answer waited for the probe of the target, up to 1 s too long (TestFrozenTargetsAreLeftAlone, 2.0 s allowed, over 2.5 s seen).

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -25,7 +25,7 @@
 			Model:    call.model,
 			Group:    plan.group,
 			Priority: call.priority,
-			Deadline: call.deadline,
+			Deadline: call.lastMoment(),
 			Bytes:    len(call.body),
 			Prefix:   plan.prefix,
 			Suspect:  suspect,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,10 +61,10 @@
 // tryOnce sends the call to the granted target and ends the grant.
 func (gateway *Gateway) tryOnce(request *http.Request, call *call, plan plan, grant router.Grant) error {
 	// Once the request has been sent, its deadline ends the work on the target too.
-	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
+	ctx, cancel := context.WithDeadline(request.Context(), call.lastMoment())
 	defer cancel()
 	err := plan.run(ctx, grant)
-	gateway.settle(request.Context(), grant, err)
+	gateway.settle(request.Context(), call, grant, err)
 	return err
 }
 
@@ -104,27 +104,34 @@
 }
 
 // settle ends the grant and finds out what a failure says of the target.
-func (gateway *Gateway) settle(caller context.Context, grant router.Grant, err error) {
+func (gateway *Gateway) settle(caller context.Context, call *call, grant router.Grant, err error) {
 	traffic := gateway.deps.Traffic
-	reason := celerylanding.ReasonOf(err)
 	switch {
 	case err == nil:
 		traffic.Release(grant, router.OutcomeAnswered)
 	case caller.Err() != nil:
 		traffic.Release(grant, router.OutcomeNeutral)
-	case reason == celerylanding.ReasonTargetRefused:
+	case celerylanding.ReasonOf(err) == celerylanding.ReasonTargetRefused:
 		traffic.Release(grant, router.OutcomeOverloaded)
 	case celerylanding.VerdictOf(err) == celerylanding.NotRun:
 		// What never reached the target can't have harmed it.
 		gateway.deps.Client.Drop(grant.Endpoint)
 		traffic.Release(grant, router.OutcomeUnreachable)
+	case time.Now().Before(call.lastMoment()):
+		gateway.examineAfter(caller, grant)
 	default:
-		traffic.Remember(time.Now(), grant)
-		gateway.examine(caller, grant.Endpoint)
-		traffic.Release(grant, router.OutcomeFailed)
+		// The caller's answer is due; the probe goes on without it.
+		gateway.deps.Tasks.Go(func(ctx context.Context) { gateway.examineAfter(ctx, grant) })
 	}
 }
 
+// examineAfter finds out whether the target has died, and only then ends the grant.
+func (gateway *Gateway) examineAfter(ctx context.Context, grant router.Grant) {
+	gateway.deps.Traffic.Remember(time.Now(), grant)
+	gateway.examine(ctx, grant.Endpoint)
+	gateway.deps.Traffic.Release(grant, router.OutcomeFailed)
+}
+
 // examine probes a target on a new connection: the target may be dead, or only its old connections. A dying process may
 // take a connection that it never serves, so a broken probe is repeated.
 func (gateway *Gateway) examine(ctx context.Context, endpoint celerylanding.Endpoint) {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/config"
 	"celerylanding.example/celerylanding/gateway"
 	"celerylanding.example/celerylanding/router"
@@ -124,6 +125,7 @@
 		Client:     target.NewClient(),
 		Claims:     bench.claims,
 		Isolation:  openIsolation{},
+		Tasks:      tasks.New(t.Context()),
 		Recorder:   bench.recorder,
 		Metrics:    tally.NoopScope,
 		Refused:    func(celerylanding.Endpoint) { bench.refused.Add(1) },
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -201,4 +201,4 @@
 }
 
 // remaining returns the time that a call still has.
-func (call *call) remaining() time.Duration { return time.Until(call.deadline) }
+func (call *call) remaining() time.Duration { return time.Until(call.lastMoment()) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/target"
 )
 
@@ -36,8 +37,10 @@
 	Client    *target.Client
 	Claims    celerylanding.ClaimStore
 	Isolation celerylanding.Isolation
-	Recorder  celerylanding.Recorder
-	Metrics   tally.Scope
+	// Tasks owns the work that outlives a request.
+	Tasks    *tasks.Group
+	Recorder celerylanding.Recorder
+	Metrics  tally.Scope
 	// Refused is told of a target that refuses new work.
 	Refused func(endpoint celerylanding.Endpoint)
 	// Node names this process in claims.
@@ -130,6 +133,11 @@
 	return nil
 }
 
+// lastMoment is when a refusal must leave to arrive before the deadline.
+func (call *call) lastMoment() time.Time {
+	return call.deadline.Add(-min(refusalMargin, call.deadline.Sub(call.started)/refusalShare))
+}
+
 // parseTimeout reads a duration; a bare number counts as seconds.
 func parseTimeout(text string) (time.Duration, error) {
 	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
@@ -173,5 +181,5 @@
 
 // firstByte bounds the wait for the head of an answer.
 func (gateway *Gateway) firstByte(call *call) time.Duration {
-	return min(gateway.deps.FirstByte, time.Until(call.deadline))
+	return min(gateway.deps.FirstByte, time.Until(call.lastMoment()))
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -76,7 +76,7 @@
 	}
 	claim := celerylanding.Claim{Service: service.ID(), Key: key, Owner: gateway.deps.Node + "/" + call.id,
 		Fingerprint: router.Fingerprint(call.subject, call.body)}
-	ctx, cancel := context.WithDeadline(request.Context(), call.deadline.Add(-refusalMargin))
+	ctx, cancel := context.WithDeadline(request.Context(), call.lastMoment())
 	state, recorded, err := gateway.deps.Claims.Claim(ctx, claim)
 	cancel()
 	if err != nil {
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -85,8 +85,6 @@
 // Acquire waits for a target; the error is a refusal and means that nothing has run.
 func (traffic *Traffic) Acquire(ctx context.Context, request router.Request, fingerprint uint64) (router.Grant, error) {
 	now := time.Now()
-	margin := min(refusalMargin, request.Deadline.Sub(now)/refusalShare)
-	request.Deadline = request.Deadline.Add(-margin)
 	traffic.mutex.Lock()
 	ticket, grant, err := traffic.scheduler.Arrive(now, request)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"celerylanding.example/celerylanding/chart"
 	"celerylanding.example/celerylanding/common/hlc"
 	"celerylanding.example/celerylanding/common/rpccodec"
+	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/gateway"
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/router"
@@ -68,6 +69,7 @@
 	traffic  *gateway.Traffic
 	gateway  *gateway.Gateway
 	client   *target.Client
+	tasks    *tasks.Group
 	chart    *chart.Chart
 
 	mutex sync.Mutex
@@ -92,6 +94,7 @@
 		counters:   &rpccodec.Counters{},
 		stop:       stop,
 		client:     target.NewClient(),
+		tasks:      tasks.New(ctx),
 		chart:      lifeChart,
 		state:      lifeChart.Initial(),
 		began:      time.Now(),
@@ -120,6 +123,7 @@
 		Client:     node.client,
 		Claims:     claims{node.control},
 		Isolation:  isolation{node},
+		Tasks:      node.tasks,
 		Recorder:   node.recorder,
 		Metrics:    node.metrics,
 		Refused:    node.targetRefused,
@@ -236,6 +240,7 @@
 	}
 	err = group.Run()
 	node.stop()
+	<-node.tasks.Close()
 	node.peers.Close()
 	return errors.Join(err, node.closer.Close())
 }
