--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,139 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/config"
+)
+
+const goodBase = `revision: 3
+site: s
+groups:
+  g: {target_memory: 80GiB}
+  p: {kind: service}
+models:
+  m:
+    group: g
+    versions:
+      v1: {memory: 18GiB, kv_reserve: 4GiB}
+adapters:
+  a: {base: m, memory: 200MiB}
+services:
+  pay: {group: p}
+`
+
+func parse(base, overlay string) (*config.Config, error) {
+	return config.Parse(config.Document{BaseName: "base.yaml", Base: base, OverlayName: "overlay.yaml", Overlay: overlay})
+}
+
+func TestMistakesNameFileLineAndField(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		old     string
+		new     string
+		overlay string
+		want    []string
+	}{
+		{"unknown key", "    group: g\n", "    group: g\n    colour: red\n", "", []string{`base.yaml:9: models.m.colour: unknown key`}},
+		{"missing unit", "18GiB", "18", "", []string{`base.yaml:10: models.m.versions.v1.memory: "18" needs a unit`}},
+		{"bad unit", "18GiB", "18Gigs", "", []string{`base.yaml:10: models.m.versions.v1.memory: "18Gigs" must be a size`}},
+		{"missing base model", "base: m", "base: other", "", []string{`base.yaml:12: adapters.a.base: base model "other" is not stated`}},
+		{"more memory than any target", "18GiB", "78GiB", "", []string{`base.yaml:10: models.m.versions.v1: needs`, `more than the`}},
+		{"unknown group", "    group: g\n", "    group: h\n", "", []string{`base.yaml:8: models.m.group: group "h" is not stated`}},
+		{"group of another kind", "pay: {group: p}", "pay: {group: g}", "", []string{`base.yaml:14: services.pay.group: group "g" is of kind engine`}},
+		{"bad replicas", "    group: g\n", "    group: g\n    replicas: {min: 3, max: 2}\n", "", []string{`base.yaml:9: models.m.replicas: min 3 is more than max 2`}},
+		{"repeated key", "site: s\n", "site: s\nsite: t\n", "", []string{`base.yaml:3: site: already stated on line 2`}},
+		{"bad YAML", "groups:\n", "groups: [\n", "", []string{`base.yaml:`}},
+		{"two documents", "site: s\n", "site: s\n---\nsite: t\n", "", []string{`only one document`}},
+		{"no revision", "revision: 3\n", "", "", []string{`revision is missing`}},
+		{"bad revision", "revision: 3", "revision: three", "", []string{`base.yaml:1: revision: "three" must be a whole number`}},
+		{"name with a slash", "  pay:", "  pay/me:", "", []string{`base.yaml:14: services.pay/me: name "pay/me" may hold`}},
+		{"mistake in the overlay", "", "", "models:\n  m:\n    deadline: soon\n", []string{`overlay.yaml:3: models.m.deadline: "soon" must be a positive duration`}},
+		{"overlay removes nothing", "", "", "models:\n  n: null\n", []string{`overlay.yaml:2: n: removes what the base does not have`}},
+		{"list in place of a mapping", "  pay: {group: p}", "  pay: [1]", "", []string{`base.yaml:14: services.pay: must be a mapping`}},
+		{"alias", "  g: {target_memory: 80GiB}", "  g: &x {target_memory: 80GiB}\n  h: *x", "", []string{`aliases`}},
+		{"weight out of range", "site: s\n", "site: s\nidling: {cold_start_weight: 2}\n", "", []string{`base.yaml:3: idling.cold_start_weight: "2" must be a number from 0 to 1`}},
+		{"several at once", "    group: g\n", "    group: h\n    colour: red\n", "site: {}\n",
+			[]string{`base.yaml:9: models.m.colour: unknown key`, `base.yaml:8: models.m.group`, `overlay.yaml:1: site: must be a text`}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			_, err := parse(strings.Replace(goodBase, row.old, row.new, 1), row.overlay)
+			assert.Assert(t, errorx.IsOfType(err, config.ErrInvalid), "%v", err)
+			for _, want := range row.want {
+				assert.ErrorContains(t, err, want)
+			}
+		})
+	}
+}
+
+func TestOverlayStatesOnlyWhatDiffers(t *testing.T) {
+	parsed, err := parse(goodBase, "site: other\nmodels:\n  m:\n    replicas: {max: 3}\nadapters:\n  a: null\n")
+	assert.NilError(t, err)
+	assert.Equal(t, parsed.Site(), "other")
+	model, ok := parsed.Resolve("m")
+	assert.Assert(t, ok)
+	assert.Equal(t, model.Replicas(), config.Replicas{Max: 3})
+	assert.Equal(t, string(model.ID()), "m@v1")
+	_, ok = parsed.Resolve("a")
+	assert.Assert(t, !ok, "null removes what the base states")
+}
+
+func TestDigestCoversBothTexts(t *testing.T) {
+	one := config.Document{Base: "ab", Overlay: "c"}
+	other := config.Document{Base: "a", Overlay: "bc"}
+	assert.Assert(t, one.Digest() != other.Digest())
+	one.BaseName = "elsewhere"
+	assert.Equal(t, one.Digest(), config.Document{Base: "ab", Overlay: "c"}.Digest())
+}
+
+// TestExamples checks the example sites, which have the real sizes of the deployments.
+func TestExamples(t *testing.T) {
+	for _, row := range []struct {
+		site             string
+		models, adapters int
+	}{
+		{"kz-central", 70, 65},
+		{"sul", 65, 75},
+	} {
+		t.Run(row.site, func(t *testing.T) {
+			folder := filepath.Join("..", "examples", row.site)
+			base, err := os.ReadFile(filepath.Join(folder, "base.yaml"))
+			assert.NilError(t, err)
+			overlay, err := os.ReadFile(filepath.Join(folder, "overlay.yaml"))
+			assert.NilError(t, err)
+			parsed, err := parse(string(base), string(overlay))
+			assert.NilError(t, err)
+			adapters := 0
+			for _, model := range parsed.Models() {
+				if model.IsAdapter() {
+					adapters++
+				}
+			}
+			assert.Equal(t, adapters, row.adapters)
+			assert.Equal(t, len(parsed.Models())-adapters, row.models)
+			assert.Equal(t, parsed.Site(), row.site)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(goodBase, "site: x\n")
+	f.Add("a: [1, {b: *c}]", "")
+	f.Fuzz(func(t *testing.T, base, overlay string) {
+		parsed, err := parse(base, overlay)
+		if err != nil {
+			assert.Assert(t, errorx.IsOfType(err, config.ErrInvalid), "%v", err)
+			return
+		}
+		for _, model := range parsed.Models() {
+			assert.Assert(t, model.Replicas().Min <= model.Replicas().Max)
+			assert.Assert(t, model.Memory() > 0 && model.Deadline() > 0)
+		}
+	})
+}
