--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,95 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/membership"
+	"celerylanding.example/celerylanding/quorum"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func announcement(incarnation, sequence uint64, leaving bool) celerylanding.Announcement {
+	return celerylanding.Announcement{Target: "t", Incarnation: celerylanding.Incarnation(incarnation), Sequence: sequence, Leaving: leaving}
+}
+
+// TestDirectory plays announcements that are late, repeated and out of order.
+func TestDirectory(t *testing.T) {
+	directory, err := membership.NewDirectory(time.Second)
+	assert.NilError(t, err)
+	routable := func() bool {
+		target, ok := directory.Target("t")
+		return ok && target.IsRoutable()
+	}
+	assert.Assert(t, directory.Observe(start, announcement(1, 1, false)))
+	assert.Assert(t, routable())
+	assert.Assert(t, !directory.Observe(start, announcement(1, 1, false)), "a repeated one is no news")
+	assert.Equal(t, len(directory.Expire(start.Add(time.Second))), 0)
+	assert.Equal(t, len(directory.Expire(start.Add(1001*time.Millisecond))), 1)
+	assert.Assert(t, !routable(), "a silent target gets no new work")
+	assert.Assert(t, directory.Observe(start, announcement(1, 2, false)))
+	assert.Assert(t, routable())
+	assert.Assert(t, directory.Refused("t", 1))
+	assert.Assert(t, !directory.Refused("t", 1))
+	assert.Assert(t, directory.Observe(start, announcement(1, 9, false)))
+	assert.Assert(t, !routable(), "leaving is final for an incarnation")
+	assert.Assert(t, directory.Observe(start, announcement(2, 1, false)))
+	assert.Assert(t, routable(), "a later incarnation is a new target")
+	assert.Assert(t, !directory.Refused("t", 1), "word of an older incarnation changes nothing")
+	assert.Assert(t, !directory.Observe(start, announcement(1, 99, true)), "an older incarnation is no news")
+	assert.Assert(t, routable())
+	assert.Assert(t, directory.Observe(start, announcement(2, 2, true)))
+	assert.Assert(t, !routable())
+	directory.Forget("t", 1)
+	assert.Equal(t, len(directory.Targets()), 1)
+	directory.Forget("t", 2)
+	assert.Equal(t, len(directory.Targets()), 0)
+}
+
+func member(id, node string, learner bool) quorum.Member {
+	return quorum.Member{ID: quorum.MemberID(id), Node: celerylanding.NodeID(node), Durable: true, Learner: learner}
+}
+
+// TestLostDiskIsReplaced follows the single changes from the loss of a disk to the full number of voters.
+func TestLostDiskIsReplaced(t *testing.T) {
+	members := []quorum.Member{member("a/1", "a", false), member("b/1", "b", false), member("c/1", "c", false)}
+	match := map[quorum.MemberID]uint64{}
+	next := func() ([]quorum.Member, bool) {
+		return membership.NextChange(members, 3, 10, func(id quorum.MemberID) membership.Progress {
+			return membership.Progress{Match: match[id]}
+		})
+	}
+	_, ok := next()
+	assert.Assert(t, !ok)
+	members, ok = membership.Joined(members, member("b/2", "b", false))
+	assert.Assert(t, ok)
+	assert.Assert(t, members[3].Learner, "it joins without a vote")
+	_, ok = next()
+	assert.Assert(t, !ok, "it gets no vote before it has caught up")
+	match["b/2"] = 10
+	members, ok = next()
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, members[3], member("b/2", "b", false))
+	members, ok = next()
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, members, []quorum.Member{member("a/1", "a", false), member("c/1", "c", false), member("b/2", "b", false)})
+	_, ok = next()
+	assert.Assert(t, !ok)
+}
+
+func TestMembersWithoutDiskNeverVote(t *testing.T) {
+	diskless := quorum.Member{ID: "d/1", Node: "d", Learner: true}
+	members := []quorum.Member{member("a/1", "a", false), diskless}
+	_, ok := membership.NextChange(members, 3, 10, func(quorum.MemberID) membership.Progress { return membership.Progress{Match: 10} })
+	assert.Assert(t, !ok)
+	changed, ok := membership.NextChange(members, 3, 10, func(quorum.MemberID) membership.Progress { return membership.Progress{Lost: true} })
+	assert.Assert(t, ok, "a learner that is lost for long is dropped")
+	assert.Equal(t, len(changed), 1)
+	again, ok := membership.Joined(members, quorum.Member{ID: "d/2", Node: "d"})
+	assert.Assert(t, ok)
+	assert.Equal(t, len(again), 2, "its earlier incarnation makes way")
+}
