Benchmarks over real sockets; one metrics registry for each node

Cause found by the benchmarks: all nodes of a process shared the default metrics registry, and the second one to register a metric panicked.

--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,232 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+)
+
+// histogram holds times in microseconds up to a minute.
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func post(client *http.Client, url, body string, header http.Header) error {
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", answer.Status, text)
+	}
+	return err
+}
+
+// BenchmarkWarmOverhead pairs a direct call to the engine with one through a node, in turn.
+func BenchmarkWarmOverhead(b *testing.B) {
+	site := startSite(b, 1, 1, 1)
+	site.addTargets(1, 1, time.Millisecond)
+	site.submit(0, siteText(1, 1))
+	client := &http.Client{}
+	body := `{"model":"m0","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+	through := site.callers(0) + "/v1/chat/completions"
+	site.await("the model is loaded", func() bool { return post(client, through, body, nil) == nil })
+	direct := "http://" + site.engines[0].Announcement().Address + "/v1/chat/completions"
+	directBody := `{"model":"m0@v","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+	times := []*hdrhistogram.Histogram{histogram(), histogram()}
+	for b.Loop() {
+		for i, call := range []struct{ url, body string }{{direct, directBody}, {through, body}} {
+			began := time.Now()
+			assert.NilError(b, post(client, call.url, call.body, nil))
+			_ = times[i].RecordValue(time.Since(began).Microseconds())
+		}
+	}
+	b.ReportMetric(float64(times[0].ValueAtQuantile(50)), "direct-p50-µs")
+	b.ReportMetric(float64(times[0].ValueAtQuantile(99)), "direct-p99-µs")
+	b.ReportMetric(float64(times[1].ValueAtQuantile(50)), "through-p50-µs")
+	b.ReportMetric(float64(times[1].ValueAtQuantile(99)), "through-p99-µs")
+}
+
+// BenchmarkThroughput keeps callers busy against one node; engine, callers and node share the machine.
+func BenchmarkThroughput(b *testing.B) {
+	for _, callers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			site := startSite(b, 1, 1, 1)
+			site.addTargets(1, 1, time.Millisecond)
+			site.submit(0, siteText(1, 1))
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+			body := `{"model":"m0","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+			url := site.callers(0) + "/v1/chat/completions"
+			site.await("the model is loaded", func() bool { return post(client, url, body, nil) == nil })
+			b.ReportAllocs()
+			run(b, callers, func(int64) error { return post(client, url, body, nil) })
+		})
+	}
+}
+
+// run spreads the iterations over callers and reports times and rate.
+func run(b *testing.B, callers int, call func(number int64) error) {
+	b.Helper()
+	times := histogram()
+	var mutex sync.Mutex
+	var next atomic.Int64
+	var failed atomic.Int64
+	before := cpuTime()
+	b.ResetTimer()
+	var busy sync.WaitGroup
+	for range callers {
+		busy.Go(func() {
+			for {
+				number := next.Add(1)
+				if number > int64(b.N) {
+					return
+				}
+				began := time.Now()
+				if call(number) != nil {
+					failed.Add(1)
+				}
+				took := time.Since(began).Microseconds()
+				mutex.Lock()
+				_ = times.RecordValue(took)
+				mutex.Unlock()
+			}
+		})
+	}
+	busy.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N), "cpu-µs/call")
+	b.ReportMetric(float64(failed.Load()), "failed")
+}
+
+// BenchmarkKeyedCalls measures calls with an idempotency key: two commits on three voters with durable writes for each.
+func BenchmarkKeyedCalls(b *testing.B) {
+	for _, callers := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			site := startSite(b, 3, 3, 3)
+			site.addTargets(1, 1, time.Millisecond)
+			site.submit(0, siteText(1, 1))
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+			url := site.callers(0) + "/services/ledger/redeem"
+			var tries atomic.Int64
+			key := func() http.Header { return http.Header{"Idempotency-Key": {fmt.Sprintf("k%d", tries.Add(1))}} }
+			site.await("the service is known", func() bool { return post(client, url, `{"voucher":"v"}`, key()) == nil })
+			run(b, callers, func(int64) error { return post(client, url, `{"voucher":"v"}`, key()) })
+		})
+	}
+}
+
+// measureWindow is how long a quiet site is watched.
+const measureWindow = 5 * time.Second
+
+// BenchmarkControlTraffic watches sites of several sizes and reports what control costs each node.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, size := range []struct{ nodes, targets int }{{5, 0}, {20, 0}, {50, 0}, {100, 0}, {5, 20}, {20, 20}, {50, 20}, {20, 60}} {
+		b.Run(fmt.Sprintf("nodes=%d/targets=%d", size.nodes, size.targets), func(b *testing.B) {
+			site := startSite(b, size.nodes, 3, 8)
+			site.addTargets(size.targets, 8, time.Millisecond)
+			site.submit(0, siteText(1, 100))
+			time.Sleep(2 * time.Second)
+			for b.Loop() {
+				site.watch(b, size.nodes)
+			}
+		})
+	}
+}
+
+func (site *site) watch(b *testing.B, nodes int) {
+	b.Helper()
+	bytesBefore, framesBefore := site.traffic()
+	leader := site.leader()
+	leaderBytes := site.nodes[leader].node.PeerTraffic().BytesOut
+	cpu := cpuTime()
+	time.Sleep(measureWindow)
+	used := cpuTime() - cpu
+	bytesAfter, framesAfter := site.traffic()
+	seconds := measureWindow.Seconds()
+	b.ReportMetric(float64(bytesAfter-bytesBefore)/seconds/float64(nodes), "B/s/node")
+	b.ReportMetric(float64(framesAfter-framesBefore)/seconds/float64(nodes), "frames/s/node")
+	b.ReportMetric(float64(site.nodes[leader].node.PeerTraffic().BytesOut-leaderBytes)/seconds, "leader-B/s")
+	b.ReportMetric(100*used.Seconds()/seconds/float64(nodes), "%core/node")
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapAlloc)/float64(nodes)/(1<<20), "MiB/node")
+}
+
+func (site *site) traffic() (sum, frames int64) {
+	for _, running := range site.nodes {
+		counted := running.node.PeerTraffic()
+		sum += counted.BytesOut
+		frames += counted.FramesOut
+	}
+	return sum, frames
+}
+
+func (site *site) leader() int {
+	shown, err := site.show(0)
+	assert.NilError(site.t, err)
+	for _, status := range shown.Nodes {
+		if status.Role == "leader" {
+			var number int
+			_, _ = fmt.Sscanf(string(status.Node), "n%d", &number)
+			return number
+		}
+	}
+	return 0
+}
+
+// BenchmarkInForce measures the time from a submission until every node has it in force.
+func BenchmarkInForce(b *testing.B) {
+	for _, size := range []struct{ nodes, models int }{{5, 100}, {20, 100}, {50, 100}, {5, 1000}, {5, 8000}} {
+		b.Run(fmt.Sprintf("nodes=%d/models=%d", size.nodes, size.models), func(b *testing.B) {
+			site := startSite(b, size.nodes, 3, 8)
+			times := histogram()
+			revision := 0
+			for b.Loop() {
+				revision++
+				text := siteText(revision, size.models)
+				began := time.Now()
+				site.submit(0, text)
+				site.await("it is in force everywhere", func() bool { return site.allAt(uint64(revision)) })
+				_ = times.RecordValue(time.Since(began).Microseconds())
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(times.Max())/1000, "max-ms")
+		})
+	}
+}
+
+func (site *site) allAt(revision uint64) bool {
+	for _, running := range site.nodes {
+		if running.node.Revision() != revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/node/inspect.go
@@ -0,0 +1,27 @@
+package node
+
+// PeerTraffic is what a node has exchanged with other nodes since it started.
+type PeerTraffic struct {
+	BytesIn   int64
+	BytesOut  int64
+	FramesOut int64
+	BadFrames int64
+}
+
+// PeerTraffic returns the counters of the peer plane.
+func (node *Node) PeerTraffic() PeerTraffic {
+	return PeerTraffic{
+		BytesIn:   node.counters.BytesIn.Load(),
+		BytesOut:  node.counters.BytesOut.Load(),
+		FramesOut: node.counters.FramesOut.Load(),
+		BadFrames: node.counters.BadFrames.Load(),
+	}
+}
+
+// Revision returns the number of the configuration that traffic works with, or zero before the first one.
+func (node *Node) Revision() uint64 {
+	if config := node.traffic.View().Config; config != nil {
+		return config.Number()
+	}
+	return 0
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oklog/run"
+	registry "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -102,7 +103,10 @@
 		terminated: make(chan struct{}),
 	}
 	node.recorder = timeline.NewRecorder(options.Timeline, options.ID, node.clock)
-	node.reporter = prometheus.NewReporter(prometheus.Options{})
+	metrics := registry.NewRegistry()
+	node.reporter = prometheus.NewReporter(prometheus.Options{Registerer: metrics, Gatherer: metrics, OnRegisterError: func(err error) {
+		options.Log.Error().Err(err).Msg("metric can't be registered")
+	}})
 	node.metrics, node.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "celerylanding", CachedReporter: node.reporter, Separator: prometheus.DefaultSeparator,
 		OmitCardinalityMetrics: true}, metricsInterval)
