--- /dev/null
+++ b/commands/commands_test.go
@@ -0,0 +1,83 @@
+package commands_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/commands"
+)
+
+const good = "revision: 1\nsite: s\ngroups: {g: {target_memory: 80GiB}}\nmodels:\n  m: {group: g, versions: {v: {memory: 1GiB}}}\n"
+
+// TestCommandLine runs commands as an operator would and compares exit codes and texts.
+func TestCommandLine(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	goodFile := write("good.yaml", good)
+	badFile := write("bad.yaml", good+"colour: red\n")
+	line := write("a.timeline", `{"process":"a","wall":2,"counter":0,"event":"later"}`+"\n"+`{"process":"a","wall":1,"counter":0,"event":"earlier","model":"m"}`+"\n")
+	data := filepath.Join(folder, "data")
+	for _, row := range []struct {
+		name      string
+		arguments string
+		code      int
+		want      string
+	}{
+		{"help", "--help", 0, "Serving of rarely used models"},
+		{"no command", "", 2, "expected one of"},
+		{"unknown flag", "node --colour", 2, "unknown flag"},
+		{"valid files", "check " + goodFile, 0, "revision 1 of s is valid: 1 models and adapters, 0 services"},
+		{"mistake", "check " + badFile, 2, badFile + ":6: colour: unknown key"},
+		{"missing file", "check " + folder + "/none.yaml", 2, "no such file"},
+		{"submit a mistake", "submit " + badFile, 2, "colour: unknown key"},
+		{"submit to nobody", "submit " + goodFile + " --operator 127.0.0.1:1", 4, "the outcome is unknown"},
+		{"show nobody", "show --operator 127.0.0.1:1", 4, "no answer from 127.0.0.1:1"},
+		{"init without folder", "init --id a --domain d", 2, "--data is missing"},
+		{"init with a bad name", "init --id a/b --domain d --data " + data, 2, "--id"},
+		{"init", "init --id a --domain d --data " + data, 0, "new control log with one voter, a/"},
+		{"init again", "init --id a --domain d --data " + data, 3, "holds a control log already"},
+		{"even number of voters", "node --id a --domain d --voters 2", 2, "--voters: 2 must be an odd number"},
+		{"hasty elections", "node --id a --domain d --election-timeout 200ms", 2, "--election-timeout"},
+		{"plain text off loopback", "node --id a --domain d --peers 192.0.2.1:7003", 2, "--peers: 192.0.2.1:7003 is off loopback"},
+		{"half of TLS", "node --id a --domain d --tls-cert x", 2, "mutual TLS needs"},
+		{"name in place of an IP number", "node --id a --domain d --peers host:7003", 2, `"host" is not an IP address`},
+		{"timeline", "timeline " + line, 0, "earlier"},
+		{"timeline of a model", "timeline --model m " + line, 0, "earlier"},
+		{"timeline as a page", "timeline --html " + line, 0, "<!DOCTYPE html>"},
+		{"timeline of no file", "timeline " + folder + "/none", 2, "no such file"},
+		{"targets without nodes", "demo --targets-only", 2, "--nodes is missing"},
+		{"bad load time", "demo --load-time soon", 2, "--load-time"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			code := commands.Execute(strings.Fields(row.arguments), &out, &errOut)
+			assert.Equal(t, code, row.code, errOut.String())
+			assert.Assert(t, strings.Contains(out.String()+errOut.String(), row.want), "%s%s", out.String(), errOut.String())
+		})
+	}
+}
+
+func TestTimelineOrder(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "a")
+	assert.NilError(t, os.WriteFile(path, []byte(`{"process":"a","wall":2,"counter":0,"event":"later"}`+"\n"+`{"process":"a","wall":1,"counter":0,"event":"earlier"}`+"\n"), 0o600))
+	var out, errOut bytes.Buffer
+	assert.Equal(t, commands.Execute([]string{"timeline", path}, &out, &errOut), 0, errOut.String())
+	assert.Assert(t, strings.Index(out.String(), "earlier") < strings.Index(out.String(), "later"))
+}
+
+func TestEnvironmentVariables(t *testing.T) {
+	t.Setenv("CELERYLANDING_VOTERS", "4")
+	var out, errOut bytes.Buffer
+	assert.Equal(t, commands.Execute([]string{"node", "--id", "a", "--domain", "d"}, &out, &errOut), 2)
+	assert.Assert(t, strings.Contains(errOut.String(), "--voters: 4"), errOut.String())
+}
