A lost failure domain's models are loaded elsewhere

Cause: the leader forgot the dead engine's incarnation and registered it again from its old announcement, with the old inventory as ghosts, without end (TestLostFailureDomain: 504 after 30 s). Ruled out: the lease take-over and the proof of death; both had worked. Change: only targets heard of lately are registered; targets silent for an hour are no longer listed.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -19,6 +19,9 @@
 	EventRefused chart.Event = "refused"
 )
 
+// dropAfter is the silence after which a target is no longer listed.
+const dropAfter = time.Hour
+
 // Target is the latest that this node knows of a target.
 type Target struct {
 	announcement celerylanding.Announcement
@@ -86,10 +89,15 @@
 	return target.state != before
 }
 
-// Expire suspects the targets that have been silent too long and returns the ones that changed.
+// Expire suspects the targets that have been silent too long and returns the ones that changed; in the end it drops them.
 func (directory *Directory) Expire(now time.Time) []celerylanding.TargetID {
 	var changed []celerylanding.TargetID
 	for id, target := range directory.targets {
+		if now.Sub(target.heard) > max(dropAfter, directory.silence) {
+			delete(directory.targets, id)
+			changed = append(changed, id)
+			continue
+		}
 		if now.Sub(target.heard) <= directory.silence {
 			continue
 		}
--- a/node/lead.go
+++ b/node/lead.go
@@ -65,6 +65,10 @@
 		if announcement.Kind != celerylanding.KindEngine || !now.After(ctl.leader.registered[announcement.Target]) {
 			continue
 		}
+		if now.Sub(target.Heard()) > ctl.options.Timing.TargetSilence {
+			// An old announcement must not bring back an incarnation that the log has forgotten.
+			continue
+		}
 		facts := factsOf(announcement)
 		known, ok := ctl.state.Target(announcement.Target)
 		if ok && (known == facts || known.Incarnation > facts.Incarnation) {
