Control costs less: learners' heartbeats, lease questions, reports, placement rounds

Cause, from the measured slopes: heartbeats to members that never vote, lease questions of nodes that can't get it, and empty reports made up most of the traffic; the placement sorted all replicas and walked all models in each of 20 rounds a second. Ruled out: announcements (0 targets in these rows). Change: members without a vote hear from the leader twice an election timeout; nodes ask for a held lease once a second, not four times; empty reports every 5 s; rows are kept sorted; rounds run when something changed.

--- a/config/config.go
+++ b/config/config.go
@@ -160,6 +160,7 @@
 	digest   Digest
 	models   map[celerylanding.ModelID]*Model
 	ordered  []*Model
+	kept     []*Model
 	aliases  map[string]celerylanding.ModelID
 	groups   map[string]*Group
 	services map[celerylanding.ServiceID]*Service
@@ -195,12 +196,21 @@
 // Models returns all loadable units, ordered by their identifiers; the caller must not change the slice.
 func (config *Config) Models() []*Model { return config.ordered }
 
+// KeptModels returns the units that have replicas at all times, ordered by their identifiers; the caller must not change
+// the slice.
+func (config *Config) KeptModels() []*Model { return config.kept }
+
 // orderModels is called once all models are known.
 func (config *Config) orderModels() {
 	for _, model := range config.models {
 		config.ordered = append(config.ordered, model)
 	}
 	sort.Slice(config.ordered, func(i, j int) bool { return config.ordered[i].id < config.ordered[j].id })
+	for _, model := range config.ordered {
+		if model.replicas.Min > 0 {
+			config.kept = append(config.kept, model)
+		}
+	}
 }
 
 // Names returns all names that a caller may use for a model, in order.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -230,3 +230,10 @@
 	defer traffic.mutex.Unlock()
 	return traffic.scheduler.Waiting()
 }
+
+// IsBusy reports whether there is any demand to report.
+func (traffic *Traffic) IsBusy() bool {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.scheduler.IsBusy()
+}
--- a/node/control.go
+++ b/node/control.go
@@ -191,7 +191,9 @@
 		ElectionTimeout: ctl.options.Timing.ElectionTimeout,
 		Heartbeat:       ctl.options.Timing.Heartbeat,
 		MaxAppend:       maxAppend,
-		Random:          rand.New(rand.NewPCG(ctl.options.Seed, 1)),
+		// A member without a vote has half an election timeout to spare before it counts the leader as lost.
+		LearnerHeartbeat: ctl.options.Timing.ElectionTimeout / 2,
+		Random:           rand.New(rand.NewPCG(ctl.options.Seed, 1)),
 	}
 }
 
--- a/node/execute.go
+++ b/node/execute.go
@@ -96,12 +96,7 @@
 	if work.renewing || now.Before(work.renewDue) {
 		return
 	}
-	_, held := work.holder.Fence(now)
-	interval := ctl.options.Timing.LeaseTTL / renewShare
-	if !held {
-		interval /= 4
-	}
-	work.renewDue = now.Add(interval)
+	work.renewDue = now.Add(ctl.renewInterval(now, domain, work))
 	args := RenewArgs{Domain: domain, Holder: ctl.holderID, Own: domain == ctl.options.Domain}
 	if ctl.leader != nil {
 		if fence, granted := ctl.renew(now, args); granted {
@@ -126,6 +121,16 @@
 	})
 }
 
+// renewInterval is short while a lease that nobody holds is on its way to this node, and long while another one holds it.
+func (ctl *control) renewInterval(now time.Time, domain celerylanding.FailureDomain, work *domainExecutor) time.Duration {
+	interval := ctl.options.Timing.LeaseTTL / renewShare
+	holder := ctl.state.Lease(domain).Holder()
+	if _, held := work.holder.Fence(now); !held && (holder == "" || holder == ctl.holderID) {
+		return interval / 4
+	}
+	return interval
+}
+
 func (ctl *control) askToRenew(ctx context.Context, address string, args RenewArgs) RenewReply {
 	ctx, cancel := context.WithTimeout(ctx, ctl.options.Timing.LeaseTTL/2)
 	defer cancel()
--- a/node/lead.go
+++ b/node/lead.go
@@ -12,19 +12,22 @@
 )
 
 const (
-	planInterval    = 50 * time.Millisecond
-	reshapeInterval = 100 * time.Millisecond
+	planInterval = 50 * time.Millisecond
+	// quietPlanInterval is the time between two rounds of placement while nothing changes.
+	quietPlanInterval = 500 * time.Millisecond
+	reshapeInterval   = 100 * time.Millisecond
 	// pendingTime is how long a proposal of the leader's own is not repeated.
 	pendingTime = time.Second
 )
 
 // leaderDuties is what only the leader does; it is made anew in each term.
 type leaderDuties struct {
-	granter    *lease.Granter
-	planDue    time.Time
-	reshapeDue time.Time
-	registered map[celerylanding.TargetID]time.Time
-	isolated   map[celerylanding.Endpoint]isolationRow
+	granter      *lease.Granter
+	planned      time.Time
+	plannedIndex uint64
+	reshapeDue   time.Time
+	registered   map[celerylanding.TargetID]time.Time
+	isolated     map[celerylanding.Endpoint]isolationRow
 }
 
 func (ctl *control) leaseSettings() lease.Settings {
@@ -48,16 +51,24 @@
 		ctl.leader.reshapeDue = now.Add(reshapeInterval)
 		ctl.reshape(now)
 	}
-	if now.Before(ctl.leader.planDue) || len(ctl.batch) > 0 {
+	if !ctl.isPlanDue(now) || len(ctl.batch) > 0 {
 		return
 	}
-	ctl.leader.planDue = now.Add(planInterval)
+	ctl.leader.planned = now
+	ctl.leader.plannedIndex = ctl.state.Index()
 	ctl.registerTargets(now)
 	if ctl.core.HasLeadership(now) {
 		ctl.submit(ctl.planner.Decide(now, ctl.state, ctl.directory))
 	}
 }
 
+// isPlanDue paces the placement: soon after something has changed or while requests wait, and rarely otherwise.
+func (ctl *control) isPlanDue(now time.Time) bool {
+	elapsed := now.Sub(ctl.leader.planned)
+	hasChanged := ctl.state.Index() != ctl.leader.plannedIndex || ctl.planner.HasWaiting()
+	return elapsed >= quietPlanInterval || (hasChanged && elapsed >= planInterval)
+}
+
 // registerTargets records new incarnations and changed facts of the engines that were heard of.
 func (ctl *control) registerTargets(now time.Time) {
 	for _, target := range ctl.directory.Targets() {
--- a/node/node.go
+++ b/node/node.go
@@ -34,8 +34,10 @@
 	metricsInterval = time.Second
 	// demandPoll is the time between two looks at what callers wait for.
 	demandPoll = 20 * time.Millisecond
-	// demandInterval is the time between two reports while nothing changes.
-	demandInterval = 500 * time.Millisecond
+	// demandInterval is the time between two reports while models are in use.
+	demandInterval = time.Second
+	// idleInterval is the time between two reports while none is in use.
+	idleInterval = 5 * time.Second
 	// drainPoll is the time between two looks at the open requests of a draining node.
 	drainPoll = 20 * time.Millisecond
 	// joinGrace is the time after which a node that hears of no leader serves what it has.
@@ -344,7 +346,11 @@
 			return nil
 		case now := <-ticker.C:
 			count := node.traffic.Waiting()
-			if count <= waiting && now.Sub(sent) < demandInterval {
+			interval := idleInterval
+			if node.traffic.IsBusy() {
+				interval = demandInterval
+			}
+			if count <= waiting && now.Sub(sent) < interval {
 				continue
 			}
 			waiting, sent = count, now
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,6 +57,7 @@
 	failed    map[celerylanding.ModelID]time.Time
 	blocked   map[celerylanding.ModelID]string
 	coldStart time.Duration
+	waiting   bool
 }
 
 // New returns a planner without reports.
@@ -80,12 +81,16 @@
 			planner.demands[report.Model] = make(map[celerylanding.NodeID]demand)
 		}
 		planner.demands[report.Model][node] = demand{report, now}
+		planner.waiting = planner.waiting || report.Waiting > 0
 		if report.Waiting+report.InFlight+report.Arrivals > 0 {
 			planner.policy.Used(now, report.Model)
 		}
 	}
 }
 
+// HasWaiting reports whether requests waited for any model at the last round or were reported since.
+func (planner *Planner) HasWaiting() bool { return planner.waiting }
+
 // ColdStart returns the expected load time of a model.
 func (planner *Planner) ColdStart() time.Duration { return planner.coldStart }
 
@@ -104,7 +109,9 @@
 	round := &round{planner: planner, now: now, state: current, directory: directory, config: intended,
 		used: make(map[celerylanding.TargetID]celerylanding.Bytes)}
 	round.countPending()
-	for _, need := range planner.needs(now) {
+	needs := planner.needs(now)
+	planner.waiting = len(needs) > 0
+	for _, need := range needs {
 		round.serve(need)
 	}
 	round.holdMinimum()
--- a/placement/round.go
+++ b/placement/round.go
@@ -53,9 +53,8 @@
 	if !ok {
 		return
 	}
-	replicas := round.state.ReplicasOf(need.model)
 	wanted := min(model.Replicas().Max, 1+need.waiting/waitersPerReplica)
-	if len(replicas) < wanted {
+	if round.state.CountOf(need.model) < wanted {
 		round.add(model)
 	}
 }
@@ -111,7 +110,7 @@
 			return
 		}
 	}
-	if len(round.state.ReplicasOf(base.ID())) < base.Replicas().Max && !round.isPlanned(base.ID()) {
+	if round.state.CountOf(base.ID()) < base.Replicas().Max && !round.isPlanned(base.ID()) {
 		round.add(base)
 	}
 }
@@ -178,7 +177,7 @@
 		incarnation: registered.Incarnation,
 		free:        registered.Memory - used,
 		tier:        round.tier(registered.ID, model.ID()),
-		replicas:    len(round.state.ReplicasOn(registered.ID)),
+		replicas:    round.state.CountOn(registered.ID),
 	}
 	return option, option.free >= model.Memory()
 }
@@ -192,16 +191,10 @@
 	if registered.Group != model.Group() || registered.Leaving || registered.Kind != celerylanding.KindEngine {
 		return false
 	}
-	hasBase := !model.IsAdapter()
-	for _, replica := range round.state.ReplicasOn(registered.ID) {
-		if replica.Model() == model.ID() {
-			return false
-		}
-		if replica.Model() == model.Base() && round.state.IsRoutable(replica) {
-			hasBase = true
-		}
+	if round.state.Holds(registered.ID, model.ID()) {
+		return false
 	}
-	return hasBase
+	return !model.IsAdapter() || round.state.HasReady(registered.ID, model.Base())
 }
 
 // tier returns how far the checkpoint is from the target's accelerators; lower is nearer.
@@ -234,7 +227,8 @@
 		}
 		for _, replica := range round.state.ReplicasOn(registered.ID) {
 			last, ok := round.idleSince(replica)
-			if ok && replica.Model() != model.Base() && (victim == nil || last.Before(oldest)) {
+			isOlder := victim == nil || last.Before(oldest)
+			if ok && isOlder && replica.Model() != model.Base() && !round.hasAdapter(replica) {
 				victim, oldest = replica, last
 			}
 		}
@@ -253,13 +247,13 @@
 	return false
 }
 
-// idleSince returns since when a replica is unused, or false while it is needed.
+// idleSince returns since when no request needs a replica, or false while one does.
 func (round *round) idleSince(replica *state.Replica) (time.Time, bool) {
 	ready, ok := round.planner.ready[replica.Order()]
 	if !ok || replica.State() != state.StateReady || round.now.Sub(ready) < minResidence {
 		return time.Time{}, false
 	}
-	if round.planner.isBusy(round.now, replica.Model()) || round.hasAdapter(replica) {
+	if round.planner.isBusy(round.now, replica.Model()) {
 		return time.Time{}, false
 	}
 	if last, ok := round.planner.policy.LastUse(replica.Model()); ok && last.After(ready) {
@@ -285,8 +279,8 @@
 
 // holdMinimum loads what the configuration wants loaded at all times.
 func (round *round) holdMinimum() {
-	for _, model := range round.config.Models() {
-		if len(round.state.ReplicasOf(model.ID())) < model.Replicas().Min && !round.isPlanned(model.ID()) {
+	for _, model := range round.config.KeptModels() {
+		if round.state.CountOf(model.ID()) < model.Replicas().Min && !round.isPlanned(model.ID()) {
 			round.add(model)
 		}
 	}
@@ -303,11 +297,11 @@
 			round.unload(replica)
 			continue
 		}
-		if !ok || len(round.state.ReplicasOf(replica.Model())) <= model.Replicas().Min {
+		if !ok || round.state.CountOf(replica.Model()) <= model.Replicas().Min {
 			continue
 		}
 		since, idle := round.idleSince(replica)
-		if idle && round.now.Sub(since) > round.keepAlive(replica.Model()) {
+		if idle && round.now.Sub(since) > round.keepAlive(replica.Model()) && !round.hasAdapter(replica) {
 			round.unload(replica)
 		}
 	}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -38,8 +38,10 @@
 	ID MemberID
 	// ElectionTimeout is the shortest silence after which a follower asks for votes; the longest is twice that.
 	ElectionTimeout time.Duration
-	// Heartbeat is the time between two messages of a leader to a follower.
+	// Heartbeat is the time between two messages of a leader to a voter.
 	Heartbeat time.Duration
+	// LearnerHeartbeat is the time between two messages of a leader to a member without a vote.
+	LearnerHeartbeat time.Duration
 	// MaxAppend bounds the entries of one message.
 	MaxAppend int
 	// Random supplies the spread of the election timeouts.
@@ -59,6 +61,8 @@
 	applied       uint64
 	contact       time.Time
 	snapshotUntil time.Time
+	// heartbeatDue is when a learner gets its next message if nothing happens.
+	heartbeatDue time.Time
 }
 
 // Core is one member of the log.
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -17,7 +17,20 @@
 		}
 	}
 	if !now.Before(core.heartbeatDue) {
-		core.broadcast(now)
+		core.heartbeat(now)
+	}
+}
+
+// heartbeat tells the voters that the leader lives, and the members without a vote less often.
+func (core *Core) heartbeat(now time.Time) {
+	core.heartbeatDue = now.Add(core.settings.Heartbeat)
+	for _, member := range core.members {
+		if member.ID == core.settings.ID {
+			continue
+		}
+		if !member.Learner || !now.Before(core.peers[member.ID].heartbeatDue) {
+			core.sendAppend(now, member.ID)
+		}
 	}
 }
 
@@ -62,6 +75,7 @@
 
 func (core *Core) sendAppend(now time.Time, to MemberID) {
 	peer := core.peers[to]
+	peer.heartbeatDue = now.Add(core.settings.LearnerHeartbeat)
 	previous := peer.next - 1
 	term, ok := core.log.term(previous)
 	if !ok {
--- a/router/scheduler.go
+++ b/router/scheduler.go
@@ -222,6 +222,11 @@
 	return count
 }
 
+// IsBusy reports whether any model is wanted or in use, or was since the last report.
+func (scheduler *Scheduler) IsBusy() bool {
+	return len(scheduler.arrivals)+len(scheduler.inFlight)+len(scheduler.wantedUntil)+len(scheduler.order) > 0
+}
+
 // InFlight returns the number of open grants.
 func (scheduler *Scheduler) InFlight() int { return len(scheduler.granted) }
 
--- a/state/apply.go
+++ b/state/apply.go
@@ -107,7 +107,7 @@
 		return state.refuse("inventory of %s has %d entries", target.ID, len(register.Inventory))
 	}
 	state.releaseAll(target.ID)
-	state.targets[target.ID] = target
+	state.putTarget(target)
 	for i, found := range register.Inventory {
 		if state.find(target.ID, found.Model) == nil {
 			state.insertGhost(OrderAt(state.index, i), target, found.Model, found.Bytes)
@@ -125,7 +125,7 @@
 	if target.Memory < known.Memory {
 		return state.refuse("memory of %s shrinks within incarnation %d", target.ID, target.Incarnation)
 	}
-	state.targets[target.ID] = target
+	state.putTarget(target)
 	return state.accept()
 }
 
@@ -148,6 +148,7 @@
 	}
 	state.releaseAll(gone.Target)
 	delete(state.targets, gone.Target)
+	state.orderedTargets = nil
 	return state.accept()
 }
 
@@ -183,7 +184,7 @@
 		return state.refuse("%s needs %d bytes, %s has %d of %d in use",
 			place.Model, model.Memory(), place.Target, used, target.Memory)
 	}
-	if model.IsAdapter() && !state.hasReady(place.Target, model.Base()) {
+	if model.IsAdapter() && !state.HasReady(place.Target, model.Base()) {
 		return state.refuse("base model %s is not ready on %s", model.Base(), place.Target)
 	}
 	state.insert(&Replica{
@@ -206,7 +207,13 @@
 	return nil
 }
 
-func (state *State) hasReady(target celerylanding.TargetID, model celerylanding.ModelID) bool {
+// Holds reports whether a replica of the model is counted on the target.
+func (state *State) Holds(target celerylanding.TargetID, model celerylanding.ModelID) bool {
+	return state.find(target, model) != nil
+}
+
+// HasReady reports whether a replica of the model on the target may be sent requests.
+func (state *State) HasReady(target celerylanding.TargetID, model celerylanding.ModelID) bool {
 	replica := state.find(target, model)
 	return replica != nil && state.IsRoutable(replica)
 }
--- a/state/state.go
+++ b/state/state.go
@@ -107,8 +107,11 @@
 	claimOrder []claimID
 	failures   map[celerylanding.ModelID]string
 
-	byModel  map[celerylanding.ModelID]map[celerylanding.OrderNumber]*Replica
-	byTarget map[celerylanding.TargetID]map[celerylanding.OrderNumber]*Replica
+	// ordered and orderedTargets hold all rows in order, or nil after one came or went.
+	ordered        []*Replica
+	orderedTargets []Target
+	byModel        map[celerylanding.ModelID]map[celerylanding.OrderNumber]*Replica
+	byTarget       map[celerylanding.TargetID]map[celerylanding.OrderNumber]*Replica
 }
 
 // New returns the empty state.
@@ -144,24 +147,39 @@
 	return target, ok
 }
 
-// Targets returns all registered targets, ordered by their identifiers.
+// Targets returns all registered targets, ordered by their identifiers; the caller must not change the slice.
 func (state *State) Targets() []Target {
+	if state.orderedTargets != nil {
+		return state.orderedTargets
+	}
 	targets := make([]Target, 0, len(state.targets))
 	for _, target := range state.targets {
 		targets = append(targets, target)
 	}
 	sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
+	state.orderedTargets = targets
 	return targets
 }
 
+// putTarget records the facts of a target.
+func (state *State) putTarget(target Target) {
+	state.targets[target.ID] = target
+	state.orderedTargets = nil
+}
+
 // Replica finds a replica by its order number.
 func (state *State) Replica(order celerylanding.OrderNumber) (*Replica, bool) {
 	replica, ok := state.replicas[order]
 	return replica, ok
 }
 
-// Replicas returns all replicas in the order of their decisions.
-func (state *State) Replicas() []*Replica { return sorted(state.replicas) }
+// Replicas returns all replicas in the order of their decisions; the caller must not change the slice.
+func (state *State) Replicas() []*Replica {
+	if state.ordered == nil {
+		state.ordered = sorted(state.replicas)
+	}
+	return state.ordered
+}
 
 // ReplicasOf returns the replicas of a model in the order of their decisions.
 func (state *State) ReplicasOf(model celerylanding.ModelID) []*Replica {
@@ -173,6 +191,12 @@
 	return sorted(state.byTarget[target])
 }
 
+// CountOf returns the number of replicas of a model.
+func (state *State) CountOf(model celerylanding.ModelID) int { return len(state.byModel[model]) }
+
+// CountOn returns the number of replicas on a target.
+func (state *State) CountOn(target celerylanding.TargetID) int { return len(state.byTarget[target]) }
+
 // Used returns the bytes that are set aside on a target.
 func (state *State) Used(target celerylanding.TargetID) celerylanding.Bytes {
 	var used celerylanding.Bytes
@@ -206,6 +230,7 @@
 }
 
 func (state *State) insert(replica *Replica) {
+	state.ordered = nil
 	state.replicas[replica.order] = replica
 	if state.byModel[replica.model] == nil {
 		state.byModel[replica.model] = make(map[celerylanding.OrderNumber]*Replica)
@@ -218,6 +243,7 @@
 }
 
 func (state *State) remove(replica *Replica) {
+	state.ordered = nil
 	delete(state.replicas, replica.order)
 	delete(state.byModel[replica.model], replica.order)
 	if len(state.byModel[replica.model]) == 0 {
