--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -230,3 +230,31 @@
 	}
 	return true
 }
+
+// BenchmarkStreamTokens streams long answers directly and through a node, in turn, and reports the processor time that the
+// node adds to each token. Engine, caller and node share the process.
+func BenchmarkStreamTokens(b *testing.B) {
+	const tokens = 2000
+	site := startSite(b, 1, 1, 1)
+	site.addTargets(1, 1, time.Millisecond)
+	site.submit(0, siteText(1, 1))
+	client := &http.Client{}
+	body := `{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`
+	through := site.callers(0) + "/v1/chat/completions"
+	site.await("the model is loaded", func() bool { return post(client, through, fmt.Sprintf(body, "m0", 1), nil) == nil })
+	direct := "http://" + site.engines[0].Announcement().Address + "/v1/chat/completions"
+	var used [2]time.Duration
+	var took [2]time.Duration
+	for b.Loop() {
+		for i, call := range []struct{ url, model string }{{direct, "m0@v"}, {through, "m0"}} {
+			cpu, began := cpuTime(), time.Now()
+			assert.NilError(b, post(client, call.url, fmt.Sprintf(body, call.model, tokens), nil))
+			used[i] += cpuTime() - cpu
+			took[i] += time.Since(began)
+		}
+	}
+	count := float64(b.N) * tokens
+	b.ReportMetric(float64(used[0].Nanoseconds())/count, "direct-cpu-ns/token")
+	b.ReportMetric(float64(used[1].Nanoseconds())/count, "through-cpu-ns/token")
+	b.ReportMetric(count/took[1].Seconds(), "through-tokens/s")
+}
--- a/tests/repository_test.go
+++ b/tests/repository_test.go
@@ -21,7 +21,7 @@
 	"config": 2, "quorum": 2, "lease": 2, "keepalive": 2, "membership": 3, "router": 3,
 	"state": 4, "placement": 5, "executor": 5,
 	"quorum/wal": 6, "common/rpccodec": 6, "quorum/rpc": 7, "target": 6, "target/fake": 7, "timeline": 6, "gateway": 7,
-	"node": 8, "commands": 9, "cmd/celerylanding": 10, "tests": 11,
+	"node": 8, "commands": 9, "docs/measures/report": 10, "cmd/celerylanding": 10, "tests": 11,
 }
 
 func TestImportsGoOneWay(t *testing.T) {
@@ -51,7 +51,7 @@
 	page, err := os.ReadFile(filepath.Join("..", "docs", "PROOFS.md"))
 	assert.NilError(t, err)
 	var sources strings.Builder
-	err = filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+	err = filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
 		if err == nil && strings.HasSuffix(path, "_test.go") {
 			text, readErr := os.ReadFile(path)
 			sources.Write(text)
