Silent connections, and claims whose answer was lost

Ruled out for (1): TCP time-outs, since what forgets the connection may still acknowledge. Change: a call that may be repeated waits half of its remaining time for the first byte (streams, idempotent service calls); a claim of unknown outcome is given up in the background; an answer's record no longer delays the answer beyond its deadline. Left: a non-streamed completion on a silent connection still ends at its deadline, since a long answer looks the same.

--- a/common/tasks/tasks.go
+++ b/common/tasks/tasks.go
@@ -35,6 +35,13 @@
 	}()
 }
 
+// Open returns the number of goroutines that have not ended.
+func (group *Group) Open() int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.open
+}
+
 func (group *Group) end() {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -59,6 +59,8 @@
 	answers map[string]*celerylanding.RecordedAnswer
 	prints  map[string]uint64
 	down    bool
+	// lossy lets a claim take effect and loses its answer, once.
+	lossy bool
 }
 
 func (table *claimTable) Claim(_ context.Context, claim celerylanding.Claim) (celerylanding.ClaimState, celerylanding.RecordedAnswer, error) {
@@ -68,6 +70,12 @@
 		return 0, celerylanding.RecordedAnswer{}, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonNoQuorum, "down")
 	}
 	answer, ok := table.answers[claim.Key]
+	if table.lossy && !ok {
+		table.lossy = false
+		table.answers[claim.Key] = nil
+		table.prints[claim.Key] = claim.Fingerprint
+		return 0, celerylanding.RecordedAnswer{}, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonNoQuorum, "lost")
+	}
 	switch {
 	case !ok:
 		table.answers[claim.Key] = nil
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -123,7 +123,7 @@
 	send := target.Call{Method: http.MethodPost, Path: request.URL.Path, RequestID: call.id, Body: call.body,
 		Header: http.Header{"Content-Type": {"application/json"}}}
 	return plan{idempotent: true, prefix: head.prefix(), run: func(ctx context.Context, grant router.Grant) error {
-		send.FirstByte = gateway.firstByte(call)
+		send.FirstByte = gateway.firstByte(call, head.Stream)
 		answer, err := gateway.deps.Client.Do(ctx, grant.Endpoint, send)
 		if err != nil {
 			return err
--- a/gateway/contract_test.go
+++ b/gateway/contract_test.go
@@ -391,3 +391,52 @@
 	assert.Assert(t, raw.requests.Load() > 1)
 	bench.checkOneEnd(1)
 }
+
+// TestClaimOfUnknownOutcomeDoesNotBlockTheKey loses the answer to a claim that was committed: nothing has run, so a resend
+// has to run.
+func TestClaimOfUnknownOutcomeDoesNotBlockTheKey(t *testing.T) {
+	bench := newBench(t)
+	raw := newRawTarget(t, send(whole))
+	bench.serve(raw.address())
+	bench.claims.lossy = true
+	key := http.Header{"Idempotency-Key": {"k"}}
+	got := bench.call("/services/s/x", `{}`, key)
+	assert.Equal(t, got.verdict, "not_run", got.body)
+	for range 100 {
+		if got = bench.call("/services/s/x", `{}`, key); got.status == http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, raw.requests.Load(), int32(1))
+}
+
+// TestSilentConnectionIsReplaced reuses a connection that has gone silent while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, row := range []struct {
+		name, method, path, body string
+		first, answer            string
+	}{
+		{"stream", http.MethodPost, "/v1/chat/completions", `{"model":"m","stream":true}`, streamHead + event1 + done, streamHead + event1 + done},
+		{"idempotent call", http.MethodGet, "/services/s/x", ``, whole, whole},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			bench := newBench(t)
+			raw := newRawTarget(t, send(row.first), silence, send(row.answer))
+			bench.serve(raw.address())
+			for range 2 {
+				request, err := http.NewRequest(row.method, bench.server.URL+row.path, strings.NewReader(row.body))
+				assert.NilError(t, err)
+				request.Header.Set("X-Request-Timeout", "1500ms")
+				answer, err := http.DefaultTransport.RoundTrip(request)
+				assert.NilError(t, err)
+				text, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				_ = answer.Body.Close()
+				assert.Equal(t, answer.StatusCode, http.StatusOK, string(text))
+			}
+			assert.Equal(t, raw.requests.Load(), int32(3))
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	maxBody    = 16 << 20
 	maxAnswer  = 64 << 20
 	maxTimeout = 24 * time.Hour
+	// firstByteShare is the part of the remaining time that a call which may be repeated waits for its first byte.
+	firstByteShare = 2
 )
 
 // Deps are what the gateway works with.
@@ -179,7 +181,12 @@
 	scope.Timer("request_time").Record(now.Sub(call.started))
 }
 
-// firstByte bounds the wait for the head of an answer.
-func (gateway *Gateway) firstByte(call *call) time.Duration {
-	return min(gateway.deps.FirstByte, time.Until(call.lastMoment()))
+// firstByte bounds the wait for the head of an answer. A stream begins early, so half of the time is enough to find that its
+// connection has gone silent, and the other half is left for another try.
+func (gateway *Gateway) firstByte(call *call, stream bool) time.Duration {
+	limit := call.remaining()
+	if stream {
+		limit /= firstByteShare
+	}
+	return min(gateway.deps.FirstByte, limit)
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -15,8 +15,9 @@
 	maxKey = 256
 	// maxRecorded bounds a recorded answer in bytes.
 	maxRecorded = 256 << 10
-	claimWait   = 5 * time.Second
-	settleTries = 5
+	// claimWait bounds the tries to record the outcome of a keyed call.
+	claimWait  = 30 * time.Second
+	claimPause = 100 * time.Millisecond
 )
 
 // serviceAnswer is a service's whole answer.
@@ -80,13 +81,24 @@
 	state, recorded, err := gateway.deps.Claims.Claim(ctx, claim)
 	cancel()
 	if err != nil {
+		// The claim may have been committed all the same; it must not block a resend.
+		gateway.deps.Tasks.Go(func(ctx context.Context) { gateway.closeClaim(ctx, claim, serviceAnswer{}, err) })
 		return serviceAnswer{}, err
 	}
 	if state != celerylanding.ClaimGranted {
 		return recordedAnswer(state, recorded)
 	}
 	answer, err := gateway.dispatchService(request, call, service)
-	gateway.closeClaim(request.Context(), claim, answer, err)
+	closed := make(chan struct{})
+	gateway.deps.Tasks.Go(func(ctx context.Context) {
+		defer close(closed)
+		gateway.closeClaim(ctx, claim, answer, err)
+	})
+	// The answer leaves when it is recorded, so that a resend finds it, or when it is due.
+	select {
+	case <-closed:
+	case <-time.After(time.Until(call.lastMoment())):
+	}
 	return answer, err
 }
 
@@ -107,15 +119,15 @@
 		body: recorded.Body}, nil
 }
 
-// closeClaim records the answer, or gives the key up if nothing has run. The caller may be gone by now.
+// closeClaim records the answer, or gives the key up if nothing has run. It goes on without the caller.
 func (gateway *Gateway) closeClaim(ctx context.Context, claim celerylanding.Claim, answer serviceAnswer, err error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimWait)
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
-	for try := range settleTries {
+	for ctx.Err() == nil {
 		if gateway.closeClaimOnce(ctx, claim, answer, err) == nil {
 			return
 		}
-		pause(ctx, time.Duration(try+1)*retryPause)
+		pause(ctx, claimPause)
 	}
 	gateway.deps.Metrics.Counter("claims_unsettled").Inc(1)
 }
@@ -148,6 +160,9 @@
 		idempotent: service.IsIdempotent(request.Method),
 		run: func(ctx context.Context, grant router.Grant) error {
 			send.FirstByte = call.remaining()
+			if service.IsIdempotent(request.Method) {
+				send.FirstByte /= firstByteShare
+			}
 			answer, err := gateway.deps.Client.Do(ctx, grant.Endpoint, send)
 			if err != nil {
 				return err
