--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -14,6 +14,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/target/fake"
 )
 
 // histogram holds times in microseconds up to a minute.
@@ -258,3 +261,54 @@
 	b.ReportMetric(float64(used[1].Nanoseconds())/count, "through-cpu-ns/token")
 	b.ReportMetric(count/took[1].Seconds(), "through-tokens/s")
 }
+
+// BenchmarkTakeOver ends the node of a failure domain and measures until its engine has carried out the next order, given by
+// another node. The times of the leases are the defaults.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, row := range []struct {
+		name string
+		lost int
+	}{{"executor", 2}, {"executor-and-leader", 0}} {
+		b.Run(row.name, func(b *testing.B) {
+			times := histogram()
+			for b.Loop() {
+				site := startSite(b, 3, 3, 3)
+				site.addTargetIn(row.lost)
+				site.submit(0, siteText(1, 1))
+				site.await("the engine is known", func() bool {
+					shown, err := site.show(1)
+					return err == nil && len(shown.Targets) == 1 && site.allAt(1)
+				})
+				time.Sleep(time.Second)
+				client := &http.Client{}
+				began := time.Now()
+				site.nodes[row.lost].kill()
+				url := site.callers(1) + "/v1/chat/completions"
+				site.await("the model is loaded", func() bool {
+					return post(client, url, `{"model":"m0","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`, nil) == nil
+				})
+				_ = times.RecordValue(time.Since(began).Microseconds())
+			}
+			b.ReportMetric(float64(times.Min())/1e6, "min-s")
+			b.ReportMetric(float64(times.ValueAtQuantile(50))/1e6, "p50-s")
+			b.ReportMetric(float64(times.Max())/1e6, "max-s")
+		})
+	}
+}
+
+// addTargetIn starts one engine in the domain of a node, which announces itself to the other nodes only.
+func (site *site) addTargetIn(number int) {
+	site.t.Helper()
+	listener := listen(site.t)
+	engine := fake.NewEngine(fake.EngineOptions{LoadTime: time.Millisecond, Tokens: 1, Announcement: celerylanding.Announcement{
+		Target: "e", Incarnation: 1, Kind: celerylanding.KindEngine, Group: "engines",
+		Domain:  celerylanding.FailureDomain(fmt.Sprintf("d%d", number)),
+		Address: listener.Addr().String(), Memory: 80 * gib, Fencing: true, Slots: 256}})
+	var nodes []string
+	for i, running := range site.nodes {
+		if i != number {
+			nodes = append(nodes, running.listeners.Targets.Addr().String())
+		}
+	}
+	site.host(fake.NewHost(listener, engine, nodes, time.Second))
+}
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -34,6 +34,8 @@
 type running struct {
 	node      *node.Node
 	listeners node.Listeners
+	// kill ends the node without a drain, as a crash would.
+	kill func()
 }
 
 func listen(t testing.TB) net.Listener {
@@ -74,17 +76,18 @@
 		seeds = []string{listenersPeer(site, listeners)}
 		started, err := node.New(options)
 		assert.NilError(t, err)
-		site.nodes = append(site.nodes, &running{started, listeners})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
 			_ = started.Run(ctx)
 			close(ended)
 		}()
-		t.Cleanup(func() {
+		kill := func() {
 			cancel()
 			<-ended
-		})
+		}
+		site.nodes = append(site.nodes, &running{started, listeners, kill})
+		t.Cleanup(kill)
 	}
 	site.await("all nodes have joined", func() bool {
 		shown, err := site.show(0)
