A target that is free too late is not used

Change: with less than 20 ms left the grant is given back. TestQueueRefusals: the two running requests now reach the target before the others are sent, so that its counts don't depend on the order of arrival; the counts are the same.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -9,8 +9,12 @@
 	"celerylanding.example/celerylanding/router"
 )
 
-// isolationPause is the wait before a suspect asks for a target of its own again.
-const isolationPause = 50 * time.Millisecond
+const (
+	// isolationPause is the wait before a suspect asks for a target of its own again.
+	isolationPause = 50 * time.Millisecond
+	// minRemaining is the time below which a request is no longer sent to a target.
+	minRemaining = 20 * time.Millisecond
+)
 
 // acquire waits for a target and refuses requests that have cost too many targets. The function ends what was acquired
 // beside the grant.
@@ -34,6 +38,11 @@
 		if err != nil {
 			return router.Grant{}, nil, err
 		}
+		if call.remaining() < minRemaining {
+			gateway.deps.Traffic.Release(grant, router.OutcomeNeutral)
+			return router.Grant{}, nil, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonDeadline,
+				"a target was free too late")
+		}
 		// A target may have been lost to the request while it waited.
 		suspectNow, err := gateway.checkCrashes(fingerprint)
 		if err != nil {
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -200,5 +200,5 @@
 	return celerylanding.Ran
 }
 
-// remaining returns the time that a call still has.
+// remaining returns the time until a refusal would have to leave.
 func (call *call) remaining() time.Duration { return time.Until(call.lastMoment()) }
--- a/gateway/contract_test.go
+++ b/gateway/contract_test.go
@@ -299,11 +299,18 @@
 	raw := newRawTarget(t, silence)
 	bench.serve(raw.address())
 	results := make(chan got, 10)
-	for range 10 {
-		go func() {
-			results <- bench.call("/v1/chat/completions", `{"model":"m"}`, http.Header{"X-Request-Timeout": {"250ms"}})
-		}()
+	ask := func(count int, timeout string) {
+		for range count {
+			go func() {
+				results <- bench.call("/v1/chat/completions", `{"model":"m"}`, http.Header{"X-Request-Timeout": {timeout}})
+			}()
+		}
+	}
+	ask(2, "250ms")
+	for raw.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
 	}
+	ask(8, "200ms")
 	codes := make(map[string]int)
 	for range 10 {
 		got := <-results
@@ -316,6 +323,31 @@
 	bench.checkOneEnd(10)
 }
 
+// TestGrantAtTheLastMomentIsNotUsed frees a target just before the deadline of a waiting request: sending it would only turn
+// "not run" into "may have run".
+func TestGrantAtTheLastMomentIsNotUsed(t *testing.T) {
+	bench := newBench(t)
+	raw := newRawTarget(t, silence)
+	bench.serve(raw.address())
+	results := make(chan got, 4)
+	ask := func(timeout string) {
+		results <- bench.call("/v1/chat/completions", `{"model":"m"}`, http.Header{"X-Request-Timeout": {timeout}})
+	}
+	go ask("250ms")
+	go ask("250ms")
+	for raw.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	go ask("252ms")
+	go ask("252ms")
+	verdicts := make(map[string]int)
+	for range 4 {
+		verdicts[(<-results).verdict]++
+	}
+	assert.Equal(t, verdicts["not_run"], 2, "%v", verdicts)
+	assert.Equal(t, raw.requests.Load(), int32(2))
+}
+
 func TestColdModelThatCannotBeReadyIsRefusedAtOnce(t *testing.T) {
 	bench := newBench(t)
 	bench.serve()
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -42,7 +42,11 @@
 		panic(err)
 	}
 	binary = filepath.Join(folder, "celerylanding")
-	build := exec.Command("go", "build", "-o", binary, "celerylanding.example/celerylanding/cmd/celerylanding")
+	arguments := []string{"build", "-o", binary}
+	if os.Getenv("CELERYLANDING_TEST_RACE") != "" {
+		arguments = append(arguments, "-race")
+	}
+	build := exec.Command("go", append(arguments, "celerylanding.example/celerylanding/cmd/celerylanding")...)
 	if text, err := build.CombinedOutput(); err != nil {
 		panic(string(text))
 	}
@@ -216,12 +220,21 @@
 		_ = command.Process.Signal(syscall.SIGCONT)
 		_ = command.Process.Kill()
 		<-ended
+		process.checkRaces()
 		if t.Failed() {
 			process.printLog()
 		}
 	})
 }
 
+// checkRaces fails the test if the race detector of the process has reported anything.
+func (process *process) checkRaces() {
+	text, err := os.ReadFile(filepath.Join(process.site.folder, process.name+".log"))
+	if at := strings.Index(string(text), "WARNING: DATA RACE"); err == nil && at >= 0 {
+		process.site.t.Errorf("race in %s:\n%s", process.name, text[at:min(len(text), at+4000)])
+	}
+}
+
 func (process *process) printLog() {
 	text, err := os.ReadFile(filepath.Join(process.site.folder, process.name+".log"))
 	if err == nil && len(text) > 0 {
