Beats of targets in place of whole announcements; leaving is known twice before it is acknowledged

Causes: (1) every announcement went whole to every node, 172 B/s a target and node; (2) a node that died right after it had acknowledged that a target leaves took the news with it (TestBystandersOfALeavingTarget, red). Ruled out for (2): the order of announcements. Change: unchanged announcements are passed on as beats, once a second in one message; whole ones every 10 s; a starting node asks for all of them; leaving is acknowledged once a second node knows it.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -78,6 +78,19 @@
 	return true
 }
 
+// Beat takes the changing part of an announcement and reports whether it was news; without the announcement that it belongs
+// to, it changes nothing.
+func (directory *Directory) Beat(now time.Time, beat celerylanding.Beat) bool {
+	known, ok := directory.targets[beat.Target]
+	if !ok || known.announcement.Incarnation != beat.Incarnation || known.announcement.Sequence >= beat.Sequence {
+		return false
+	}
+	announcement := known.announcement
+	announcement.Sequence = beat.Sequence
+	announcement.Load = beat.Load
+	return directory.Observe(now, announcement)
+}
+
 // Refused records that a target itself refused work of the incarnation, and reports whether that was news.
 func (directory *Directory) Refused(id celerylanding.TargetID, incarnation celerylanding.Incarnation) bool {
 	target, ok := directory.targets[id]
--- a/node/announce.go
+++ b/node/announce.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -14,6 +15,12 @@
 	// maxAnnouncement bounds an announcement in bytes.
 	maxAnnouncement = 4 << 20
 	maxNameLength   = 256
+	// beatInterval is the time between two messages with the beats of targets.
+	beatInterval = time.Second
+	// wholeInterval is the time after which an announcement is passed on whole though it says nothing new.
+	wholeInterval = 10 * time.Second
+	// shareTimeout bounds the wait for another node to hear that a target is leaving.
+	shareTimeout = time.Second
 )
 
 // observe takes an announcement and reports whether it was news.
@@ -28,21 +35,54 @@
 	return true
 }
 
-// hear takes a target's own announcement and passes it on to all members.
+// hear takes a target's own announcement and passes it on to all members: at once and whole when it says something new,
+// otherwise its beat together with those of other targets.
 func (ctl *control) hear(now time.Time, announcement celerylanding.Announcement) {
+	known, ok := ctl.directory.Target(announcement.Target)
+	isBeat := ok && announcement.DiffersOnlyInBeat(known.Announcement()) && now.Before(ctl.wholeDue[announcement.Target])
 	if !ctl.observe(now, announcement) {
 		return
 	}
+	if isBeat {
+		ctl.beats = append(ctl.beats, announcement.Beat())
+		return
+	}
+	ctl.wholeDue[announcement.Target] = now.Add(wholeInterval)
 	ctl.broadcast("Peer.Announce", &AnnounceArgs{Announcements: []celerylanding.Announcement{announcement}})
 }
 
+// hearWhole takes an announcement that another node has passed on to all members.
+func (ctl *control) hearWhole(now time.Time, announcement celerylanding.Announcement) {
+	ctl.wholeDue[announcement.Target] = now.Add(wholeInterval)
+	ctl.observe(now, announcement)
+}
+
+// passBeats sends the collected beats to all members in one call each.
+func (ctl *control) passBeats(now time.Time) {
+	if len(ctl.beats) == 0 || now.Before(ctl.beatsDue) {
+		return
+	}
+	ctl.beatsDue = now.Add(beatInterval)
+	ctl.broadcast("Peer.Announce", &AnnounceArgs{Beats: ctl.beats})
+	ctl.beats = nil
+}
+
 // broadcast calls every other member; lost calls are made up for by the next announcement.
 func (ctl *control) broadcast(method string, args any) {
+	for _, address := range ctl.otherAddresses() {
+		ctl.peers.Notify(address, method, args)
+	}
+}
+
+// otherAddresses returns where all other members are reached.
+func (ctl *control) otherAddresses() []string {
+	var addresses []string
 	for _, member := range ctl.core.Members() {
 		if member.ID != ctl.member.ID {
-			ctl.peers.Notify(member.Address, method, args)
+			addresses = append(addresses, member.Address)
 		}
 	}
+	return addresses
 }
 
 // refused takes word that an incarnation refuses new work.
@@ -68,13 +108,47 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := node.control.ask(request.Context(), func(now time.Time) { node.control.hear(now, announcement) }); err != nil {
+	var others []string
+	err = node.control.ask(request.Context(), func(now time.Time) {
+		node.control.hear(now, announcement)
+		others = node.control.otherAddresses()
+	})
+	if err == nil && announcement.Leaving {
+		err = node.shareLeaving(request.Context(), announcement, others)
+	}
+	if err != nil {
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	writer.WriteHeader(http.StatusOK)
 }
 
+// shareLeaving waits until a second node knows that the target is leaving, since this one may die right after its answer.
+func (node *Node) shareLeaving(ctx context.Context, announcement celerylanding.Announcement, others []string) error {
+	if len(others) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	results := make(chan error, len(others))
+	args := &AnnounceArgs{Announcements: []celerylanding.Announcement{announcement}}
+	for _, address := range others {
+		node.tasks.Go(func(context.Context) { results <- node.peers.Call(ctx, address, "Peer.Announce", args, &Empty{}) })
+	}
+	var err error
+	for range others {
+		select {
+		case err = <-results:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // checkAnnouncement names the first field that is wrong.
 func checkAnnouncement(announcement celerylanding.Announcement) error {
 	if err := checkNames(announcement); err != nil {
--- a/node/control.go
+++ b/node/control.go
@@ -84,11 +84,15 @@
 	// addresses holds where members were last reached or heard from; a newcomer does not know the membership yet.
 	addresses map[quorum.MemberID]string
 
-	effects     quorum.Effects
-	batch       []pending
-	waiters     map[uint64]waiter
-	sinceSnap   int
-	dirty       bool
+	effects   quorum.Effects
+	batch     []pending
+	waiters   map[uint64]waiter
+	sinceSnap int
+	dirty     bool
+	// beats wait to be passed on; wholeDue is when a target's whole announcement is due again.
+	beats       []celerylanding.Beat
+	beatsDue    time.Time
+	wholeDue    map[celerylanding.TargetID]time.Time
 	loadingFrom map[celerylanding.OrderNumber]time.Time
 	coldStart   time.Duration
 	joinDue     time.Time
@@ -121,6 +125,7 @@
 		addresses:   make(map[quorum.MemberID]string),
 		waiters:     make(map[uint64]waiter),
 		loadingFrom: make(map[celerylanding.OrderNumber]time.Time),
+		wholeDue:    make(map[celerylanding.TargetID]time.Time),
 		dirty:       true,
 	}
 	incarnation := fmt.Sprintf("%x", options.Seed)
@@ -279,6 +284,7 @@
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "target_suspected", Target: id})
 	}
 	ctl.noteRole(now)
+	ctl.passBeats(now)
 	ctl.join(now)
 	ctl.lead(now)
 	ctl.execute(now)
--- a/node/node.go
+++ b/node/node.go
@@ -319,13 +319,46 @@
 				continue
 			}
 			var ready bool
-			if err := node.control.ask(ctx, func(time.Time) { ready = node.control.isCaughtUp(now.Sub(node.began) > joinGrace) }); err == nil && ready {
+			isLate := now.Sub(node.began) > joinGrace
+			if err := node.control.ask(ctx, func(time.Time) { ready = node.control.isCaughtUp(isLate) }); err != nil || !ready {
+				continue
+			}
+			if node.learnTargets(ctx) || isLate {
 				node.move(eventJoined)
 			}
 		}
 	}
 }
 
+// learnTargets asks the leader, or any other node, what it has heard of targets; a node without others knows enough.
+func (node *Node) learnTargets(ctx context.Context) bool {
+	var addresses []string
+	err := node.control.ask(ctx, func(time.Time) {
+		if leader := node.control.leaderAddress(); leader != node.control.member.Address {
+			addresses = append(addresses, leader)
+		}
+	})
+	addresses = append(addresses, node.options.Peers...)
+	if err != nil || len(addresses) == 0 {
+		return err == nil
+	}
+	for _, address := range addresses {
+		asked, cancel := context.WithTimeout(ctx, lifePoll*4)
+		var known AnnounceArgs
+		err := node.peers.Call(asked, address, "Peer.Announcements", &Empty{}, &known)
+		cancel()
+		if err != nil {
+			continue
+		}
+		return node.control.ask(ctx, func(now time.Time) {
+			for _, announcement := range known.Announcements {
+				node.control.observe(now, announcement)
+			}
+		}) == nil
+	}
+	return false
+}
+
 // isCaughtUp reports whether the node knows the configuration in force, or the latest one it can get while cut off.
 func (ctl *control) isCaughtUp(alone bool) bool {
 	if ctl.core.Leader() != "" && ctl.core.CommitIndex() > 0 {
--- a/node/peer.go
+++ b/node/peer.go
@@ -52,7 +52,8 @@
 
 // AnnounceArgs pass announcements on.
 type AnnounceArgs struct {
-	Announcements []celerylanding.Announcement `cbor:"1,keyasint"`
+	Announcements []celerylanding.Announcement `cbor:"1,keyasint,omitempty"`
+	Beats         []celerylanding.Beat         `cbor:"2,keyasint,omitempty"`
 }
 
 // ReportArgs carry one node's demand to the leader.
@@ -166,7 +167,21 @@
 func (service *PeerService) Announce(args *AnnounceArgs, _ *Empty) error {
 	return service.ask(func(now time.Time) {
 		for _, announcement := range args.Announcements {
-			service.control.observe(now, announcement)
+			service.control.hearWhole(now, announcement)
+		}
+		for _, beat := range args.Beats {
+			service.control.dirty = service.control.directory.Beat(now, beat) || service.control.dirty
+		}
+	})
+}
+
+// Announcements returns the latest announcements of all targets, for a node that has just started.
+func (service *PeerService) Announcements(_ *Empty, reply *AnnounceArgs) error {
+	return service.ask(func(time.Time) {
+		for _, target := range service.control.directory.Targets() {
+			if target.IsRoutable() {
+				reply.Announcements = append(reply.Announcements, target.Announcement())
+			}
 		}
 	})
 }
--- a/target/fake/engine.go
+++ b/target/fake/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -131,6 +132,9 @@
 	for _, model := range engine.loaded {
 		models = append(models, model)
 	}
+	slices.SortFunc(models, func(left, right celerylanding.LoadedModel) int {
+		return strings.Compare(string(left.Model), string(right.Model))
+	})
 	return models
 }
 
--- a/target/fake/host.go
+++ b/target/fake/host.go
@@ -59,7 +59,12 @@
 	defer close(done)
 	ticker := time.NewTicker(host.interval)
 	defer ticker.Stop()
-	for turn := 0; ; turn++ {
+	// Stand-ins that start together begin with different nodes, as behind a balancer.
+	first := 0
+	if address, ok := host.listener.Addr().(*net.TCPAddr); ok {
+		first = address.Port % len(host.nodes)
+	}
+	for turn := first; ; turn++ {
 		for try := range host.nodes {
 			if host.announceTo(ctx, host.nodes[(turn+try)%len(host.nodes)]) == nil {
 				break
