--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,7 +39,7 @@
 	for {
 		grant, leave, err := gateway.acquire(request, call, plan, avoid)
 		if err != nil {
-			return call.honest(err)
+			return call.finalError(err)
 		}
 		err = gateway.tryOnce(request, call, plan, grant)
 		leave()
@@ -47,7 +47,7 @@
 			return nil
 		}
 		verdict := celerylanding.VerdictOf(err)
-		err = call.honest(err)
+		err = call.finalError(err)
 		if !gateway.mayRetry(request, call, plan, verdict) {
 			return err
 		}
@@ -68,8 +68,8 @@
 	return err
 }
 
-// honest counts the tries that may have run, and corrects the verdict of an error that speaks of the last try only.
-func (call *call) honest(err error) error {
+// finalError counts the tries that may have run, and corrects the verdict of an error that speaks of the last try only.
+func (call *call) finalError(err error) error {
 	if celerylanding.VerdictOf(err) != celerylanding.NotRun {
 		call.runs++
 		return err
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -194,8 +194,8 @@
 	}
 }
 
-// Heard takes the crashes that another node has seen.
-func (traffic *Traffic) Heard(now time.Time, crashes []router.Crash) {
+// AddCrashes takes the crashes that another node has seen.
+func (traffic *Traffic) AddCrashes(now time.Time, crashes []router.Crash) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	for _, crash := range crashes {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -78,16 +78,16 @@
 	return true
 }
 
-// Beat takes the changing part of an announcement and reports whether it was news; without the announcement that it belongs
+// Heartbeat takes the changing part of an announcement and reports whether it was news; without the announcement that it belongs
 // to, it changes nothing.
-func (directory *Directory) Beat(now time.Time, beat celerylanding.Beat) bool {
-	known, ok := directory.targets[beat.Target]
-	if !ok || known.announcement.Incarnation != beat.Incarnation || known.announcement.Sequence >= beat.Sequence {
+func (directory *Directory) Heartbeat(now time.Time, heartbeat celerylanding.Heartbeat) bool {
+	known, ok := directory.targets[heartbeat.Target]
+	if !ok || known.announcement.Incarnation != heartbeat.Incarnation || known.announcement.Sequence >= heartbeat.Sequence {
 		return false
 	}
 	announcement := known.announcement
-	announcement.Sequence = beat.Sequence
-	announcement.Load = beat.Load
+	announcement.Sequence = heartbeat.Sequence
+	announcement.Load = heartbeat.Load
 	return directory.Observe(now, announcement)
 }
 
--- a/node/announce.go
+++ b/node/announce.go
@@ -15,8 +15,8 @@
 	// maxAnnouncement bounds an announcement in bytes.
 	maxAnnouncement = 4 << 20
 	maxNameLength   = 256
-	// beatInterval is the time between two messages with the beats of targets.
-	beatInterval = time.Second
+	// heartbeatInterval is the time between two messages with the heartbeats of targets.
+	heartbeatInterval = time.Second
 	// wholeInterval is the time after which an announcement is passed on whole though it says nothing new.
 	wholeInterval = 10 * time.Second
 	// shareTimeout bounds the wait for another node to hear that a target is leaving.
@@ -35,36 +35,36 @@
 	return true
 }
 
-// hear takes a target's own announcement and passes it on to all members: at once and whole when it says something new,
-// otherwise its beat together with those of other targets.
-func (ctl *control) hear(now time.Time, announcement celerylanding.Announcement) {
+// receiveAnnouncement takes a target's own announcement and passes it on to all members: at once and whole when it says something new,
+// otherwise its heartbeat together with those of other targets.
+func (ctl *control) receiveAnnouncement(now time.Time, announcement celerylanding.Announcement) {
 	known, ok := ctl.directory.Target(announcement.Target)
-	isBeat := ok && announcement.DiffersOnlyInBeat(known.Announcement()) && now.Before(ctl.wholeDue[announcement.Target])
+	isHeartbeat := ok && announcement.DiffersOnlyInHeartbeat(known.Announcement()) && now.Before(ctl.wholeDue[announcement.Target])
 	if !ctl.observe(now, announcement) {
 		return
 	}
-	if isBeat {
-		ctl.beats = append(ctl.beats, announcement.Beat())
+	if isHeartbeat {
+		ctl.heartbeats = append(ctl.heartbeats, announcement.Heartbeat())
 		return
 	}
 	ctl.wholeDue[announcement.Target] = now.Add(wholeInterval)
 	ctl.broadcast("Peer.Announce", &AnnounceArgs{Announcements: []celerylanding.Announcement{announcement}})
 }
 
-// hearWhole takes an announcement that another node has passed on to all members.
-func (ctl *control) hearWhole(now time.Time, announcement celerylanding.Announcement) {
+// receiveForwarded takes an announcement that another node has passed on to all members.
+func (ctl *control) receiveForwarded(now time.Time, announcement celerylanding.Announcement) {
 	ctl.wholeDue[announcement.Target] = now.Add(wholeInterval)
 	ctl.observe(now, announcement)
 }
 
-// passBeats sends the collected beats to all members in one call each.
-func (ctl *control) passBeats(now time.Time) {
-	if len(ctl.beats) == 0 || now.Before(ctl.beatsDue) {
+// passHeartbeats sends the collected heartbeats to all members in one call each.
+func (ctl *control) passHeartbeats(now time.Time) {
+	if len(ctl.heartbeats) == 0 || now.Before(ctl.heartbeatsDue) {
 		return
 	}
-	ctl.beatsDue = now.Add(beatInterval)
-	ctl.broadcast("Peer.Announce", &AnnounceArgs{Beats: ctl.beats})
-	ctl.beats = nil
+	ctl.heartbeatsDue = now.Add(heartbeatInterval)
+	ctl.broadcast("Peer.Announce", &AnnounceArgs{Heartbeats: ctl.heartbeats})
+	ctl.heartbeats = nil
 }
 
 // broadcast calls every other member; lost calls are made up for by the next announcement.
@@ -110,7 +110,7 @@
 	}
 	var others []string
 	err = node.control.ask(request.Context(), func(now time.Time) {
-		node.control.hear(now, announcement)
+		node.control.receiveAnnouncement(now, announcement)
 		others = node.control.otherAddresses()
 	})
 	if err == nil && announcement.Leaving {
--- a/node/control.go
+++ b/node/control.go
@@ -89,21 +89,21 @@
 	waiters   map[uint64]waiter
 	sinceSnap int
 	dirty     bool
-	// beats wait to be passed on; wholeDue is when a target's whole announcement is due again.
-	beats       []celerylanding.Beat
-	beatsDue    time.Time
-	wholeDue    map[celerylanding.TargetID]time.Time
-	loadingFrom map[celerylanding.OrderNumber]time.Time
-	coldStart   time.Duration
-	joinDue     time.Time
-	joinTurn    int
-	lastLeader  quorum.MemberID
-	lastRole    quorum.Role
-	leaderSeen  time.Time
-	lastNumber  uint64
-	stopping    bool
-	lastPublish time.Time
-	lastConfig  *config.Config
+	// heartbeats wait to be passed on; wholeDue is when a target's whole announcement is due again.
+	heartbeats    []celerylanding.Heartbeat
+	heartbeatsDue time.Time
+	wholeDue      map[celerylanding.TargetID]time.Time
+	loadingFrom   map[celerylanding.OrderNumber]time.Time
+	coldStart     time.Duration
+	joinDue       time.Time
+	joinTurn      int
+	lastLeader    quorum.MemberID
+	lastRole      quorum.Role
+	leaderSeen    time.Time
+	lastNumber    uint64
+	stopping      bool
+	lastPublish   time.Time
+	lastConfig    *config.Config
 }
 
 // newControl recovers the control state from the data folder.
@@ -284,7 +284,7 @@
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "target_suspected", Target: id})
 	}
 	ctl.noteRole(now)
-	ctl.passBeats(now)
+	ctl.passHeartbeats(now)
 	ctl.join(now)
 	ctl.lead(now)
 	ctl.execute(now)
--- a/node/peer.go
+++ b/node/peer.go
@@ -53,7 +53,7 @@
 // AnnounceArgs pass announcements on.
 type AnnounceArgs struct {
 	Announcements []celerylanding.Announcement `cbor:"1,keyasint,omitempty"`
-	Beats         []celerylanding.Beat         `cbor:"2,keyasint,omitempty"`
+	Heartbeats    []celerylanding.Heartbeat    `cbor:"2,keyasint,omitempty"`
 }
 
 // ReportArgs carry one node's demand to the leader.
@@ -167,10 +167,10 @@
 func (service *PeerService) Announce(args *AnnounceArgs, _ *Empty) error {
 	return service.ask(func(now time.Time) {
 		for _, announcement := range args.Announcements {
-			service.control.hearWhole(now, announcement)
+			service.control.receiveForwarded(now, announcement)
 		}
-		for _, beat := range args.Beats {
-			service.control.dirty = service.control.directory.Beat(now, beat) || service.control.dirty
+		for _, heartbeat := range args.Heartbeats {
+			service.control.dirty = service.control.directory.Heartbeat(now, heartbeat) || service.control.dirty
 		}
 	})
 }
@@ -202,7 +202,7 @@
 
 // Crashes takes the requests that another node suspects.
 func (service *PeerService) Crashes(args *CrashArgs, _ *Empty) error {
-	service.traffic.Heard(time.Now(), args.Crashes)
+	service.traffic.AddCrashes(time.Now(), args.Crashes)
 	return nil
 }
 
--- a/types.go
+++ b/types.go
@@ -125,21 +125,21 @@
 	Load        TargetLoad         `json:"load" cbor:"14,keyasint"`
 }
 
-// Beat is the part of an announcement that changes all the time.
-type Beat struct {
+// Heartbeat is the part of an announcement that changes all the time.
+type Heartbeat struct {
 	Target      TargetID    `cbor:"1,keyasint"`
 	Incarnation Incarnation `cbor:"2,keyasint"`
 	Sequence    uint64      `cbor:"3,keyasint"`
 	Load        TargetLoad  `cbor:"4,keyasint"`
 }
 
-// Beat returns the part of the announcement that changes all the time.
-func (ann Announcement) Beat() Beat {
-	return Beat{Target: ann.Target, Incarnation: ann.Incarnation, Sequence: ann.Sequence, Load: ann.Load}
+// Heartbeat returns the part of the announcement that changes all the time.
+func (ann Announcement) Heartbeat() Heartbeat {
+	return Heartbeat{Target: ann.Target, Incarnation: ann.Incarnation, Sequence: ann.Sequence, Load: ann.Load}
 }
 
-// DiffersOnlyInBeat reports whether the other announcement says the same but for its beat; the order of lists counts.
-func (ann Announcement) DiffersOnlyInBeat(other Announcement) bool {
+// DiffersOnlyInHeartbeat reports whether the other announcement says the same but for its heartbeat; the order of lists counts.
+func (ann Announcement) DiffersOnlyInHeartbeat(other Announcement) bool {
 	ann.Sequence, ann.Load = other.Sequence, other.Load
 	return ann.Target == other.Target && ann.Incarnation == other.Incarnation && ann.Domain == other.Domain &&
 		ann.Group == other.Group && ann.Address == other.Address && ann.Kind == other.Kind && ann.Memory == other.Memory &&
