--- a/node/control.go
+++ b/node/control.go
@@ -1,12 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,7 +17,6 @@
 	"celerylanding.example/celerylanding/quorum/wal"
 	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/state"
-	"celerylanding.example/celerylanding/target"
 )
 
 const (
@@ -106,102 +101,6 @@
 	lastConfig    *config.Config
 }
 
-// newControl recovers the control state from the data folder.
-func newControl(now time.Time, options Options, recorder celerylanding.Recorder, peers *rpc.Peers, publisher publisher) (*control, error) {
-	directory, err := membership.NewDirectory(options.Timing.TargetSilence)
-	if err != nil {
-		return nil, err
-	}
-	ctl := &control{
-		options:     options,
-		log:         options.Log,
-		recorder:    recorder,
-		peers:       peers,
-		publisher:   publisher,
-		inbox:       make(chan func(time.Time), inboxDepth),
-		directory:   directory,
-		executors:   make(map[celerylanding.FailureDomain]*domainExecutor),
-		orders:      target.NewOrders(),
-		addresses:   make(map[quorum.MemberID]string),
-		waiters:     make(map[uint64]waiter),
-		loadingFrom: make(map[celerylanding.OrderNumber]time.Time),
-		wholeDue:    make(map[celerylanding.TargetID]time.Time),
-		dirty:       true,
-	}
-	incarnation := fmt.Sprintf("%x", options.Seed)
-	var recovered wal.Recovered
-	if options.DataFolder != "" {
-		if ctl.wal, recovered, err = wal.Open(options.DataFolder, true); err != nil {
-			return nil, err
-		}
-		if incarnation, err = folderIncarnation(options.DataFolder, incarnation); err != nil {
-			return nil, err
-		}
-	}
-	if ctl.state, err = state.Restore(recovered.Snapshot.Data); err != nil {
-		return nil, err
-	}
-	ctl.member = quorum.Member{
-		ID:      MemberID(options.ID, incarnation),
-		Node:    options.ID,
-		Domain:  options.Domain,
-		Address: cmp.Or(options.Advertise, options.Listeners.Peers.Addr().String()),
-		Durable: options.DataFolder != "",
-	}
-	ctl.holderID = fmt.Sprintf("%s#%x", ctl.member.ID, options.Seed)
-	ctl.core = quorum.New(now, ctl.settings(), recovered.HardState, recovered.Snapshot, recovered.Entries)
-	ctl.leaderSeen = now
-	ctl.log.Info().Str("member", string(ctl.member.ID)).Uint64("snapshot", recovered.Snapshot.Index).
-		Int("entries", len(recovered.Entries)).Int64("torn_bytes", recovered.Torn).Msg("control state recovered")
-	return ctl, nil
-}
-
-// MemberID joins a node's name and the incarnation of its data folder.
-func MemberID(id celerylanding.NodeID, incarnation string) quorum.MemberID {
-	return quorum.MemberID(string(id) + "/" + incarnation)
-}
-
-// folderIncarnation returns the name that the folder was given when it was first used.
-func folderIncarnation(folder, fresh string) (string, error) {
-	path := filepath.Join(folder, incarnationFile)
-	text, err := os.ReadFile(path)
-	if err == nil && len(text) > 0 {
-		return string(text), nil
-	}
-	if err != nil && !os.IsNotExist(err) {
-		return "", err
-	}
-	return fresh, writeDurably(path, fresh)
-}
-
-func writeDurably(path, text string) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	if _, err := file.WriteString(text); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
-}
-
-func (ctl *control) settings() quorum.Settings {
-	return quorum.Settings{
-		ID:              ctl.member.ID,
-		ElectionTimeout: ctl.options.Timing.ElectionTimeout,
-		Heartbeat:       ctl.options.Timing.Heartbeat,
-		MaxAppend:       maxAppend,
-		// A member without a vote has half an election timeout to spare before it counts the leader as lost.
-		LearnerHeartbeat: ctl.options.Timing.ElectionTimeout / 2,
-		Random:           rand.New(rand.NewPCG(ctl.options.Seed, 1)),
-	}
-}
-
 // post runs the function on the control goroutine; it is false when the context ended first.
 func (ctl *control) post(ctx context.Context, run func(now time.Time)) bool {
 	select {
@@ -307,107 +206,3 @@
 		ctl.leaderSeen = now
 	}
 }
-
-// flush proposes the batch, makes it durable, sends and applies, until nothing is left to do.
-func (ctl *control) flush(now time.Time) error {
-	for {
-		ctl.proposeBatch(now)
-		if ctl.effects.IsEmpty() {
-			return nil
-		}
-		effects := ctl.effects
-		ctl.effects = quorum.Effects{}
-		if err := ctl.persist(effects.Records); err != nil {
-			return err
-		}
-		ctl.send(effects.Messages)
-		if err := ctl.install(effects.Install); err != nil {
-			return err
-		}
-		for _, entry := range effects.Committed {
-			ctl.apply(now, entry)
-		}
-		if err := ctl.snapshot(); err != nil {
-			return err
-		}
-	}
-}
-
-func (ctl *control) persist(records []quorum.Record) error {
-	if ctl.wal == nil || len(records) == 0 {
-		return nil
-	}
-	for _, record := range records {
-		if record.Snapshot != nil {
-			snapshot, entries := ctl.core.Tail()
-			return ctl.wal.Rewrite(ctl.core.HardState(), snapshot, entries)
-		}
-	}
-	return ctl.wal.Append(records)
-}
-
-// send hands each member its messages in one call.
-func (ctl *control) send(messages []quorum.Message) {
-	grouped := make(map[quorum.MemberID][]quorum.Message)
-	for _, message := range messages {
-		grouped[message.To] = append(grouped[message.To], message)
-	}
-	for _, member := range ctl.core.Members() {
-		ctl.addresses[member.ID] = member.Address
-	}
-	for id, list := range grouped {
-		if address := ctl.addresses[id]; address != "" {
-			ctl.peers.Notify(address, "Peer.Deliver", &DeliverArgs{Messages: list, Address: ctl.member.Address})
-		}
-	}
-}
-
-func (ctl *control) install(snapshot *quorum.Snapshot) error {
-	if snapshot == nil {
-		return nil
-	}
-	restored, err := state.Restore(snapshot.Data)
-	if err != nil {
-		return err
-	}
-	ctl.state = restored
-	ctl.dirty = true
-	return nil
-}
-
-func (ctl *control) apply(now time.Time, entry quorum.Entry) {
-	var result state.Result
-	if entry.Kind == quorum.EntryCommand {
-		result = ctl.state.Apply(entry.Index, entry.Data)
-		ctl.dirty = true
-		ctl.sinceSnap++
-		ctl.noteApplied(now, entry, result)
-	}
-	waiting, ok := ctl.waiters[entry.Index]
-	if !ok {
-		return
-	}
-	delete(ctl.waiters, entry.Index)
-	if waiting.reply == nil {
-		return
-	}
-	if waiting.term != entry.Term {
-		waiting.reply <- proposal{err: quorum.ErrNotLeader.New("another leader's entry took the place")}
-		return
-	}
-	waiting.reply <- proposal{result: result}
-}
-
-// snapshot compacts the log when enough commands have been applied since the last time.
-func (ctl *control) snapshot() error {
-	if ctl.sinceSnap < ctl.options.SnapshotAt {
-		return nil
-	}
-	data, err := ctl.state.Snapshot()
-	if err != nil {
-		return err
-	}
-	ctl.sinceSnap = 0
-	ctl.effects.Merge(ctl.core.Compact(ctl.state.Index(), data))
-	return nil
-}
--- a/node/execute.go
+++ b/node/execute.go
@@ -153,10 +153,13 @@
 // releaseLeases gives up the leases under which no order is open any more.
 func (ctl *control) releaseLeases(now time.Time) {
 	for domain, work := range ctl.executors {
-		if _, held := work.holder.Fence(now); !held || work.open > 0 {
+		if work.open > 0 {
 			continue
 		}
 		delete(ctl.executors, domain)
+		if _, held := work.holder.Fence(now); !held {
+			continue
+		}
 		args := RenewArgs{Domain: domain, Holder: ctl.holderID, Release: true}
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "lease_released", Detail: string(domain)})
 		if ctl.leader != nil {
--- /dev/null
+++ b/node/recover.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/membership"
+	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/quorum/rpc"
+	"celerylanding.example/celerylanding/quorum/wal"
+	"celerylanding.example/celerylanding/state"
+	"celerylanding.example/celerylanding/target"
+)
+
+// newControl recovers the control state from the data folder.
+func newControl(now time.Time, options Options, recorder celerylanding.Recorder, peers *rpc.Peers, publisher publisher) (*control, error) {
+	directory, err := membership.NewDirectory(options.Timing.TargetSilence)
+	if err != nil {
+		return nil, err
+	}
+	ctl := &control{
+		options:     options,
+		log:         options.Log,
+		recorder:    recorder,
+		peers:       peers,
+		publisher:   publisher,
+		inbox:       make(chan func(time.Time), inboxDepth),
+		directory:   directory,
+		executors:   make(map[celerylanding.FailureDomain]*domainExecutor),
+		orders:      target.NewOrders(),
+		addresses:   make(map[quorum.MemberID]string),
+		waiters:     make(map[uint64]waiter),
+		loadingFrom: make(map[celerylanding.OrderNumber]time.Time),
+		wholeDue:    make(map[celerylanding.TargetID]time.Time),
+		dirty:       true,
+	}
+	incarnation := fmt.Sprintf("%x", options.Seed)
+	var recovered wal.Recovered
+	if options.DataFolder != "" {
+		if ctl.wal, recovered, err = wal.Open(options.DataFolder, true); err != nil {
+			return nil, err
+		}
+		if incarnation, err = folderIncarnation(options.DataFolder, incarnation); err != nil {
+			return nil, err
+		}
+	}
+	if ctl.state, err = state.Restore(recovered.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	ctl.member = quorum.Member{
+		ID:      MemberID(options.ID, incarnation),
+		Node:    options.ID,
+		Domain:  options.Domain,
+		Address: cmp.Or(options.Advertise, options.Listeners.Peers.Addr().String()),
+		Durable: options.DataFolder != "",
+	}
+	ctl.holderID = fmt.Sprintf("%s#%x", ctl.member.ID, options.Seed)
+	ctl.core = quorum.New(now, ctl.settings(), recovered.HardState, recovered.Snapshot, recovered.Entries)
+	ctl.leaderSeen = now
+	ctl.log.Info().Str("member", string(ctl.member.ID)).Uint64("snapshot", recovered.Snapshot.Index).
+		Int("entries", len(recovered.Entries)).Int64("torn_bytes", recovered.Torn).Msg("control state recovered")
+	return ctl, nil
+}
+
+// MemberID joins a node's name and the incarnation of its data folder.
+func MemberID(id celerylanding.NodeID, incarnation string) quorum.MemberID {
+	return quorum.MemberID(string(id) + "/" + incarnation)
+}
+
+// folderIncarnation returns the name that the folder was given when it was first used.
+func folderIncarnation(folder, fresh string) (string, error) {
+	path := filepath.Join(folder, incarnationFile)
+	text, err := os.ReadFile(path)
+	if err == nil && len(text) > 0 {
+		return string(text), nil
+	}
+	if err != nil && !os.IsNotExist(err) {
+		return "", err
+	}
+	return fresh, writeDurably(path, fresh)
+}
+
+func writeDurably(path, text string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := file.WriteString(text); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+func (ctl *control) settings() quorum.Settings {
+	return quorum.Settings{
+		ID:              ctl.member.ID,
+		ElectionTimeout: ctl.options.Timing.ElectionTimeout,
+		Heartbeat:       ctl.options.Timing.Heartbeat,
+		MaxAppend:       maxAppend,
+		// A member without a vote has half an election timeout to spare before it counts the leader as lost.
+		LearnerHeartbeat: ctl.options.Timing.ElectionTimeout / 2,
+		Random:           rand.New(rand.NewPCG(ctl.options.Seed, 1)),
+	}
+}
--- a/tests/traffic_test.go
+++ b/tests/traffic_test.go
@@ -179,6 +179,23 @@
 	assert.Equal(t, drained.awaitEnd(), 0)
 }
 
+// TestDrainOfANodeWithoutLease stops nodes of which only one holds the lease of their common failure domain.
+func TestDrainOfANodeWithoutLease(t *testing.T) {
+	site := newSite(t, 3, fastFlags...)
+	for _, process := range site.nodes {
+		process.domain = "common"
+	}
+	site.init().startAll()
+	site.awaitVoters(site.nodes[0])
+	time.Sleep(time.Second)
+	for _, process := range site.nodes {
+		began := time.Now()
+		process.signal(syscall.SIGTERM)
+		assert.Equal(t, process.awaitEnd(), 0)
+		assert.Assert(t, time.Since(began) < 5*time.Second, "%s took %v", process.name, time.Since(began))
+	}
+}
+
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	site := startSite(t, 1, "--load-time=20s")
 	go site.nodes[0].chat("drafting", "cold")
