--- a/node/demand.go
+++ b/node/demand.go
@@ -35,7 +35,7 @@
 	var leader string
 	var coldStart time.Duration
 	err := node.control.ask(ctx, func(now time.Time) {
-		if node.control.leader != nil {
+		if node.control.duties() != nil {
 			coldStart = node.control.report(now, args.Node, args.Reports)
 			return
 		}
--- a/node/execute.go
+++ b/node/execute.go
@@ -45,7 +45,7 @@
 // domains returns the failure domains whose lease this node wants: its own one and, as leader, those without a node.
 func (ctl *control) domains(now time.Time) []celerylanding.FailureDomain {
 	wanted := []celerylanding.FailureDomain{ctl.options.Domain}
-	if ctl.leader == nil {
+	if ctl.duties() == nil {
 		return wanted
 	}
 	seen := map[celerylanding.FailureDomain]bool{ctl.options.Domain: true}
@@ -98,7 +98,7 @@
 	}
 	work.renewDue = now.Add(ctl.renewInterval(now, domain, work))
 	args := RenewArgs{Domain: domain, Holder: ctl.holderID, Own: domain == ctl.options.Domain}
-	if ctl.leader != nil {
+	if ctl.duties() != nil {
 		if fence, granted := ctl.renew(now, args); granted {
 			ctl.takeLease(now, domain, work, now, fence)
 		}
@@ -162,7 +162,7 @@
 		}
 		args := RenewArgs{Domain: domain, Holder: ctl.holderID, Release: true}
 		ctl.recorder.Record(now, celerylanding.Event{Kind: "lease_released", Detail: string(domain)})
-		if ctl.leader != nil {
+		if ctl.duties() != nil {
 			ctl.renew(now, args)
 		} else if address := ctl.leaderAddress(); address != "" {
 			ctl.tasks.Go(func(ctx context.Context) { ctl.askToRenew(ctx, address, args) })
--- a/node/isolation.go
+++ b/node/isolation.go
@@ -33,7 +33,7 @@
 
 // isolate keeps the reservations on the leader; elsewhere nothing is reserved.
 func (ctl *control) isolate(now time.Time, args IsolateArgs) bool {
-	if ctl.leader == nil || !ctl.core.HasLeadership(now) {
+	if ctl.duties() == nil || !ctl.core.HasLeadership(now) {
 		return false
 	}
 	endpoint := celerylanding.Endpoint{Target: args.Target, Incarnation: args.Incarnation}
@@ -74,7 +74,7 @@
 	var leader string
 	err := control.ask(ctx, func(now time.Time) {
 		entered = control.isolate(now, args)
-		if control.leader == nil {
+		if control.duties() == nil {
 			leader = control.leaderAddress()
 		}
 	})
--- a/node/lead.go
+++ b/node/lead.go
@@ -22,6 +22,7 @@
 
 // leaderDuties is what only the leader does; it is made anew in each term.
 type leaderDuties struct {
+	term         uint64
 	granter      *lease.Granter
 	planned      time.Time
 	plannedIndex uint64
@@ -34,13 +35,23 @@
 	return lease.Settings{TTL: ctl.options.Timing.LeaseTTL, Drift: ctl.options.Timing.ClockDrift}
 }
 
+// duties returns what this node does as the leader of the present term, or nil. What an earlier term promised must not be
+// mixed with it.
+func (ctl *control) duties() *leaderDuties {
+	if ctl.leader == nil || ctl.core.Role() != quorum.Leader || ctl.leader.term != ctl.core.Term() {
+		return nil
+	}
+	return ctl.leader
+}
+
 // lead does the leader's work, once all that earlier terms committed has been applied.
 func (ctl *control) lead(now time.Time) {
 	if !ctl.core.IsSettled() {
 		return
 	}
-	if ctl.leader == nil {
+	if ctl.duties() == nil {
 		ctl.leader = &leaderDuties{
+			term:       ctl.core.Term(),
 			granter:    lease.NewGranter(now, ctl.leaseSettings()),
 			registered: make(map[celerylanding.TargetID]time.Time),
 			isolated:   make(map[celerylanding.Endpoint]isolationRow),
@@ -109,7 +120,7 @@
 
 // report takes a node's demand if this node leads, and returns the expected load time.
 func (ctl *control) report(now time.Time, node celerylanding.NodeID, reports []celerylanding.DemandReport) time.Duration {
-	if ctl.leader == nil {
+	if ctl.duties() == nil {
 		return 0
 	}
 	ctl.planner.Report(now, node, reports)
@@ -118,7 +129,7 @@
 
 // renew extends, grants or ends a lease; the fence is that of a lease which the caller holds.
 func (ctl *control) renew(now time.Time, args RenewArgs) (celerylanding.Fence, bool) {
-	if ctl.leader == nil || !ctl.core.HasLeadership(now) {
+	if ctl.duties() == nil || !ctl.core.HasLeadership(now) {
 		return 0, false
 	}
 	held := ctl.state.Lease(args.Domain)
--- a/node/log.go
+++ b/node/log.go
@@ -71,9 +71,20 @@
 	}
 	ctl.state = restored
 	ctl.dirty = true
+	ctl.dropWaiters(snapshot.Index)
 	return nil
 }
 
+// dropWaiters answers the proposals whose entries are hidden in a snapshot.
+func (ctl *control) dropWaiters(index uint64) {
+	for at, waiting := range ctl.waiters {
+		if at <= index {
+			delete(ctl.waiters, at)
+			waiting.reply <- proposal{err: ErrProposalUnknown.New("index %d is part of a snapshot", at)}
+		}
+	}
+}
+
 func (ctl *control) apply(now time.Time, entry quorum.Entry) {
 	var result state.Result
 	if entry.Kind == quorum.EntryCommand {
@@ -87,9 +98,6 @@
 		return
 	}
 	delete(ctl.waiters, entry.Index)
-	if waiting.reply == nil {
-		return
-	}
 	if waiting.term != entry.Term {
 		waiting.reply <- proposal{err: quorum.ErrNotLeader.New("another leader's entry took the place")}
 		return
--- a/node/operate.go
+++ b/node/operate.go
@@ -151,7 +151,7 @@
 		return status
 	}
 	status.Revision, status.Digest = configuration.Number(), configuration.Digest()
-	if ctl.leader == nil {
+	if ctl.duties() == nil {
 		return status
 	}
 	for _, model := range configuration.Models() {
