Roles of engines follow the configuration

Cause: of the orders to targets, the change of role was missing. Change: a group may state a role; the executor orders it under its fence, after the target is settled, and repeats it until the engine announces it. The choice of targets takes no account of roles (DESIGN.md, not built).

--- a/commands/show.go
+++ b/commands/show.go
@@ -29,10 +29,10 @@
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s", status.Node, status.Domain, status.State,
 			status.Role, status.Term, status.Revision, status.Digest))
 	}
-	rows = append(rows, "", "TARGET\tDOMAIN\tGROUP\tSTATE\tMEMORY\tSET ASIDE\tREPLICAS")
+	rows = append(rows, "", "TARGET\tDOMAIN\tGROUP\tROLE\tSTATE\tMEMORY\tSET ASIDE\tREPLICAS")
 	for _, target := range reply.Targets {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%d", target.Target, target.Domain, target.Group,
-			target.State, size(target.Memory), size(target.Used), target.Replicas))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d", target.Target, target.Domain, target.Group,
+			target.Role, target.State, size(target.Memory), size(target.Used), target.Replicas))
 	}
 	rows = append(rows, "", "MODEL\tREPLICAS\tDECIDED\tREASON")
 	for _, model := range reply.Models {
--- a/config/config.go
+++ b/config/config.go
@@ -77,7 +77,7 @@
 	name         string
 	kind         celerylanding.TargetKind
 	targetMemory celerylanding.Bytes
-	slots        int
+	role         celerylanding.Role
 }
 
 // Name returns the group's name.
@@ -89,6 +89,9 @@
 // TargetMemory returns the accelerator memory of the largest target of the group, in bytes.
 func (group *Group) TargetMemory() celerylanding.Bytes { return group.targetMemory }
 
+// Role returns the role that the group's engines shall have, or "" where that is left to them.
+func (group *Group) Role() celerylanding.Role { return group.role }
+
 // Service is a plain service behind the router.
 type Service struct {
 	id         celerylanding.ServiceID
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -57,6 +57,7 @@
 		{"mistake in the overlay", "", "", "models:\n  m:\n    deadline: soon\n", []string{`overlay.yaml:3: models.m.deadline: "soon" must be a positive duration`}},
 		{"overlay removes nothing", "", "", "models:\n  n: null\n", []string{`overlay.yaml:2: n: removes what the base does not have`}},
 		{"list in place of a mapping", "  pay: {group: p}", "  pay: [1]", "", []string{`base.yaml:14: services.pay: must be a mapping`}},
+		{"bad role", "target_memory: 80GiB", "target_memory: 80GiB, role: chief", "", []string{`base.yaml:4: groups.g.role: "chief" must be mixed, prefill or decode`}},
 		{"alias", "  g: {target_memory: 80GiB}", "  g: &x {target_memory: 80GiB}\n  h: *x", "", []string{`aliases`}},
 		{"weight out of range", "site: s\n", "site: s\nidling: {cold_start_weight: 2}\n", "", []string{`base.yaml:3: idling.cold_start_weight: "2" must be a number from 0 to 1`}},
 		{"several at once", "    group: g\n", "    group: h\n    colour: red\n", "site: {}\n",
--- a/config/parse.go
+++ b/config/parse.go
@@ -148,6 +148,12 @@
 			}
 		},
 		"target_memory": func(at setting) { group.targetMemory = at.bytes() },
+		"role": func(at setting) {
+			group.role = celerylanding.Role(at.text())
+			if !group.role.IsValid() {
+				at.fail("%q must be mixed, prefill or decode", group.role)
+			}
+		},
 	})
 	if group.kind == celerylanding.KindEngine && group.targetMemory == 0 {
 		at.fail("target_memory is missing")
--- a/executor/complete.go
+++ b/executor/complete.go
@@ -17,6 +17,10 @@
 		// The action belongs to an earlier lease; its outcome is found out anew.
 		return nil
 	}
+	if action.Order.Kind == celerylanding.OrderRole {
+		// The target's announcement tells whether it has changed; until then the order is repeated.
+		return nil
+	}
 	if completion.Outcome == OutcomeGone {
 		executor.release(now, action, work)
 		return executor.onGone(now, action.Endpoint, work)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -48,6 +48,8 @@
 	inventory time.Time
 	due       time.Time
 	refusing  time.Time
+	// roleDue is when the role may be ordered again; the engine's next announcement shows it.
+	roleDue time.Time
 }
 
 // replicaWork is what the executor did for one replica under its lease.
@@ -125,6 +127,9 @@
 	if !work.settled {
 		return actions
 	}
+	if action, ok := executor.decideRole(now, current, target, work); ok {
+		actions = append(actions, action)
+	}
 	for _, replica := range current.ReplicasOn(target.ID) {
 		if action, ok := executor.decideReplica(now, current, target, replica); ok {
 			executor.replica(replica.Order()).calling = true
@@ -160,6 +165,21 @@
 	return executor.settings.InventoryEvery
 }
 
+// decideRole orders the role that the configuration states for the target's group, until the target announces it.
+func (executor *Executor) decideRole(now time.Time, current *state.State, target state.Target, work *targetWork) (Action, bool) {
+	if current.Config() == nil || now.Before(work.roleDue) {
+		return Action{}, false
+	}
+	group, ok := current.Config().Group(target.Group)
+	if !ok || group.Role() == "" || group.Role() == target.Role {
+		return Action{}, false
+	}
+	work.roleDue = now.Add(executor.settings.InventoryEvery)
+	order := celerylanding.Order{Fence: executor.fence, Kind: celerylanding.OrderRole, Target: target.ID,
+		Incarnation: target.Incarnation, Role: group.Role(), Timeout: executor.settings.CallTimeout}
+	return Action{Kind: ActionOrder, Endpoint: endpointOf(target), Order: order, Timeout: order.Timeout}, true
+}
+
 func (executor *Executor) decideReplica(now time.Time, current *state.State, target state.Target, replica *state.Replica) (Action, bool) {
 	work := executor.replica(replica.Order())
 	if work.calling || work.unknown || now.Before(work.due) {
--- a/node/announce.go
+++ b/node/announce.go
@@ -166,6 +166,9 @@
 	if announcement.Memory < 0 || (announcement.Kind == celerylanding.KindEngine && announcement.Memory == 0) {
 		return celerylanding.NewFieldError("memory", "must be positive for an engine")
 	}
+	if announcement.Role != "" && !announcement.Role.IsValid() {
+		return celerylanding.NewFieldError("role", "must be mixed, prefill or decode")
+	}
 	for i, found := range announcement.Inventory {
 		if found.Model == "" || found.Bytes < 0 {
 			return celerylanding.NewFieldError(fmt.Sprintf("inventory[%d]", i), "needs a model and its bytes")
--- a/node/lead.go
+++ b/node/lead.go
@@ -115,6 +115,7 @@
 		Memory:      announcement.Memory,
 		Fencing:     announcement.Fencing,
 		Leaving:     announcement.Leaving,
+		Role:        announcement.Role,
 	}
 }
 
--- a/node/operate.go
+++ b/node/operate.go
@@ -53,6 +53,7 @@
 	Domain      celerylanding.FailureDomain `json:"failure_domain"`
 	Group       string                      `json:"group"`
 	State       string                      `json:"state"`
+	Role        celerylanding.Role          `json:"role,omitempty"`
 	Memory      celerylanding.Bytes         `json:"memory"`
 	Used        celerylanding.Bytes         `json:"used"`
 	Replicas    int                         `json:"replicas"`
@@ -220,6 +221,7 @@
 			Domain:      announcement.Domain,
 			Group:       announcement.Group,
 			State:       string(target.State()),
+			Role:        announcement.Role,
 			Memory:      announcement.Memory,
 			Used:        ctl.state.Used(announcement.Target),
 			Replicas:    len(ctl.state.ReplicasOn(announcement.Target)),
--- a/state/command.go
+++ b/state/command.go
@@ -30,7 +30,7 @@
 	Inventory []celerylanding.LoadedModel `cbor:"2,keyasint,omitempty"`
 }
 
-// Target holds the facts of a target that do not change during an incarnation, but for Leaving.
+// Target holds the facts of a target that do not change during an incarnation, but for Leaving and Role.
 type Target struct {
 	ID          celerylanding.TargetID      `cbor:"1,keyasint"`
 	Incarnation celerylanding.Incarnation   `cbor:"2,keyasint"`
@@ -41,6 +41,7 @@
 	Memory      celerylanding.Bytes         `cbor:"7,keyasint"`
 	Fencing     bool                        `cbor:"8,keyasint"`
 	Leaving     bool                        `cbor:"9,keyasint"`
+	Role        celerylanding.Role          `cbor:"10,keyasint,omitempty"`
 }
 
 // Forget records that an incarnation of a target is gone for good.
--- a/target/fake/engine.go
+++ b/target/fake/engine.go
@@ -65,6 +65,7 @@
 	mux.HandleFunc("POST /v2/repository/models/{model}/unload", engine.unload)
 	mux.HandleFunc("POST /v2/repository/index", engine.index)
 	mux.HandleFunc("POST /v2/repository/fence", engine.raiseFence)
+	mux.HandleFunc("POST /v2/repository/role", engine.changeRole)
 	mux.HandleFunc("GET /v2/health/ready", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /v1/chat/completions", engine.complete)
 	mux.HandleFunc("POST /v1/completions", engine.complete)
@@ -165,6 +166,14 @@
 	engine.admit(writer, request)
 }
 
+func (engine *Engine) changeRole(writer http.ResponseWriter, request *http.Request) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if parameters, ok := engine.admit(writer, request); ok {
+		engine.options.Announcement.Role = parameters.Role
+	}
+}
+
 func (engine *Engine) load(writer http.ResponseWriter, request *http.Request) {
 	engine.mutex.Lock()
 	parameters, ok := engine.admit(writer, request)
--- a/target/orders.go
+++ b/target/orders.go
@@ -39,6 +39,7 @@
 	Incarnation celerylanding.Incarnation `json:"incarnation"`
 	Base        celerylanding.ModelID     `json:"base,omitempty"`
 	Bytes       celerylanding.Bytes       `json:"bytes"`
+	Role        celerylanding.Role        `json:"role,omitempty"`
 }
 
 // IndexEntry is one entry of an engine's repository index.
@@ -67,7 +68,11 @@
 // Send gives the order and waits until the engine has carried it out.
 func (orders *Orders) Send(ctx context.Context, endpoint celerylanding.Endpoint, order celerylanding.Order) error {
 	body := OrderBody{Parameters: OrderParameters{Order: order.Number, Fence: order.Fence,
-		Incarnation: order.Incarnation, Base: order.Base, Bytes: order.Bytes}}
+		Incarnation: order.Incarnation, Base: order.Base, Bytes: order.Bytes, Role: order.Role}}
+	if order.Kind == celerylanding.OrderRole {
+		_, err := orders.call(ctx, endpoint, "/v2/repository/role", body)
+		return err
+	}
 	path := "/v2/repository/models/" + url.PathEscape(string(order.Model)) + "/" + string(order.Kind)
 	_, err := orders.call(ctx, endpoint, path, body)
 	return err
--- a/tests/loss_test.go
+++ b/tests/loss_test.go
@@ -88,3 +88,21 @@
 		})
 	}
 }
+
+// TestRolesFollowTheConfiguration changes the role of a group and waits until all its engines have it.
+func TestRolesFollowTheConfiguration(t *testing.T) {
+	site := startSite(t, 3)
+	for number, role := range []string{"decode", "prefill"} {
+		base := strings.Replace(withRevision(number+2), "kind: engine,", "kind: engine, role: "+role+",", 1)
+		site.putInForce(site.nodes[0], base)
+		site.awaitShow(site.nodes[1], "the engines have their role", func(shown node.ShowReply) bool {
+			count := 0
+			for _, target := range shown.Targets {
+				if string(target.Role) == role {
+					count++
+				}
+			}
+			return count == 3
+		})
+	}
+}
--- a/types.go
+++ b/types.go
@@ -42,6 +42,21 @@
 	KindService TargetKind = "service"
 )
 
+// Role is the part of a request that an engine does.
+type Role string
+
+// The roles.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// IsValid reports whether the role is one of those that are known.
+func (role Role) IsValid() bool {
+	return role == RoleMixed || role == RolePrefill || role == RoleDecode
+}
+
 // Tier is the place where a checkpoint is cached on a target.
 type Tier string
 
@@ -123,6 +138,8 @@
 	Inventory   []LoadedModel      `json:"inventory" cbor:"12,keyasint"`
 	Cached      []CachedCheckpoint `json:"cached" cbor:"13,keyasint"`
 	Load        TargetLoad         `json:"load" cbor:"14,keyasint"`
+	// Role is what an engine does of a request now; "" is all of it.
+	Role Role `json:"role,omitempty" cbor:"15,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of an announcement that changes all the time.
@@ -143,7 +160,7 @@
 	ann.Sequence, ann.Load = other.Sequence, other.Load
 	return ann.Target == other.Target && ann.Incarnation == other.Incarnation && ann.Domain == other.Domain &&
 		ann.Group == other.Group && ann.Address == other.Address && ann.Kind == other.Kind && ann.Memory == other.Memory &&
-		ann.Fencing == other.Fencing && ann.Leaving == other.Leaving && ann.Slots == other.Slots &&
+		ann.Fencing == other.Fencing && ann.Leaving == other.Leaving && ann.Slots == other.Slots && ann.Role == other.Role &&
 		slices.Equal(ann.Inventory, other.Inventory) && slices.Equal(ann.Cached, other.Cached)
 }
 
@@ -162,9 +179,10 @@
 const (
 	OrderLoad   OrderKind = "load"
 	OrderUnload OrderKind = "unload"
+	OrderRole   OrderKind = "role"
 )
 
-// Order asks one incarnation of a target to load or unload a model.
+// Order asks one incarnation of a target to load or unload a model, or to change its role.
 type Order struct {
 	Number      OrderNumber   `json:"order"`
 	Fence       Fence         `json:"fence"`
@@ -175,6 +193,7 @@
 	Base        ModelID       `json:"base,omitempty"`
 	Bytes       Bytes         `json:"bytes"`
 	Timeout     time.Duration `json:"timeout"`
+	Role        Role          `json:"role,omitempty"`
 }
 
 // Endpoint is where an incarnation of a target can be reached.
