--- a/node/operate.go
+++ b/node/operate.go
@@ -79,10 +79,12 @@
 func (node *Node) serveSubmit(writer http.ResponseWriter, request *http.Request) {
 	var document config.Document
 	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxDocument)).Decode(&document); err != nil {
+		node.metrics.Counter("submissions_malformed").Inc(1)
 		writeReply(writer, http.StatusBadRequest, SubmitReply{Outcome: OutcomeRefused, Detail: err.Error()})
 		return
 	}
 	if _, err := config.Parse(document); err != nil {
+		node.metrics.Counter("submissions_invalid").Inc(1)
 		writeReply(writer, http.StatusBadRequest, SubmitReply{Outcome: OutcomeRefused, Detail: err.Error()})
 		return
 	}
