--- /dev/null
+++ b/call.go
@@ -0,0 +1,65 @@
+package celerylanding
+
+import (
+	"net/http"
+	"time"
+)
+
+// PromptPart is a piece of a prompt that several requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Call is what a caller says of one request beside its method, path and body.
+type Call struct {
+	// ID is unique for each try of a caller.
+	ID string
+	// Patience is how long the caller waits; zero means that it does not say.
+	Patience time.Duration
+	Model    ModelID
+	// PromptTokens and OutputTokens are the size of a generation; the latter is its upper bound.
+	PromptTokens int
+	OutputTokens int
+	// Parts are the pieces of the prompt, in order.
+	Parts []PromptPart
+	// ResumeAfter names the last event that the caller has, or "".
+	ResumeAfter string
+}
+
+// Try says how a call is sent to one target.
+type Try struct {
+	Target   TargetID
+	Patience time.Duration
+	// Urgency is 0 for the most urgent requests and 9 for the least.
+	Urgency int
+	// ResumeAfter names the last event that the caller has, or "".
+	ResumeAfter string
+}
+
+// Reply is what the header of a target's answer says.
+type Reply struct {
+	// CallID names the call that the answer belongs to, or "" when it does not say.
+	CallID string
+	// IsSigned is set when the answer carries the target's mark of its own work.
+	IsSigned bool
+	// NotRun is set when the target says that it has not run the call and will not.
+	NotRun bool
+	// IsElsewhere is set when the address belongs to another target or the target does not hold what the call needs.
+	IsElsewhere bool
+	Load        TargetLoad
+	// Slots is the number of calls that the target runs at once; zero means that the load is not known.
+	Slots int
+}
+
+// Dialect translates between a wire interface and calls.
+type Dialect interface {
+	// Call reads what a caller's header says; an error names the field that can't be read.
+	Call(header http.Header) (Call, error)
+	// Forward returns the header for a target from the caller's.
+	Forward(header http.Header, call Call, try Try) http.Header
+	// Reply reads the header of a target's answer.
+	Reply(status int, header http.Header) Reply
+	// IsForCaller reports whether a field of a target's header is passed on.
+	IsForCaller(name string) bool
+}
--- /dev/null
+++ b/common/boottime/doc.go
@@ -0,0 +1,2 @@
+// Package boottime reads a clock that goes on while the machine is suspended.
+package boottime
--- /dev/null
+++ b/control/operate.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/routing"
+)
+
+// submitPause is the time between two tries to have a configuration committed.
+const submitPause = 40 * time.Millisecond
+
+// ErrNoQuorum means that nothing certain can be said, because no leader with a quorum could be reached in time.
+var ErrNoQuorum = celerylanding.Namespace.NewType("no_quorum")
+
+// Submit has a valid configuration committed and returns the version held after it; an error means that the configuration may
+// still come into force.
+func (ctl *Control) Submit(ctx context.Context, configuration *routing.Configuration) (version uint64, err error) {
+	held := uint64(0)
+	if err := ctl.ask(ctx, func(time.Time) { held = ctl.version() }); err != nil {
+		return 0, ErrNoQuorum.Wrap(err, "control state is busy")
+	}
+	if held >= configuration.Version {
+		return held, nil
+	}
+	data, err := cbor.Marshal(configuration)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		if reply := ctl.proposeOnce(ctx, data); reply.Committed {
+			return reply.Version, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ErrNoQuorum.New("version %d was not committed in time", configuration.Version)
+		case <-time.After(submitPause):
+		}
+	}
+}
+
+func (ctl *Control) proposeOnce(ctx context.Context, data []byte) ProposeReply {
+	reply := ctl.proposeLocal(ctx, data)
+	leader := ctl.Leader()
+	if reply.Leads || leader == "" || leader == ctl.member.Address {
+		return reply
+	}
+	var remote ProposeReply
+	if err := ctl.peers.Call(ctx, leader, "Peer.Propose", &ProposeArgs{Command: data}, &remote); err != nil {
+		ctl.options.Log.Warn().Err(err).Str("leader", leader).Msg("leader did not answer a proposal")
+		return ProposeReply{}
+	}
+	return remote
+}
+
+// read returns the configuration held if this node is sure that it is the newest.
+func (ctl *Control) read(now time.Time) ReadReply {
+	if !ctl.leads(now) {
+		return ReadReply{}
+	}
+	reply := ReadReply{Leads: true, Version: ctl.version()}
+	if ctl.configuration != nil {
+		reply.Source = ctl.configuration.Source
+	}
+	return reply
+}
+
+// Read returns the newest configuration as the operator sent it, empty if there is none; without a leader it is an error.
+func (ctl *Control) Read(ctx context.Context) ([]byte, error) {
+	var reply ReadReply
+	if err := ctl.ask(ctx, func(now time.Time) { reply = ctl.read(now) }); err != nil {
+		return nil, ErrNoQuorum.Wrap(err, "control state is busy")
+	}
+	if !reply.Leads {
+		leader := ctl.Leader()
+		if leader == "" || leader == ctl.member.Address {
+			return nil, ErrNoQuorum.New("no leader is known")
+		}
+		if err := ctl.peers.Call(ctx, leader, "Peer.Read", &Empty{}, &reply); err != nil {
+			return nil, ErrNoQuorum.Wrap(err, "leader %s", leader)
+		}
+	}
+	if !reply.Leads {
+		return nil, ErrNoQuorum.New("the leader has no quorum")
+	}
+	return reply.Source, nil
+}
+
+// Announce passes on what a target says of itself; it returns nil once the leader has taken it.
+func (ctl *Control) Announce(ctx context.Context, args *AnnounceArgs) error {
+	taken := false
+	if err := ctl.ask(ctx, func(now time.Time) { taken = ctl.announce(now, args) }); err != nil {
+		return ErrNoQuorum.Wrap(err, "control state is busy")
+	}
+	if taken {
+		return nil
+	}
+	leader := ctl.Leader()
+	if leader == "" || leader == ctl.member.Address {
+		return ErrNoQuorum.New("no leader is known")
+	}
+	var reply AnnounceReply
+	if err := ctl.peers.Call(ctx, leader, "Peer.Announce", args, &reply); err != nil {
+		return ErrNoQuorum.Wrap(err, "leader %s", leader)
+	}
+	if !reply.Leads {
+		return ErrNoQuorum.New("%s does not lead", leader)
+	}
+	return nil
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -102,6 +102,19 @@
 	return target.state != before
 }
 
+// Leave records that a target is leaving, whatever its incarnation unless one is given, and reports whether that was news.
+func (directory *Directory) Leave(now time.Time, id celerylanding.TargetID, incarnation celerylanding.Incarnation) bool {
+	target, ok := directory.targets[id]
+	if !ok || (incarnation != 0 && target.announcement.Incarnation != incarnation) {
+		return false
+	}
+	before := target.state
+	target.announcement.Leaving = true
+	target.heard = now
+	directory.move(target, EventLeaving)
+	return target.state != before
+}
+
 // Expire suspects the targets that have been silent too long and returns the ones that changed; in the end it drops them.
 func (directory *Directory) Expire(now time.Time) []celerylanding.TargetID {
 	var changed []celerylanding.TargetID
--- a/node/recover.go
+++ b/node/recover.go
@@ -82,23 +82,7 @@
 	if err != nil && !os.IsNotExist(err) {
 		return "", err
 	}
-	return fresh, writeDurably(path, fresh)
-}
-
-func writeDurably(path, text string) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	if _, err := file.WriteString(text); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
+	return fresh, wal.WriteDurably(path, fresh)
 }
 
 func (ctl *control) settings() quorum.Settings {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -111,6 +111,14 @@
 	return []Record{{HardState: &hard}, {Entry: &entry}}
 }
 
+// BootstrapVoters returns the first records of a new log with several voters. Every one of them starts with the same records, so
+// that no second log can come into being; nobody has a vote left in the first term.
+func BootstrapVoters(members []Member) []Record {
+	hard := HardState{Term: 1, Vote: "bootstrap"}
+	entry := Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: members}
+	return []Record{{HardState: &hard}, {Entry: &entry}}
+}
+
 // Tick lets the member act on the passing of time.
 func (core *Core) Tick(now time.Time) Effects {
 	switch {
--- a/quorum/wal/wal.go
+++ b/quorum/wal/wal.go
@@ -146,6 +146,26 @@
 	return lock, nil
 }
 
+// WriteDurably writes a small file whose content and name outlast a loss of power.
+func WriteDurably(path, text string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := file.WriteString(text); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
 func syncFolder(folder string) error {
 	handle, err := os.Open(folder)
 	if err != nil {
--- /dev/null
+++ b/relay/call.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/dispatch"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/waking"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// defaultBody bounds a body in bytes while the configuration sets no limit.
+	defaultBody = 4 << 20
+	// soon is when a caller should come back to a node that knows no configuration yet.
+	soon = 500 * time.Millisecond
+)
+
+// call is one request on its way.
+type call struct {
+	said     celerylanding.Call
+	route    *routing.Route
+	service  celerylanding.ServiceID
+	unit     feed.Unit
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+
+	// What has happened so far, for the decisions that follow and the log.
+	verdict   celerylanding.Verdict
+	sends     int
+	excluded  []celerylanding.TargetID
+	refusals  []celerylanding.Endpoint
+	last      celerylanding.TargetID
+	status    int
+	waited    time.Duration
+	firstByte time.Duration
+	cause     string
+	// lastEvent is the last event that the caller has.
+	lastEvent string
+	// isCut is set when the answer broke off after a part of it was passed on.
+	isCut bool
+	began bool
+}
+
+// refusal ends a request without a target's answer.
+type refusal struct {
+	status  int
+	verdict celerylanding.Verdict
+	reason  celerylanding.Reason
+	// retry is when the caller should come back; zero says nothing.
+	retry time.Duration
+	cause string
+}
+
+func refuseNotRun(reason celerylanding.Reason, retry time.Duration, cause string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, verdict: celerylanding.NotRun, reason: reason, retry: retry, cause: cause}
+}
+
+// admit reads a request and finds its route.
+func (relay *Relay) admit(now time.Time, writer http.ResponseWriter, request *http.Request) (*call, *refusal) {
+	call := &call{method: request.Method, target: request.RequestURI, host: request.Host, header: request.Header, arrived: now,
+		verdict: celerylanding.NotRun}
+	said, err := relay.options.Dialect.Call(request.Header)
+	call.said = said
+	if err != nil {
+		return call, &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
+			cause: celerylanding.MessageOf(err)}
+	}
+	table := relay.state.table()
+	if table.Routes() == nil {
+		return call, refuseNotRun(celerylanding.ReasonNoQuorum, soon, "no configuration is known yet")
+	}
+	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
+	if !ok {
+		return call, &refusal{status: http.StatusNotFound, verdict: celerylanding.NotRun, reason: celerylanding.ReasonUnknownService,
+			cause: "no route matches"}
+	}
+	call.route = route
+	if refusal := call.read(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
+		return call, refusal
+	}
+	patience := route.Timeout
+	if said.Patience > 0 {
+		patience = min(patience, said.Patience)
+	}
+	call.deadline = now.Add(patience)
+	call.service = route.Choose(float64(xxhash.Sum64String(said.ID)>>11) / (1 << 53))
+	if service, ok := table.Routes().Service(call.service); ok && service.Engine != nil {
+		call.unit = waking.UnitOf(said.Model)
+	}
+	return call, nil
+}
+
+// read takes the whole body, so that the caller's leaving shows and a second try has the same bytes.
+func (call *call) read(writer http.ResponseWriter, request *http.Request, limit int64) *refusal {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	call.body = body
+	if err == nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, verdict: celerylanding.NotRun,
+			reason: celerylanding.ReasonBadRequest, cause: "body exceeds the limit"}
+	}
+	return &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
+		cause: "body broke off: " + err.Error()}
+}
+
+// ask returns what the request needs of a target.
+func (call *call) ask() dispatch.Ask {
+	ask := dispatch.Ask{Service: call.service, Unit: call.unit, PromptTokens: call.said.PromptTokens, Excluded: call.excluded}
+	if len(call.said.Parts) > 0 {
+		ask.PromptKey = call.unit.String() + "/" + call.said.Parts[0].ID
+	}
+	return ask
+}
+
+// exclude keeps later tries off a target.
+func (call *call) exclude(target *feed.Target) {
+	call.excluded = append(call.excluded, target.ID)
+}
--- /dev/null
+++ b/relay/refuse.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+const (
+	// retryShare is the largest part of its remaining time that a caller waits before it comes back.
+	retryShare = 3
+	// leastRetry keeps callers from coming back before anything can have changed.
+	leastRetry = 100 * time.Millisecond
+)
+
+// refuse answers a request that no target has answered.
+func (relay *Relay) refuse(writer http.ResponseWriter, request *http.Request, call *call, refusal *refusal) {
+	call.cause = refusal.cause
+	relay.log(call, refusal)
+	if call.began {
+		panic(http.ErrAbortHandler)
+	}
+	if request.Context().Err() != nil {
+		// Nobody is left to be answered.
+		panic(http.ErrAbortHandler)
+	}
+	if seconds := retrySeconds(relay.options.Clock(), call, refusal); seconds > 0 {
+		writer.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 2, 64))
+	}
+	http.Error(writer, fmt.Sprintf("%s: %s", refusal.reason, refusal.cause), refusal.status)
+}
+
+// retrySeconds returns when the caller should come back, within what it accepts.
+func retrySeconds(now time.Time, call *call, refusal *refusal) float64 {
+	if refusal.retry <= 0 || refusal.verdict != celerylanding.NotRun {
+		return 0
+	}
+	retry := max(refusal.retry, leastRetry)
+	if call.said.Patience > 0 {
+		retry = min(retry, (call.said.Patience-now.Sub(call.arrived))/retryShare)
+	}
+	return retry.Seconds()
+}
+
+// log writes the one line of a request's end.
+func (relay *Relay) log(call *call, refusal *refusal) {
+	level := zerolog.InfoLevel
+	if refusal != nil || call.isCut {
+		level = zerolog.WarnLevel
+	}
+	event := relay.options.Log.WithLevel(level).Str("request", call.said.ID).Str("target", string(call.last)).
+		Dur("took", relay.options.Clock().Sub(call.arrived)).Dur("first", call.firstByte).Dur("waited", call.waited).Int("sends", call.sends)
+	if call.route != nil {
+		event = event.Str("route", call.route.Name).Str("unit", call.unit.String())
+	}
+	outcome := "answered"
+	switch {
+	case refusal != nil:
+		outcome = string(refusal.reason)
+		event = event.Int("status", refusal.status).Str("verdict", refusal.verdict.String()).Dur("retry", refusal.retry)
+	case call.isCut:
+		outcome = "cut"
+	}
+	if call.cause != "" {
+		event = event.Str("cause", call.cause)
+	}
+	event.Int("answered", call.status).Msg(outcome)
+	relay.options.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/dispatch"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/upstream"
+)
+
+// Leader puts questions to the node that leads.
+type Leader interface {
+	// Wake asks for a unit to be loaded.
+	Wake(ctx context.Context, args feed.WakeArgs) (feed.WakeReply, error)
+}
+
+// Options describe a router.
+type Options struct {
+	Node    celerylanding.NodeID
+	Domain  celerylanding.FailureDomain
+	Dialect celerylanding.Dialect
+	Pool    *upstream.Pool
+	Leader  Leader
+	Budget  dispatch.BudgetSettings
+	// Clock returns the present time of a clock that counts suspended time.
+	Clock   func() time.Time
+	Log     zerolog.Logger
+	Metrics tally.Scope
+}
+
+// Relay answers callers' requests.
+type Relay struct {
+	options  Options
+	state    *state
+	picker   *dispatch.Picker
+	budget   *dispatch.Budget
+	waker    *waker
+	usage    *usage
+	open     atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a relay that knows no targets.
+func New(options Options) *Relay {
+	return &Relay{
+		options: options,
+		state:   newState(),
+		picker:  dispatch.NewPicker(options.Domain),
+		budget:  dispatch.NewBudget(options.Budget),
+		waker:   newWaker(options.Node, options.Leader),
+		usage:   newUsage(),
+	}
+}
+
+// Update puts a new table in force.
+func (relay *Relay) Update(table *dispatch.Table) { relay.state.set(table) }
+
+// HasRoutes reports whether a configuration is known.
+func (relay *Relay) HasRoutes() bool { return relay.state.table().Routes() != nil }
+
+// Usage returns what was asked for since the last call.
+func (relay *Relay) Usage() []feed.Usage { return relay.usage.take() }
+
+// Open returns the number of requests that are being answered.
+func (relay *Relay) Open() int { return int(relay.open.Load()) }
+
+// Drain makes callers take their next request elsewhere.
+func (relay *Relay) Drain() { relay.draining.Store(true) }
+
+// ServeHTTP answers one request.
+func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	relay.open.Add(1)
+	defer relay.open.Add(-1)
+	if relay.draining.Load() {
+		// Callers that keep connections open move to another node before this one stops.
+		writer.Header().Set("Connection", "close")
+	}
+	arrived := relay.options.Clock()
+	call, refusal := relay.admit(arrived, writer, request)
+	if refusal != nil {
+		relay.refuse(writer, request, call, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(arrived))
+	defer cancel()
+	done := relay.usage.begin(call.unit, call.route.Aim)
+	defer done()
+	refusal = relay.serve(ctx, writer, call)
+	if refusal != nil {
+		relay.refuse(writer, request, call, refusal)
+		return
+	}
+	relay.log(call, nil)
+	if call.isCut {
+		// The caller has a part of the answer, which must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+// Table finds the routes of one configuration; it does not change.
+type Table struct {
+	configuration *Configuration
+	// hosts holds the routes of each host, the longest prefix first.
+	hosts    map[string][]*Route
+	services map[celerylanding.ServiceID]*Service
+}
+
+// NewTable returns the table of a valid configuration.
+func NewTable(configuration *Configuration) *Table {
+	table := &Table{
+		configuration: configuration,
+		hosts:         make(map[string][]*Route),
+		services:      make(map[celerylanding.ServiceID]*Service),
+	}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := hostKey(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for _, routes := range table.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range configuration.Services {
+		table.services[configuration.Services[i].ID] = &configuration.Services[i]
+	}
+	return table
+}
+
+// Version returns the version of the configuration.
+func (table *Table) Version() uint64 { return table.configuration.Version }
+
+// Limits returns what callers may send.
+func (table *Table) Limits() Limits { return table.configuration.Limits }
+
+// Service finds a service.
+func (table *Table) Service(id celerylanding.ServiceID) (*Service, bool) {
+	service, ok := table.services[id]
+	return service, ok
+}
+
+// Services returns all services.
+func (table *Table) Services() []Service { return table.configuration.Services }
+
+// Match returns the route of the host with the longest prefix that begins the path.
+func (table *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range table.hosts[hostKey(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Choose returns the service of the route that a draw between 0 and 1 falls on.
+func (route *Route) Choose(draw float64) celerylanding.ServiceID {
+	sum := 0
+	for _, share := range route.Shares {
+		sum += share.Weight
+	}
+	at := int(draw * float64(sum))
+	for _, share := range route.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
+// hostKey returns the host in the form in which hosts are compared: in lower case and without a port.
+func hostKey(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
--- /dev/null
+++ b/routing/validate.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+// Validate returns an error that names the first field that makes the configuration unusable.
+func (configuration *Configuration) Validate() error {
+	services := make(map[celerylanding.ServiceID]bool, len(configuration.Services))
+	for i, service := range configuration.Services {
+		if service.ID == "" || services[service.ID] {
+			return celerylanding.NewFieldError(fmt.Sprintf("services[%d].name", i), "%q must be a unique name", service.ID)
+		}
+		services[service.ID] = true
+	}
+	places := make(map[string]string, len(configuration.Routes))
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		if err := route.validate(services); err != nil {
+			return celerylanding.BadField.New("routes[%d] (%s): %s", i, route.Name, celerylanding.MessageOf(err))
+		}
+		place := hostKey(route.Host) + route.Prefix
+		if other, ok := places[place]; ok {
+			return celerylanding.NewFieldError(fmt.Sprintf("routes[%d]", i), "route %q has the host and prefix of route %q", route.Name, other)
+		}
+		places[place] = route.Name
+	}
+	return nil
+}
+
+func (route *Route) validate(services map[celerylanding.ServiceID]bool) error {
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return celerylanding.NewFieldError("prefix", "%q must begin and end with a slash", route.Prefix)
+	}
+	if route.Timeout <= 0 {
+		return celerylanding.NewFieldError("timeout", "must be positive")
+	}
+	sum := 0
+	for _, share := range route.Shares {
+		if !services[share.Service] {
+			return celerylanding.NewFieldError("service", "service %q does not exist", share.Service)
+		}
+		if share.Weight < 0 {
+			return celerylanding.NewFieldError("weight", "%d of service %q must not be negative", share.Weight, share.Service)
+		}
+		sum += share.Weight
+	}
+	if sum == 0 {
+		return celerylanding.NewFieldError("weight", "weights add up to 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/waking/cost.go
@@ -0,0 +1,145 @@
+package waking
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+const (
+	// replicaRate is the arrivals per second that one replica serves without its batch slowing the others down; from the
+	// prefill rates of the served systems, at a quarter of what an engine reads.
+	replicaRate = 12.0
+	// overloadCost is the delay in seconds for each arrival beyond replicaRate.
+	overloadCost = 2.0
+	// sharedCost is the delay in seconds for each arrival that moves to another replica, whose prompt cache does not know it.
+	sharedCost = 0.05
+	// reloadCost weighs the delay of the next request for a model that is loaded nowhere any more.
+	reloadCost = 3.0
+	// minResidency is how long a model that was just loaded is kept, so that the requests that it was loaded for can run.
+	minResidency = 2 * time.Second
+	// storeCost is the charge in seconds for a load from the store beside its time, since all engines share it.
+	storeCost = 3.0
+	// maxStoreLoads is the number of loads from the store that are under way at once; beyond a few all of them slow down.
+	maxStoreLoads = 3
+	// storeWindow is the time over which the store's limit of loads counts.
+	storeWindow = 5 * time.Second
+)
+
+// victim is a resident that can make way.
+type victim struct {
+	id   celerylanding.ModelID
+	loss float64
+}
+
+// cost returns the delay in request-seconds that loading the wanted unit on the engine causes; it is false when the engine
+// can't load it.
+func (planner *Planner) cost(now time.Time, eng *engine, wanted *want) (float64, bool) {
+	id := wanted.unit.Model
+	if wanted.spread && eng.held[id] != nil {
+		return 0, false
+	}
+	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
+	cost := wait.Seconds() * float64(max(1, wanted.count()))
+	if eng.held[id] != nil {
+		if eng.held[id].closing {
+			return 0, false
+		}
+		return cost + float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
+	}
+	if _, ok := eng.spec.Model(id); !ok {
+		return 0, false
+	}
+	if eng.tier(id) == celerylanding.TierRemote {
+		if wanted.spread {
+			return 0, false
+		}
+		cost += storeCost
+	}
+	victims, ok := planner.victims(now, eng, id)
+	if !ok {
+		return 0, false
+	}
+	for _, victim := range victims {
+		cost += victim.loss
+	}
+	return cost, true
+}
+
+// victims returns the residents to unload so that the model fits, the cheapest set that a greedy choice finds.
+func (planner *Planner) victims(now time.Time, eng *engine, id celerylanding.ModelID) ([]victim, bool) {
+	need := eng.used() + eng.weights(id) - eng.spec.Memory
+	if need <= 0 {
+		return nil, true
+	}
+	var candidates []victim
+	for held := range eng.held {
+		if held != id && !planner.isWanted(eng, held) {
+			candidates = append(candidates, victim{held, planner.loss(now, eng, held)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.id, b.id))
+	})
+	var chosen []victim
+	for _, candidate := range candidates {
+		if need <= 0 {
+			break
+		}
+		chosen = append(chosen, candidate)
+		need -= eng.weights(candidate.id)
+	}
+	return chosen, need <= 0
+}
+
+// isWanted reports whether requests wait for the model on this engine.
+func (planner *Planner) isWanted(eng *engine, id celerylanding.ModelID) bool {
+	return slices.ContainsFunc(eng.wants, func(want *want) bool { return want.unit.Model == id })
+}
+
+// loss returns the delay in request-seconds for each second that the model is missing from the engine.
+func (planner *Planner) loss(now time.Time, eng *engine, id celerylanding.ModelID) float64 {
+	if eng.held[id].closing {
+		return 0
+	}
+	rate := planner.modelRate(now, eng.service, id)
+	others := float64(planner.replicas(eng.service, id) - 1)
+	recent := 0.0
+	if now.Sub(eng.held[id].since) < minResidency {
+		recent = 2
+	}
+	if others > 0 {
+		return recent + sharedCost*rate/(others+1) + overloadCost*max(0, rate/others-replicaRate)
+	}
+	if planner.isRunning(eng.service, id) {
+		recent++
+	}
+	return recent + reloadCost*rate*eng.loadTime(id).Seconds() + 0.05
+}
+
+// replicas counts the usable engines that hold the model for new work.
+func (planner *Planner) replicas(service celerylanding.ServiceID, id celerylanding.ModelID) int {
+	count := 0
+	for _, eng := range planner.engines {
+		if held := eng.held[id]; eng.isOpen() && eng.service == service && held != nil && !held.closing {
+			count++
+		}
+	}
+	return count
+}
+
+// mayLoadFromStore reports whether another load from the store keeps to its limits.
+func (planner *Planner) mayLoadFromStore(now time.Time, perSecond float64) bool {
+	for len(planner.storeLoads) > 0 && now.Sub(planner.storeLoads[0]) > storeWindow {
+		planner.storeLoads = planner.storeLoads[1:]
+	}
+	underWay := 0
+	for _, eng := range planner.engines {
+		if eng.order != nil && eng.order.Kind == celerylanding.OrderLoad && eng.order.Tier == celerylanding.TierRemote {
+			underWay++
+		}
+	}
+	return underWay < maxStoreLoads && float64(len(planner.storeLoads)) < perSecond*storeWindow.Seconds()
+}
--- /dev/null
+++ b/waking/planner.go
@@ -0,0 +1,247 @@
+package waking
+
+import (
+	"slices"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
+)
+
+// Order is one step that an engine is asked for.
+type Order struct {
+	Number   uint64
+	Kind     celerylanding.OrderKind
+	Endpoint celerylanding.Endpoint
+	Unit     feed.Unit
+	// Accepted is the number of orders that the engine must have accepted so far, or the order must not be carried out.
+	Accepted uint64
+	Tier     celerylanding.Tier
+	// sent is when the order left; taken is when the engine accepted it.
+	sent  time.Time
+	taken time.Time
+}
+
+// Outcome is an engine's answer to an order.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeUnknown means that the order may be carried out, now or later.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAccepted means that the order is being carried out.
+	OutcomeAccepted
+	// OutcomeHolds means that the engine is already as the order wants it.
+	OutcomeHolds
+	// OutcomeConflict means that another order is under way or that the count of accepted orders differs.
+	OutcomeConflict
+	// OutcomeRejected means that the order was not accepted for any other reason.
+	OutcomeRejected
+)
+
+// String returns the outcome's name.
+func (outcome Outcome) String() string {
+	return [...]string{"unknown", "accepted", "holds", "conflict", "rejected"}[outcome]
+}
+
+// Report is an engine's own account, which lags by some hundred milliseconds.
+type Report struct {
+	Incarnation celerylanding.Incarnation
+	Accepted    uint64
+	Busy        bool
+	Inventory   []celerylanding.LoadedModel
+}
+
+// Actions are what the caller has to do after a step.
+type Actions struct {
+	Orders   []Order
+	Inspects []celerylanding.Endpoint
+}
+
+// want is a unit that requests wait for.
+type want struct {
+	service celerylanding.ServiceID
+	unit    feed.Unit
+	since   time.Time
+	until   time.Time
+	waiting map[celerylanding.NodeID]int
+	// spread is set for a further replica of a model that is loaded already.
+	spread bool
+	engine *engine
+}
+
+func (want *want) count() int {
+	sum := 0
+	for _, waiting := range want.waiting {
+		sum += waiting
+	}
+	return sum
+}
+
+// Planner decides for all engines; it has one user.
+type Planner struct {
+	engines map[celerylanding.TargetID]*engine
+	wants   map[wantKey]*want
+	demand  map[demandKey]*demand
+	changed map[celerylanding.TargetID]bool
+	// storeLoads are the times at which loads from the store began, oldest first.
+	storeLoads []time.Time
+	number     uint64
+	spreadDue  time.Time
+}
+
+type wantKey struct {
+	service celerylanding.ServiceID
+	unit    feed.Unit
+	spread  bool
+}
+
+// New returns a planner that knows no engines.
+func New() *Planner {
+	return &Planner{
+		engines: make(map[celerylanding.TargetID]*engine),
+		wants:   make(map[wantKey]*want),
+		demand:  make(map[demandKey]*demand),
+		changed: make(map[celerylanding.TargetID]bool),
+	}
+}
+
+// Observe takes an engine's announcement; usable is false for one that is leaving or silent.
+func (planner *Planner) Observe(now time.Time, announcement celerylanding.Announcement, spec *routing.Engine, usable bool) {
+	eng := planner.engines[announcement.Target]
+	if eng == nil || eng.endpoint.Incarnation != announcement.Incarnation {
+		planner.drop(eng)
+		eng = &engine{held: make(map[celerylanding.ModelID]*resident)}
+		planner.engines[announcement.Target] = eng
+	}
+	eng.endpoint = celerylanding.Endpoint{Target: announcement.Target, Incarnation: announcement.Incarnation, Address: announcement.Address}
+	eng.service = celerylanding.ServiceID(announcement.Group)
+	eng.spec = spec
+	eng.suspect = false
+	if eng.usable = usable; !usable {
+		planner.unassign(eng)
+	}
+	eng.onDisk = make(map[celerylanding.ModelID]bool)
+	eng.inMemory = make(map[celerylanding.ModelID]bool)
+	for _, cached := range announcement.Cached {
+		if cached.Tier == celerylanding.TierMemory {
+			eng.inMemory[cached.Model] = true
+		} else {
+			eng.onDisk[cached.Model] = true
+		}
+	}
+	planner.adopt(now, eng, announcement.Inventory)
+}
+
+// Forget drops an engine that is gone.
+func (planner *Planner) Forget(id celerylanding.TargetID) {
+	planner.drop(planner.engines[id])
+	delete(planner.engines, id)
+}
+
+func (planner *Planner) drop(eng *engine) {
+	if eng != nil {
+		planner.unassign(eng)
+	}
+}
+
+func (planner *Planner) unassign(eng *engine) {
+	for _, want := range eng.wants {
+		want.engine = nil
+	}
+	eng.wants = nil
+}
+
+// adopt takes an engine's inventory and completes the order that it proves done.
+func (planner *Planner) adopt(now time.Time, eng *engine, inventory []celerylanding.LoadedModel) {
+	found := make(map[celerylanding.ModelID]map[string]bool)
+	for _, entry := range inventory {
+		model, adapter := SplitUnit(entry.Model)
+		if found[model] == nil {
+			found[model] = make(map[string]bool)
+		}
+		if adapter != "" {
+			found[model][adapter] = true
+		}
+	}
+	for id := range eng.held {
+		if found[id] == nil {
+			delete(eng.held, id)
+			planner.changed[eng.endpoint.Target] = true
+		}
+	}
+	for id, adapters := range found {
+		if planner.adoptModel(now, eng, id, adapters) {
+			planner.changed[eng.endpoint.Target] = true
+		}
+	}
+	planner.complete(now, eng)
+}
+
+// adoptModel brings one resident up to date and reports whether anything has changed.
+func (planner *Planner) adoptModel(now time.Time, eng *engine, id celerylanding.ModelID, adapters map[string]bool) bool {
+	changed := false
+	held := eng.held[id]
+	if held == nil {
+		held = &resident{since: now, adapters: make(map[string]time.Time)}
+		eng.held[id] = held
+		changed = true
+	}
+	for adapter := range adapters {
+		if _, ok := held.adapters[adapter]; !ok {
+			held.adapters[adapter] = now
+			changed = true
+		}
+	}
+	for adapter, ready := range held.adapters {
+		if !adapters[adapter] && now.Sub(ready) > reportLag {
+			delete(held.adapters, adapter)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// complete ends the order under way if the inventory shows its effect.
+func (planner *Planner) complete(now time.Time, eng *engine) {
+	order := eng.order
+	if order == nil || order.Unit.Adapter != "" || order.taken.IsZero() {
+		return
+	}
+	isHeld := eng.held[order.Unit.Model] != nil
+	if isHeld == (order.Kind == celerylanding.OrderLoad) {
+		planner.finish(now, eng)
+	}
+}
+
+func (planner *Planner) finish(now time.Time, eng *engine) {
+	order := eng.order
+	eng.order = nil
+	planner.changed[eng.endpoint.Target] = true
+	if order.Kind != celerylanding.OrderLoad {
+		return
+	}
+	if held := eng.held[order.Unit.Model]; held != nil && order.Unit.Adapter == "" {
+		held.since, held.closing = now, false
+	}
+}
+
+// Changed returns the targets whose models have changed since the last call, in order.
+func (planner *Planner) Changed() []celerylanding.TargetID {
+	list := make([]celerylanding.TargetID, 0, len(planner.changed))
+	for id := range planner.changed {
+		list = append(list, id)
+	}
+	clear(planner.changed)
+	slices.Sort(list)
+	return list
+}
+
+// View returns what routers are told of an engine's models.
+func (planner *Planner) View(now time.Time, id celerylanding.TargetID) []feed.Held {
+	if eng := planner.engines[id]; eng != nil {
+		return eng.view(now)
+	}
+	return nil
+}
--- /dev/null
+++ b/waking/step.go
@@ -0,0 +1,212 @@
+package waking
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+)
+
+const (
+	// closeNotice is the time between the word to the routers that a model closes and its unload: one push to them and a
+	// request's way to the engine.
+	closeNotice = 30 * time.Millisecond
+	// inspectPause is the time between two questions to an engine whose state is unclear.
+	inspectPause = 700 * time.Millisecond
+	// orderSlack is how much longer than expected an accepted order may take before the engine is asked.
+	orderSlack = 3 * time.Second
+	// spreadInterval is the time between two looks for models with too few replicas.
+	spreadInterval = time.Second
+	// spreadPatience is how long a further replica stays wanted.
+	spreadPatience = 5 * time.Second
+)
+
+// Step returns the orders and questions that are due.
+func (planner *Planner) Step(now time.Time) Actions {
+	planner.expire(now)
+	planner.spread(now)
+	var actions Actions
+	for _, id := range slices.Sorted(maps.Keys(planner.engines)) {
+		eng := planner.engines[id]
+		if eng.spec != nil {
+			planner.stepEngine(now, eng, &actions)
+		}
+	}
+	return actions
+}
+
+// expire drops the wants that are met or that nobody waits for any more.
+func (planner *Planner) expire(now time.Time) {
+	for key, wanted := range planner.wants {
+		isMet := wanted.engine != nil && wanted.engine.holds(now, wanted.unit)
+		if !isMet && !wanted.spread {
+			isMet = planner.isHeld(now, wanted.service, wanted.unit)
+		}
+		if isMet || now.After(wanted.until) {
+			planner.release(wanted)
+			delete(planner.wants, key)
+			continue
+		}
+		if wanted.engine == nil {
+			planner.assign(now, wanted)
+		}
+	}
+}
+
+func (planner *Planner) stepEngine(now time.Time, eng *engine, actions *Actions) {
+	if eng.order != nil {
+		planner.watchOrder(now, eng, actions)
+		return
+	}
+	if len(eng.wants) == 0 || !eng.isOpen() {
+		planner.reopen(eng)
+		return
+	}
+	if !eng.isCountKnown {
+		planner.inspect(now, eng, actions)
+		return
+	}
+	slices.SortStableFunc(eng.wants, func(a, b *want) int {
+		return cmp.Or(-cmp.Compare(a.count(), b.count()), a.until.Compare(b.until))
+	})
+	for _, wanted := range eng.wants {
+		if order := planner.nextOrder(now, eng, wanted); order != nil {
+			planner.number++
+			order.Number, order.Endpoint, order.Accepted, order.sent = planner.number, eng.endpoint, eng.accepted, now
+			eng.order = order
+			actions.Orders = append(actions.Orders, *order)
+			return
+		}
+	}
+}
+
+// reopen lets the models that were about to make way serve again, since nothing needs their place any more.
+func (planner *Planner) reopen(eng *engine) {
+	for _, held := range eng.held {
+		if held.closing {
+			held.closing = false
+			planner.changed[eng.endpoint.Target] = true
+		}
+	}
+}
+
+// nextOrder returns the next step towards the wanted unit, or nil while it has to wait.
+func (planner *Planner) nextOrder(now time.Time, eng *engine, wanted *want) *Order {
+	held := eng.held[wanted.unit.Model]
+	if held == nil {
+		return planner.nextModelOrder(now, eng, wanted.unit.Model)
+	}
+	if held.closing {
+		held.closing = false
+		planner.changed[eng.endpoint.Target] = true
+	}
+	if _, ok := held.adapters[wanted.unit.Adapter]; ok || wanted.unit.Adapter == "" {
+		return nil
+	}
+	if eng.adapterCount() >= eng.spec.AdapterSlots || eng.used()+planner.adapterWeights(eng, wanted.unit.Model) > eng.spec.Memory {
+		return planner.evictAdapter(now, eng)
+	}
+	return &Order{Kind: celerylanding.OrderLoad, Unit: wanted.unit}
+}
+
+func (planner *Planner) adapterWeights(eng *engine, id celerylanding.ModelID) celerylanding.Bytes {
+	model, _ := eng.spec.Model(id)
+	return model.AdapterWeights
+}
+
+func (planner *Planner) nextModelOrder(now time.Time, eng *engine, id celerylanding.ModelID) *Order {
+	victims, ok := planner.victims(now, eng, id)
+	if !ok {
+		return nil
+	}
+	tier := eng.tier(id)
+	if tier == celerylanding.TierRemote && !planner.mayLoadFromStore(now, eng.spec.StoreLoads) {
+		return nil
+	}
+	if len(victims) == 0 {
+		if tier == celerylanding.TierRemote {
+			planner.storeLoads = append(planner.storeLoads, now)
+		}
+		return &Order{Kind: celerylanding.OrderLoad, Unit: feed.Unit{Model: id}, Tier: tier}
+	}
+	held := eng.held[victims[0].id]
+	if !held.closing {
+		held.closing, held.closedSince = true, now
+		planner.changed[eng.endpoint.Target] = true
+		return nil
+	}
+	if now.Sub(held.closedSince) < closeNotice {
+		return nil
+	}
+	return &Order{Kind: celerylanding.OrderUnload, Unit: feed.Unit{Model: victims[0].id}}
+}
+
+// evictAdapter unloads the adapter with the fewest arrivals.
+func (planner *Planner) evictAdapter(now time.Time, eng *engine) *Order {
+	var least *feed.Unit
+	var lowest float64
+	for id, held := range eng.held {
+		for adapter := range held.adapters {
+			unit := feed.Unit{Model: id, Adapter: adapter}
+			rate := planner.demand[demandKey{eng.service, unit}].rate(now)
+			if least == nil || rate < lowest || (rate == lowest && unit.String() < least.String()) {
+				least, lowest = &unit, rate
+			}
+		}
+	}
+	if least == nil {
+		return nil
+	}
+	return &Order{Kind: celerylanding.OrderUnload, Unit: *least}
+}
+
+// watchOrder asks the engine about an order whose effect does not show.
+func (planner *Planner) watchOrder(now time.Time, eng *engine, actions *Actions) {
+	order := eng.order
+	if order.taken.IsZero() {
+		return
+	}
+	if order.Unit.Adapter != "" {
+		planner.finish(now, eng)
+		return
+	}
+	if now.Sub(order.taken) > 2*planner.orderTime(eng, order)+orderSlack {
+		planner.inspect(now, eng, actions)
+	}
+}
+
+func (planner *Planner) inspect(now time.Time, eng *engine, actions *Actions) {
+	if eng.inspecting || now.Before(eng.inspectDue) {
+		return
+	}
+	eng.inspecting = true
+	actions.Inspects = append(actions.Inspects, eng.endpoint)
+}
+
+// spread wants further replicas of the models whose replicas get more than they serve well.
+func (planner *Planner) spread(now time.Time) {
+	if now.Before(planner.spreadDue) {
+		return
+	}
+	planner.spreadDue = now.Add(spreadInterval)
+	for key, dem := range planner.demand {
+		if key.unit.Adapter != "" {
+			continue
+		}
+		replicas := planner.replicas(key.service, key.unit.Model)
+		if replicas == 0 || dem.rate(now) < replicaRate*float64(replicas) {
+			continue
+		}
+		wkey := wantKey{key.service, key.unit, true}
+		if planner.wants[wkey] != nil {
+			continue
+		}
+		wanted := &want{service: key.service, unit: key.unit, since: now, until: now.Add(spreadPatience), spread: true}
+		if planner.assign(now, wanted) {
+			planner.wants[wkey] = wanted
+		}
+	}
+}
--- /dev/null
+++ b/waking/wake.go
@@ -0,0 +1,170 @@
+package waking
+
+import (
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+)
+
+const (
+	// orderOverhead is the time from a decision to a router's knowledge of its effect, beside the load itself: two hops of the
+	// order, the engine's announcement and one push to the routers.
+	orderOverhead = 80 * time.Millisecond
+	// unloadTime is the usual time of an unload whose model has few runs to wait for.
+	unloadTime = 250 * time.Millisecond
+	// adapterTime is the usual time of an adapter's load while few are on their way.
+	adapterTime = 20 * time.Millisecond
+	// reportLag is how far an engine's own account may lie behind its state.
+	reportLag = 1500 * time.Millisecond
+)
+
+// Wake has a unit loaded for the requests that wait for it, and says when it can be there.
+func (planner *Planner) Wake(now time.Time, args feed.WakeArgs) feed.WakeReply {
+	for _, refusal := range args.Refusals {
+		planner.refused(refusal, args.Unit)
+	}
+	for _, endpoint := range args.Unreachable {
+		planner.suspect(endpoint)
+	}
+	if planner.isHeld(now, args.Service, args.Unit) {
+		return feed.WakeReply{Leads: true}
+	}
+	key := wantKey{service: args.Service, unit: args.Unit}
+	wanted := planner.wants[key]
+	if wanted == nil {
+		wanted = &want{service: args.Service, unit: args.Unit, since: now, waiting: make(map[celerylanding.NodeID]int)}
+	}
+	if wanted.engine == nil && !planner.assign(now, wanted) {
+		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "no engine can load it now", Expected: retryUnplaced}
+	}
+	expected := planner.expected(now, wanted)
+	if expected > args.Patience && wanted.count() == 0 {
+		planner.release(wanted)
+		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "the load takes longer than the request can wait", Expected: expected}
+	}
+	planner.wants[key] = wanted
+	wanted.waiting[args.Node] = args.Waiting
+	if until := now.Add(args.Patience); until.After(wanted.until) {
+		wanted.until = until
+	}
+	return feed.WakeReply{Leads: true, Expected: expected}
+}
+
+// retryUnplaced is when a caller should come back while no engine can take a load.
+const retryUnplaced = time.Second
+
+// suspect keeps new work off an engine that a router can't reach, until the engine is heard of again.
+func (planner *Planner) suspect(endpoint celerylanding.Endpoint) {
+	eng := planner.engines[endpoint.Target]
+	if eng != nil && eng.endpoint.Incarnation == endpoint.Incarnation {
+		eng.suspect = true
+		planner.unassign(eng)
+	}
+}
+
+// refused drops what an engine was wrongly believed to hold.
+func (planner *Planner) refused(endpoint celerylanding.Endpoint, unit feed.Unit) {
+	eng := planner.engines[endpoint.Target]
+	if eng == nil || eng.endpoint.Incarnation != endpoint.Incarnation {
+		return
+	}
+	held := eng.held[unit.Model]
+	if held == nil || unit.Adapter == "" {
+		return
+	}
+	delete(held.adapters, unit.Adapter)
+	planner.changed[endpoint.Target] = true
+}
+
+func (planner *Planner) isHeld(now time.Time, service celerylanding.ServiceID, unit feed.Unit) bool {
+	for _, eng := range planner.engines {
+		if eng.isOpen() && eng.service == service && eng.holds(now, unit) {
+			return true
+		}
+	}
+	return false
+}
+
+// assign gives the wanted unit to the engine where it costs least.
+func (planner *Planner) assign(now time.Time, wanted *want) bool {
+	var best *engine
+	var lowest float64
+	for _, eng := range planner.engines {
+		if !eng.isOpen() || eng.service != wanted.service || eng.spec == nil {
+			continue
+		}
+		cost, ok := planner.cost(now, eng, wanted)
+		if !ok {
+			continue
+		}
+		if best == nil || cost < lowest || (cost == lowest && eng.endpoint.Target < best.endpoint.Target) {
+			best, lowest = eng, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	wanted.engine = best
+	best.wants = append(best.wants, wanted)
+	return true
+}
+
+// release takes a wanted unit off its engine.
+func (planner *Planner) release(wanted *want) {
+	eng := wanted.engine
+	wanted.engine = nil
+	if eng == nil {
+		return
+	}
+	for i, other := range eng.wants {
+		if other == wanted {
+			eng.wants = append(eng.wants[:i:i], eng.wants[i+1:]...)
+			return
+		}
+	}
+}
+
+// backlog returns how long the engine is taken by its order and by the units that wait for it, up to the wanted one.
+func (planner *Planner) backlog(now time.Time, eng *engine, until *want) time.Duration {
+	var sum time.Duration
+	if order := eng.order; order != nil {
+		sum = max(planner.orderTime(eng, order)-now.Sub(order.sent), orderOverhead)
+	}
+	for _, ahead := range eng.wants {
+		if ahead == until {
+			break
+		}
+		sum += planner.stepsTime(eng, ahead.unit)
+	}
+	return sum
+}
+
+func (planner *Planner) orderTime(eng *engine, order *Order) time.Duration {
+	switch {
+	case order.Unit.Adapter != "":
+		return adapterTime
+	case order.Kind == celerylanding.OrderUnload:
+		return unloadTime
+	}
+	return eng.loadTime(order.Unit.Model) + orderOverhead
+}
+
+// stepsTime returns the time of all orders that the unit still needs on the engine.
+func (planner *Planner) stepsTime(eng *engine, unit feed.Unit) time.Duration {
+	sum := orderOverhead
+	if eng.held[unit.Model] == nil {
+		sum += eng.loadTime(unit.Model)
+		if eng.used()+eng.weights(unit.Model) > eng.spec.Memory {
+			sum += unloadTime
+		}
+	}
+	if unit.Adapter != "" {
+		sum += adapterTime
+	}
+	return sum
+}
+
+func (planner *Planner) expected(now time.Time, wanted *want) time.Duration {
+	return planner.backlog(now, wanted.engine, wanted) + planner.stepsTime(wanted.engine, wanted.unit)
+}
