--- a/control/duties.go
+++ b/control/duties.go
@@ -41,7 +41,7 @@
 		ctl.expire(now)
 	}
 	if ctl.mayOrder(now) {
-		ctl.carryOut(now, ctl.planner.Step(now))
+		ctl.carryOut(ctl.planner.Step(now))
 	}
 	for _, id := range ctl.planner.Changed() {
 		if target, ok := ctl.directory.Target(id); ok {
@@ -150,7 +150,7 @@
 }
 
 // carryOut sends orders and questions; the outcomes come back to the control goroutine.
-func (ctl *Control) carryOut(now time.Time, actions waking.Actions) {
+func (ctl *Control) carryOut(actions waking.Actions) {
 	fence := Fence(ctl.core.Term())
 	for _, order := range actions.Orders {
 		ctl.options.Metrics.Counter("orders").Inc(1)
--- a/control/identity.go
+++ b/control/identity.go
@@ -27,29 +27,34 @@
 		return "", err
 	}
 	id := quorum.MemberID(text)
-	isSeed := options.Bootstrap && slices.Contains(options.Seeds(), address)
-	isLost := strings.HasPrefix(string(id), seedPrefix) && recovered.IsEmpty() && !isSeed
-	if id == "" || isLost {
-		if id = quorum.MemberID(address + "/" + fresh); isSeed && recovered.IsEmpty() {
+	mayStart := recovered.IsEmpty() && options.Bootstrap && slices.Contains(options.Seeds(), address)
+	isFirst := strings.HasPrefix(string(id), seedPrefix)
+	if id == "" || (isFirst && recovered.IsEmpty() && !mayStart) {
+		if id = quorum.MemberID(address + "/" + fresh); mayStart {
 			id = quorum.MemberID(seedPrefix + address)
 		}
 		if err := wal.WriteDurably(path, string(id)); err != nil {
 			return "", err
 		}
 	}
-	if !strings.HasPrefix(string(id), seedPrefix) || !recovered.IsEmpty() {
-		return id, nil
+	if mayStart && strings.HasPrefix(string(id), seedPrefix) {
+		return id, startLog(options, log, recovered)
 	}
+	return id, nil
+}
+
+// startLog writes the first records of a new log.
+func startLog(options Options, log *wal.WAL, recovered *wal.Recovered) error {
 	records := quorum.BootstrapVoters(seedMembers(options.Seeds()))
 	if err := log.Append(records); err != nil {
-		return "", err
+		return err
 	}
 	for _, record := range records {
 		if err := recovered.Replay(record); err != nil {
-			return "", err
+			return err
 		}
 	}
-	return id, nil
+	return nil
 }
 
 // seedMembers returns the voters of a new log; they are the same on every seed.
--- a/control/log.go
+++ b/control/log.go
@@ -35,16 +35,8 @@
 			return err
 		}
 		ctl.send(effects.Messages)
-		if effects.Install != nil {
-			if err := ctl.restore(*effects.Install); err != nil {
-				return err
-			}
-			ctl.dropWaiters(effects.Install.Index)
-		}
-		for _, entry := range effects.Committed {
-			if err := ctl.apply(entry); err != nil {
-				return err
-			}
+		if err := ctl.applyAll(effects); err != nil {
+			return err
 		}
 		if err := ctl.snapshot(); err != nil {
 			return err
@@ -52,6 +44,22 @@
 	}
 }
 
+// applyAll installs the snapshot and applies the entries that have been committed.
+func (ctl *Control) applyAll(effects quorum.Effects) error {
+	if effects.Install != nil {
+		if err := ctl.restore(*effects.Install); err != nil {
+			return err
+		}
+		ctl.dropWaiters(effects.Install.Index)
+	}
+	for _, entry := range effects.Committed {
+		if err := ctl.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (ctl *Control) proposeBatch(now time.Time) {
 	if len(ctl.batch) == 0 {
 		return
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
-	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -39,7 +38,7 @@
 	for {
 		now := relay.options.Clock()
 		table, changed := relay.state.watch()
-		if refusal := relay.mayTry(now, table, call); refusal != nil {
+		if refusal := mayTry(now, call); refusal != nil {
 			return nil, refusal
 		}
 		target, unreachable := relay.picker.Pick(now, table, call.ask())
@@ -56,7 +55,7 @@
 }
 
 // mayTry refuses a request that has no time left or no further try.
-func (relay *Relay) mayTry(now time.Time, table *dispatch.Table, call *call) *refusal {
+func mayTry(now time.Time, call *call) *refusal {
 	if call.deadline.Sub(now) < leastPatience {
 		return outOfTime(call)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -50,33 +50,23 @@
 
 // copyEvents passes complete events on until the stream ends; an error means that it broke off.
 func (relay *Relay) copyEvents(writer http.ResponseWriter, call *call, response *upstream.Response) error {
-	flusher, _ := writer.(http.Flusher)
 	var partial []byte
 	buffer := make([]byte, streamBuffer)
 	for {
 		count, err := response.Read(buffer)
 		partial = append(partial, buffer[:count]...)
+		isEnd := errors.Is(err, io.EOF)
 		whole := completeEvents(partial)
-		if errors.Is(err, io.EOF) {
+		if isEnd {
 			whole = len(partial)
 		}
-		if whole > 0 {
-			if !call.began {
-				relay.writeHeader(writer, call, response, response.Length)
-			}
-			call.noteEvents(partial[:whole])
-			if _, err := writer.Write(partial[:whole]); err != nil {
-				return errors.Join(errCallerLeft, err)
-			}
-			if flusher != nil {
-				flusher.Flush()
+		if whole > 0 || isEnd {
+			if err := relay.passEvents(writer, call, response, partial[:whole]); err != nil {
+				return err
 			}
 			partial = append(partial[:0], partial[whole:]...)
 		}
-		if errors.Is(err, io.EOF) {
-			if !call.began {
-				relay.writeHeader(writer, call, response, 0)
-			}
+		if isEnd {
 			return nil
 		}
 		if err != nil {
@@ -85,6 +75,24 @@
 	}
 }
 
+// passEvents hands complete events to the caller at once, the first ones with the header.
+func (relay *Relay) passEvents(writer http.ResponseWriter, call *call, response *upstream.Response, events []byte) error {
+	if !call.began {
+		relay.writeHeader(writer, call, response, response.Length)
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	call.noteEvents(events)
+	if _, err := writer.Write(events); err != nil {
+		return errors.Join(errCallerLeft, err)
+	}
+	if flusher, ok := writer.(http.Flusher); ok {
+		flusher.Flush()
+	}
+	return nil
+}
+
 var errCallerLeft = errors.New("caller left")
 
 // completeEvents returns the length of the complete events at the beginning of the bytes.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -93,6 +93,11 @@
 	if err := outgoing.Write(link); err != nil {
 		return nil, err
 	}
+	return link.answer(request, outgoing)
+}
+
+// answer reads headers until one belongs to the request; an answer to an earlier request may still arrive.
+func (link *conn) answer(request *Request, outgoing *http.Request) (*http.Response, error) {
 	for range maxStray {
 		response, err := http.ReadResponse(link.reader, outgoing)
 		if err != nil {
