Stopping routers answer the requests that wait for a wake

Change: after the notice such requests are refused as not run, since another router can serve them, and at the end the rest get an answer that says what is known.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,11 +45,19 @@
 	usage    *usage
 	open     atomic.Int64
 	draining atomic.Bool
+	// closing is set when requests that wait for a wake are better off at another router.
+	closing atomic.Bool
+	// ending is done when the requests that are left must be answered now.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a relay that knows no targets.
 func New(options Options) *Relay {
+	ending, end := context.WithCancel(context.Background())
 	return &Relay{
+		ending:  ending,
+		end:     end,
 		options: options,
 		state:   newState(),
 		picker:  dispatch.NewPicker(options.Domain),
@@ -74,6 +82,12 @@
 // Drain makes callers take their next request elsewhere.
 func (relay *Relay) Drain() { relay.draining.Store(true) }
 
+// Close refuses the requests that wait for a wake, and those that come to wait.
+func (relay *Relay) Close() { relay.closing.Store(true) }
+
+// End answers all requests that are left with what is known of them.
+func (relay *Relay) End() { relay.end() }
+
 // ServeHTTP answers one request.
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	relay.open.Add(1)
@@ -90,6 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(arrived))
 	defer cancel()
+	defer context.AfterFunc(relay.ending, cancel)()
 	done := relay.usage.begin(call.unit, call.route.Aim)
 	defer done()
 	refusal = relay.serve(ctx, writer, call)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -86,6 +86,9 @@
 
 // wait asks for the unit to be loaded and waits until something has changed.
 func (relay *Relay) wait(ctx context.Context, call *call, unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
+	if relay.closing.Load() {
+		return refuseNotRunOr(call, celerylanding.ReasonDraining, leastRetry, "this router stops")
+	}
 	now := relay.options.Clock()
 	patience := call.deadline.Sub(now)
 	reply, err := relay.waker.ask(ctx, now, call.service, call.unit, patience, call.refusals, unreachable)
