--- a/waking/cost.go
+++ b/waking/cost.go
@@ -20,6 +20,8 @@
 	reloadCost = 3.0
 	// minResidency is how long a model that was just loaded is kept, so that the requests that it was loaded for can run.
 	minResidency = 2 * time.Second
+	// adapterShare is the cost of an adapter on an engine whose places for adapters are all taken; less than any load.
+	adapterShare = 0.1
 	// storeCost is the charge in seconds for a load from the store beside its time, since all engines share it.
 	storeCost = 3.0
 	// maxStoreLoads is the number of loads from the store that are under way at once; beyond a few all of them slow down.
@@ -41,14 +43,15 @@
 	if wanted.spread && eng.held[id] != nil {
 		return 0, false
 	}
-	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
-	cost := wait.Seconds() * float64(max(1, wanted.count()))
-	if eng.held[id] != nil {
-		if eng.held[id].closing {
+	if held := eng.held[id]; held != nil {
+		if held.closing || !held.missing.IsZero() {
 			return 0, false
 		}
-		return cost + float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
+		// Any replica takes an adapter within milliseconds; the one with the most room is the best.
+		return adapterShare * float64(eng.adapterCount()) / float64(max(1, eng.spec.AdapterSlots)), true
 	}
+	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
+	cost := wait.Seconds() * float64(max(1, wanted.count()))
 	if _, ok := eng.spec.Model(id); !ok {
 		return 0, false
 	}
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -41,8 +41,10 @@
 	isCountKnown bool
 	inspectDue   time.Time
 	inspecting   bool
-	// order is the one under way; sent is true once its outcome is known to be accepted.
+	// order is the one for a model that is under way; the engine carries out one at a time.
 	order *Order
+	// adapterOrder is the one for an adapter whose answer has not come yet; the engine takes them beside another order.
+	adapterOrder *Order
 	// wants are the units that wait for this engine, the first one next.
 	wants []*want
 }
--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -9,44 +9,57 @@
 // Outcome takes an engine's answer to an order.
 func (planner *Planner) Outcome(now time.Time, answered Order, outcome Outcome) {
 	eng := planner.engines[answered.Endpoint.Target]
-	if eng == nil || eng.order == nil || eng.order.Number != answered.Number {
+	if eng == nil {
 		return
 	}
+	switch {
+	case eng.order != nil && eng.order.Number == answered.Number:
+		planner.modelOutcome(now, eng, outcome)
+	case eng.adapterOrder != nil && eng.adapterOrder.Number == answered.Number:
+		planner.adapterOutcome(now, eng, outcome)
+	default:
+		return
+	}
+	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
+		// The engine may or may not have taken the order. Its next order carries a count that excludes the other case.
+		eng.isCountKnown = false
+		eng.inspectDue = now
+		if outcome == OutcomeUnknown {
+			eng.inspectDue = now.Add(inspectPause)
+		}
+	}
+}
+
+func (planner *Planner) modelOutcome(now time.Time, eng *engine, outcome Outcome) {
 	switch outcome {
 	case OutcomeAccepted:
 		eng.accepted++
 		eng.order.taken = now
-		planner.accepted(now, eng)
 	case OutcomeHolds:
-		// An adapter that no request uses is unloaded at once, which advances the count; an order that changes nothing does not.
-		if eng.order.Kind == celerylanding.OrderUnload && eng.order.Unit.Adapter != "" {
-			eng.accepted++
-		}
-		planner.accepted(now, eng)
 		planner.finish(now, eng)
 	default:
-		// The engine may or may not have taken the order. Its next order carries a count that excludes the other case.
 		eng.order = nil
-		eng.isCountKnown = false
-		eng.inspectDue = now
-		if outcome == OutcomeUnknown {
-			eng.inspectDue = now.Add(inspectPause)
-		}
 	}
 }
 
-// accepted notes what an accepted order changes at once.
-func (planner *Planner) accepted(now time.Time, eng *engine) {
-	order := eng.order
+// adapterOutcome notes an adapter's change, which takes no longer than the answer's way to the routers.
+func (planner *Planner) adapterOutcome(now time.Time, eng *engine, outcome Outcome) {
+	order := eng.adapterOrder
+	eng.adapterOrder = nil
+	isUnload := order.Kind == celerylanding.OrderUnload
+	// An adapter that no request uses is unloaded at once, which advances the count; an order that changes nothing does not.
+	if outcome == OutcomeAccepted || (outcome == OutcomeHolds && isUnload) {
+		eng.accepted++
+	}
 	held := eng.held[order.Unit.Model]
-	if order.Unit.Adapter == "" || held == nil {
+	if held == nil || (outcome != OutcomeAccepted && outcome != OutcomeHolds) {
 		return
 	}
 	planner.changed[eng.endpoint.Target] = true
-	if order.Kind == celerylanding.OrderLoad {
-		held.adapters[order.Unit.Adapter] = now.Add(adapterTime)
-	} else {
+	if isUnload {
 		delete(held.adapters, order.Unit.Adapter)
+	} else {
+		held.adapters[order.Unit.Adapter] = now.Add(adapterTime)
 	}
 }
 
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -230,7 +230,7 @@
 // complete ends the order under way if the inventory shows its effect.
 func (planner *Planner) complete(now time.Time, eng *engine) {
 	order := eng.order
-	if order == nil || order.Unit.Adapter != "" || order.taken.IsZero() {
+	if order == nil || order.taken.IsZero() {
 		return
 	}
 	isHeld := eng.held[order.Unit.Model] != nil
@@ -246,7 +246,7 @@
 	if order.Kind != celerylanding.OrderLoad {
 		return
 	}
-	if held := eng.held[order.Unit.Model]; held != nil && order.Unit.Adapter == "" {
+	if held := eng.held[order.Unit.Model]; held != nil {
 		held.since, held.closing = now, false
 	}
 }
--- a/waking/step.go
+++ b/waking/step.go
@@ -59,9 +59,11 @@
 func (planner *Planner) stepEngine(now time.Time, eng *engine, actions *Actions) {
 	if eng.order != nil {
 		planner.watchOrder(now, eng, actions)
+	}
+	if !eng.isOpen() || eng.adapterOrder != nil || (eng.order != nil && eng.order.taken.IsZero()) {
 		return
 	}
-	if len(eng.wants) == 0 || !eng.isOpen() {
+	if len(eng.wants) == 0 {
 		planner.reopen(eng)
 		return
 	}
@@ -73,13 +75,19 @@
 		return cmp.Or(-cmp.Compare(a.count(), b.count()), a.until.Compare(b.until))
 	})
 	for _, wanted := range eng.wants {
-		if order := planner.nextOrder(now, eng, wanted); order != nil {
-			planner.number++
-			order.Number, order.Endpoint, order.Accepted, order.sent = planner.number, eng.endpoint, eng.accepted, now
+		order := planner.nextOrder(now, eng, wanted)
+		if order == nil {
+			continue
+		}
+		planner.number++
+		order.Number, order.Endpoint, order.Accepted, order.sent = planner.number, eng.endpoint, eng.accepted, now
+		if order.Unit.Adapter != "" {
+			eng.adapterOrder = order
+		} else {
 			eng.order = order
-			actions.Orders = append(actions.Orders, *order)
-			return
 		}
+		actions.Orders = append(actions.Orders, *order)
+		return
 	}
 }
 
@@ -97,6 +105,9 @@
 func (planner *Planner) nextOrder(now time.Time, eng *engine, wanted *want) *Order {
 	held := eng.held[wanted.unit.Model]
 	if held == nil {
+		if eng.order != nil {
+			return nil
+		}
 		return planner.nextModelOrder(now, eng, wanted.unit.Model)
 	}
 	if held.closing {
@@ -169,10 +180,6 @@
 	if order.taken.IsZero() {
 		return
 	}
-	if order.Unit.Adapter != "" {
-		planner.finish(now, eng)
-		return
-	}
 	if now.Sub(order.taken) > 2*planner.orderTime(eng, order)+orderSlack {
 		planner.inspect(now, eng, actions)
 	}
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -141,10 +141,7 @@
 }
 
 func (planner *Planner) orderTime(eng *engine, order *Order) time.Duration {
-	switch {
-	case order.Unit.Adapter != "":
-		return adapterTime
-	case order.Kind == celerylanding.OrderUnload:
+	if order.Kind == celerylanding.OrderUnload {
 		return unloadTime
 	}
 	return eng.loadTime(order.Unit.Model) + orderOverhead
@@ -166,5 +163,9 @@
 }
 
 func (planner *Planner) expected(now time.Time, wanted *want) time.Duration {
+	if wanted.engine.held[wanted.unit.Model] != nil {
+		// An adapter does not wait for the engine's other orders.
+		return planner.stepsTime(wanted.engine, wanted.unit)
+	}
 	return planner.backlog(now, wanted.engine, wanted) + planner.stepsTime(wanted.engine, wanted.unit)
 }
