--- a/routing/routing.go
+++ b/routing/routing.go
@@ -58,6 +58,8 @@
 	Weights celerylanding.Bytes   `cbor:"2,keyasint"`
 	// AdapterWeights is the size of each of its adapters.
 	AdapterWeights celerylanding.Bytes `cbor:"3,keyasint"`
+	// Adapters are the names of its adapters.
+	Adapters []string `cbor:"7,keyasint,omitempty"`
 	// FromStore, FromDisk and FromMemory are the times that a load takes by where the weights lie.
 	FromStore  time.Duration `cbor:"4,keyasint"`
 	FromDisk   time.Duration `cbor:"5,keyasint"`
--- a/waking/cost.go
+++ b/waking/cost.go
@@ -47,8 +47,8 @@
 		if held.closing || !held.missing.IsZero() {
 			return 0, false
 		}
-		// Any replica takes an adapter within milliseconds; the one with the most room is the best.
-		return adapterShare * float64(eng.adapterCount()) / float64(max(1, eng.spec.AdapterSlots)), true
+		wait := planner.remaining(now, eng).Seconds() * float64(max(1, wanted.count()))
+		return wait + adapterShare*float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
 	}
 	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
 	cost := wait.Seconds() * float64(max(1, wanted.count()))
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -41,10 +41,12 @@
 	isCountKnown bool
 	inspectDue   time.Time
 	inspecting   bool
-	// order is the one for a model that is under way; the engine carries out one at a time.
+	// order is the one for a model that is under way; the engine refuses all others meanwhile.
 	order *Order
-	// adapterOrder is the one for an adapter whose answer has not come yet; the engine takes them beside another order.
+	// adapterOrder is the one for an adapter whose answer has not come yet.
 	adapterOrder *Order
+	// prepareDue is when to look again for something to prepare.
+	prepareDue time.Time
 	// wants are the units that wait for this engine, the first one next.
 	wants []*want
 }
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -89,6 +89,8 @@
 	storeLoads []time.Time
 	number     uint64
 	spreadDue  time.Time
+	// placed is what engines hold or are about to, counted when it is first asked for in a step.
+	placed map[demandKey]bool
 }
 
 type wantKey struct {
--- a/waking/step.go
+++ b/waking/step.go
@@ -26,6 +26,7 @@
 
 // Step returns the orders and questions that are due.
 func (planner *Planner) Step(now time.Time) Actions {
+	planner.placed = nil
 	planner.expire(now)
 	planner.spread(now)
 	var actions Actions
@@ -59,36 +60,54 @@
 func (planner *Planner) stepEngine(now time.Time, eng *engine, actions *Actions) {
 	if eng.order != nil {
 		planner.watchOrder(now, eng, actions)
-	}
-	if !eng.isOpen() || eng.adapterOrder != nil || (eng.order != nil && eng.order.taken.IsZero()) {
 		return
 	}
-	if len(eng.wants) == 0 {
-		planner.reopen(eng)
+	if !eng.isOpen() || eng.adapterOrder != nil {
 		return
 	}
 	if !eng.isCountKnown {
 		planner.inspect(now, eng, actions)
 		return
 	}
+	order := planner.chooseOrder(now, eng)
+	if order == nil {
+		return
+	}
+	planner.number++
+	order.Number, order.Endpoint, order.Accepted, order.sent = planner.number, eng.endpoint, eng.accepted, now
+	if order.Unit.Adapter != "" {
+		eng.adapterOrder = order
+	} else {
+		eng.order = order
+	}
+	actions.Orders = append(actions.Orders, *order)
+	planner.placed = nil
+}
+
+// chooseOrder returns the next step for the requests that wait, adapters first since they take milliseconds, or else one that
+// prepares for requests to come.
+func (planner *Planner) chooseOrder(now time.Time, eng *engine) *Order {
+	if len(eng.wants) == 0 {
+		planner.reopen(eng)
+		return planner.prepare(now, eng)
+	}
 	slices.SortStableFunc(eng.wants, func(a, b *want) int {
-		return cmp.Or(-cmp.Compare(a.count(), b.count()), a.until.Compare(b.until))
+		return cmp.Or(boolRank(eng.held[a.unit.Model] == nil)-boolRank(eng.held[b.unit.Model] == nil),
+			-cmp.Compare(a.count(), b.count()), a.until.Compare(b.until))
 	})
 	for _, wanted := range eng.wants {
-		order := planner.nextOrder(now, eng, wanted)
-		if order == nil {
-			continue
+		if order := planner.nextOrder(now, eng, wanted); order != nil {
+			return order
 		}
-		planner.number++
-		order.Number, order.Endpoint, order.Accepted, order.sent = planner.number, eng.endpoint, eng.accepted, now
-		if order.Unit.Adapter != "" {
-			eng.adapterOrder = order
-		} else {
-			eng.order = order
-		}
-		actions.Orders = append(actions.Orders, *order)
-		return
 	}
+	return nil
+}
+
+func boolRank(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
 }
 
 // reopen lets the models that were about to make way serve again, since nothing needs their place any more.
@@ -105,9 +124,6 @@
 func (planner *Planner) nextOrder(now time.Time, eng *engine, wanted *want) *Order {
 	held := eng.held[wanted.unit.Model]
 	if held == nil {
-		if eng.order != nil {
-			return nil
-		}
 		return planner.nextModelOrder(now, eng, wanted.unit.Model)
 	}
 	if held.closing {
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -127,10 +127,7 @@
 
 // backlog returns how long the engine is taken by its order and by the units that wait for it, up to the wanted one.
 func (planner *Planner) backlog(now time.Time, eng *engine, until *want) time.Duration {
-	var sum time.Duration
-	if order := eng.order; order != nil {
-		sum = max(planner.orderTime(eng, order)-now.Sub(order.sent), orderOverhead)
-	}
+	sum := planner.remaining(now, eng)
 	for _, ahead := range eng.wants {
 		if ahead == until {
 			break
@@ -140,6 +137,14 @@
 	return sum
 }
 
+// remaining returns how long the order under way still takes.
+func (planner *Planner) remaining(now time.Time, eng *engine) time.Duration {
+	if eng.order == nil {
+		return 0
+	}
+	return max(planner.orderTime(eng, eng.order)-now.Sub(eng.order.sent), orderOverhead)
+}
+
 func (planner *Planner) orderTime(eng *engine, order *Order) time.Duration {
 	if order.Kind == celerylanding.OrderUnload {
 		return unloadTime
@@ -164,8 +169,8 @@
 
 func (planner *Planner) expected(now time.Time, wanted *want) time.Duration {
 	if wanted.engine.held[wanted.unit.Model] != nil {
-		// An adapter does not wait for the engine's other orders.
-		return planner.stepsTime(wanted.engine, wanted.unit)
+		// An adapter waits for the order under way only.
+		return planner.remaining(now, wanted.engine) + planner.stepsTime(wanted.engine, wanted.unit)
 	}
 	return planner.backlog(now, wanted.engine, wanted) + planner.stepsTime(wanted.engine, wanted.unit)
 }
