--- a/waking/demand.go
+++ b/waking/demand.go
@@ -35,6 +35,9 @@
 
 // rate returns the arrivals per second.
 func (dem *demand) rate(now time.Time) float64 {
+	if dem == nil {
+		return 0
+	}
 	return dem.decayed(now) * math.Ln2 / demandHalfLife.Seconds()
 }
 
--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -23,11 +23,15 @@
 	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
 		// The engine may or may not have taken the order. Its next order carries a count that excludes the other case.
 		eng.isCountKnown = false
-		eng.inspectDue = now
+		eng.inspectDue = now.Add(conflictPause)
 		if outcome == OutcomeUnknown {
 			eng.inspectDue = now.Add(inspectPause)
 		}
 	}
+	if outcome == OutcomeElsewhere {
+		eng.suspect = true
+		planner.unassign(eng)
+	}
 }
 
 func (planner *Planner) modelOutcome(now time.Time, eng *engine, outcome Outcome) {
@@ -58,6 +62,11 @@
 	planner.changed[eng.endpoint.Target] = true
 	if isUnload {
 		delete(held.adapters, order.Unit.Adapter)
+		if outcome == OutcomeAccepted {
+			// The engine waits for the adapter's requests to end and refuses other orders meanwhile.
+			eng.isCountKnown = false
+			eng.inspectDue = now.Add(conflictPause)
+		}
 	} else {
 		held.adapters[order.Unit.Adapter] = now.Add(adapterTime)
 	}
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -38,11 +38,13 @@
 	OutcomeConflict
 	// OutcomeRejected means that the order was not accepted for any other reason.
 	OutcomeRejected
+	// OutcomeElsewhere means that another incarnation or another target has the address.
+	OutcomeElsewhere
 )
 
 // String returns the outcome's name.
 func (outcome Outcome) String() string {
-	return [...]string{"unknown", "accepted", "holds", "conflict", "rejected"}[outcome]
+	return [...]string{"unknown", "accepted", "holds", "conflict", "rejected", "elsewhere"}[outcome]
 }
 
 // Report is an engine's own account, which lags by some hundred milliseconds.
--- a/waking/step.go
+++ b/waking/step.go
@@ -16,6 +16,9 @@
 	closeNotice = 30 * time.Millisecond
 	// inspectPause is the time between two questions to an engine whose state is unclear.
 	inspectPause = 700 * time.Millisecond
+	// conflictPause is the time between an order that an engine refused and the next question; an engine's account lags by some
+	// hundred milliseconds.
+	conflictPause = 250 * time.Millisecond
 	// orderSlack is how much longer than expected an accepted order may take before the engine is asked.
 	orderSlack = 3 * time.Second
 	// spreadInterval is the time between two looks for models with too few replicas.
@@ -171,14 +174,18 @@
 	return &Order{Kind: celerylanding.OrderUnload, Unit: feed.Unit{Model: victims[0].id}}
 }
 
-// evictAdapter unloads the adapter with the fewest arrivals.
+// evictAdapter unloads the adapter with the fewest arrivals among those that no request uses, or else nothing.
 func (planner *Planner) evictAdapter(now time.Time, eng *engine) *Order {
 	var least *feed.Unit
 	var lowest float64
 	for id, held := range eng.held {
 		for adapter := range held.adapters {
 			unit := feed.Unit{Model: id, Adapter: adapter}
-			rate := planner.demand[demandKey{eng.service, unit}].rate(now)
+			dem := planner.demand[demandKey{eng.service, unit}]
+			if dem.running() > 0 {
+				continue
+			}
+			rate := dem.rate(now)
 			if least == nil || rate < lowest || (rate == lowest && unit.String() < least.String()) {
 				least, lowest = &unit, rate
 			}
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -39,11 +39,12 @@
 		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "no engine can load it now", Expected: retryUnplaced}
 	}
 	expected := planner.expected(now, wanted)
-	if expected > args.Patience && wanted.count() == 0 {
-		planner.release(wanted)
+	planner.wants[key] = wanted
+	if expected > args.Patience {
+		// The load goes on for the requests that come back, and for others.
+		wanted.until = later(wanted.until, now.Add(expected+returnTime))
 		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "the load takes longer than the request can wait", Expected: expected}
 	}
-	planner.wants[key] = wanted
 	wanted.waiting[args.Node] = args.Waiting
 	if until := now.Add(args.Patience); until.After(wanted.until) {
 		wanted.until = until
@@ -51,6 +52,16 @@
 	return feed.WakeReply{Leads: true, Expected: expected}
 }
 
+// returnTime is how long a unit stays wanted after it was expected, for requests that were told to come back.
+const returnTime = 2 * time.Second
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // retryUnplaced is when a caller should come back while no engine can take a load.
 const retryUnplaced = time.Second
 
