--- a/control/duties.go
+++ b/control/duties.go
@@ -14,8 +14,8 @@
 const (
 	// expireInterval is the time between two looks for silent targets.
 	expireInterval = 200 * time.Millisecond
-	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once.
-	orderTimeout = 400 * time.Millisecond
+	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
+	orderTimeout = 150 * time.Millisecond
 	// forgetAfter is how long a target that has left is remembered, so that its late heartbeats do not call it back.
 	forgetAfter = 2 * time.Minute
 )
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -80,8 +80,8 @@
 	Arrivals int `cbor:"2,keyasint"`
 	// InFlight is the number of requests that run now.
 	InFlight int `cbor:"3,keyasint,omitempty"`
-	// Worth is the sum of the arrivals' weights.
-	Worth float64 `cbor:"4,keyasint,omitempty"`
+	// Urgency is the sum of the arrivals' weights, each the inverse of the seconds in which its answer should begin.
+	Urgency float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // WatchArgs ask for what has changed since the caller's last answer.
--- a/waking/cost.go
+++ b/waking/cost.go
@@ -12,8 +12,8 @@
 	// replicaRate is the arrivals per second that one replica serves without its batch slowing the others down; from the
 	// prefill rates of the served systems, at a quarter of what an engine reads.
 	replicaRate = 12.0
-	// overloadCost is the delay in seconds for each arrival beyond replicaRate.
-	overloadCost = 2.0
+	// crowdedCost is the delay in seconds for each arrival of a model that has too few replicas for its arrivals or adapters.
+	crowdedCost = 0.5
 	// sharedCost is the delay in seconds for each arrival that moves to another replica, whose prompt cache does not know it.
 	sharedCost = 0.05
 	// reloadCost weighs the delay of the next request for a model that is loaded nowhere any more.
@@ -22,6 +22,8 @@
 	minResidency = 2 * time.Second
 	// adapterShare is the cost of an adapter on an engine whose places for adapters are all taken; less than any load.
 	adapterShare = 0.1
+	// evictCost is the cost of an adapter that another one has to make way for, which is likely to be asked for again.
+	evictCost = 0.3
 	// storeCost is the charge in seconds for a load from the store beside its time, since all engines share it.
 	storeCost = 3.0
 	// maxStoreLoads is the number of loads from the store that are under way at once; beyond a few all of them slow down.
@@ -48,6 +50,9 @@
 			return 0, false
 		}
 		wait := planner.remaining(now, eng).Seconds() * float64(max(1, wanted.count()))
+		if eng.adapterCount() >= eng.spec.AdapterSlots {
+			wait += evictCost
+		}
 		return wait + adapterShare*float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
 	}
 	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
@@ -102,24 +107,27 @@
 	return slices.ContainsFunc(eng.wants, func(want *want) bool { return want.unit.Model == id })
 }
 
-// loss returns the delay in request-seconds for each second that the model is missing from the engine.
+// loss returns the delay in request-seconds, weighed by urgency, that the model's absence from the engine costs.
 func (planner *Planner) loss(now time.Time, eng *engine, id celerylanding.ModelID) float64 {
 	if eng.held[id].closing {
 		return 0
 	}
-	rate := planner.modelRate(now, eng.service, id)
-	others := float64(planner.replicas(eng.service, id) - 1)
+	urgency := planner.modelUrgency(now, eng.service, id)
+	others := planner.replicas(eng.service, id) - 1
 	recent := 0.0
 	if now.Sub(eng.held[id].since) < minResidency {
 		recent = 2
 	}
 	if others > 0 {
-		return recent + sharedCost*rate/(others+1) + overloadCost*max(0, rate/others-replicaRate)
+		if others < planner.wantedReplicas(now, eng, id) {
+			recent += crowdedCost * urgency / float64(others+1)
+		}
+		return recent + sharedCost*urgency/float64(others+1)
 	}
 	if planner.isRunning(eng.service, id) {
 		recent++
 	}
-	return recent + reloadCost*rate*eng.loadTime(id).Seconds() + 0.05
+	return recent + reloadCost*urgency*eng.loadTime(id).Seconds() + 0.05
 }
 
 // replicas counts the usable engines that hold the model for new work.
--- a/waking/demand.go
+++ b/waking/demand.go
@@ -17,28 +17,46 @@
 	unit    feed.Unit
 }
 
+// usageSource tells the counts apart that make up the requests of a unit.
+type usageSource struct {
+	node    celerylanding.NodeID
+	adapter string
+}
+
 // demand is what the routers have lately asked of one unit.
 type demand struct {
 	// weight is the decayed number of arrivals as of the time at.
-	weight   float64
+	weight float64
+	// urgency is the decayed sum of the arrivals' weights.
+	urgency  float64
 	at       time.Time
-	lastUsed time.Time
-	inFlight map[celerylanding.NodeID]int
+	inFlight map[usageSource]int
 }
 
-func (dem *demand) decayed(now time.Time) float64 {
+// decay returns what is left of a count since it was made.
+func (dem *demand) decay(now time.Time) float64 {
+	return math.Exp2(-now.Sub(dem.at).Seconds() / demandHalfLife.Seconds())
+}
+
+// recent returns the decayed number of arrivals.
+func (dem *demand) recent(now time.Time) float64 {
 	if dem == nil {
 		return 0
 	}
-	return dem.weight * math.Exp2(-now.Sub(dem.at).Seconds()/demandHalfLife.Seconds())
+	return dem.weight * dem.decay(now)
 }
 
-// rate returns the arrivals per second.
-func (dem *demand) rate(now time.Time) float64 {
+// urgencyRate returns the weights of the arrivals per second.
+func (dem *demand) urgencyRate(now time.Time) float64 {
 	if dem == nil {
 		return 0
 	}
-	return dem.decayed(now) * math.Ln2 / demandHalfLife.Seconds()
+	return dem.urgency * dem.decay(now) * math.Ln2 / demandHalfLife.Seconds()
+}
+
+// rate returns the arrivals per second.
+func (dem *demand) rate(now time.Time) float64 {
+	return dem.recent(now) * math.Ln2 / demandHalfLife.Seconds()
 }
 
 func (dem *demand) running() int {
@@ -53,26 +71,24 @@
 
 // Use takes one router's count of a unit; a unit with an adapter counts for its model as well.
 func (planner *Planner) Use(now time.Time, node celerylanding.NodeID, service celerylanding.ServiceID, usage feed.Usage) {
-	planner.use(now, node, demandKey{service, usage.Unit}, usage)
+	source := usageSource{node, usage.Unit.Adapter}
+	planner.use(now, source, demandKey{service, usage.Unit}, usage)
 	if usage.Unit.Adapter != "" {
-		planner.use(now, node, demandKey{service, feed.Unit{Model: usage.Unit.Model}}, feed.Usage{Arrivals: usage.Arrivals})
+		planner.use(now, source, demandKey{service, feed.Unit{Model: usage.Unit.Model}}, usage)
 	}
 }
 
-func (planner *Planner) use(now time.Time, node celerylanding.NodeID, key demandKey, usage feed.Usage) {
+func (planner *Planner) use(now time.Time, source usageSource, key demandKey, usage feed.Usage) {
 	dem := planner.demand[key]
 	if dem == nil {
-		dem = &demand{at: now, inFlight: make(map[celerylanding.NodeID]int)}
+		dem = &demand{at: now, inFlight: make(map[usageSource]int)}
 		planner.demand[key] = dem
 	}
-	dem.weight = dem.decayed(now) + float64(usage.Arrivals)
+	decay := dem.decay(now)
+	dem.weight = dem.weight*decay + float64(usage.Arrivals)
+	dem.urgency = dem.urgency*decay + usage.Urgency
 	dem.at = now
-	if usage.Arrivals > 0 || usage.InFlight > 0 {
-		dem.lastUsed = now
-	}
-	if key.unit == usage.Unit {
-		dem.inFlight[node] = usage.InFlight
-	}
+	dem.inFlight[source] = usage.InFlight
 }
 
 // modelRate returns the arrivals per second for a model and all its adapters.
@@ -80,6 +96,28 @@
 	return planner.demand[demandKey{service, feed.Unit{Model: id}}].rate(now)
 }
 
+// modelUrgency returns the weights of the arrivals per second for a model and all its adapters.
+func (planner *Planner) modelUrgency(now time.Time, service celerylanding.ServiceID, id celerylanding.ModelID) float64 {
+	return planner.demand[demandKey{service, feed.Unit{Model: id}}].urgencyRate(now)
+}
+
+// wantedReplicas returns how many replicas a model's arrivals and adapters need.
+func (planner *Planner) wantedReplicas(now time.Time, eng *engine, id celerylanding.ModelID) int {
+	byRate := planner.modelRate(now, eng.service, id) / replicaRate
+	model, _ := eng.spec.Model(id)
+	adapters := 0
+	for _, adapter := range model.Adapters {
+		if planner.demand[demandKey{eng.service, feed.Unit{Model: id, Adapter: adapter}}].recent(now) >= activeAdapter {
+			adapters++
+		}
+	}
+	byAdapters := float64(adapters) / float64(max(1, eng.spec.AdapterSlots))
+	return int(math.Ceil(max(byRate, byAdapters)))
+}
+
+// activeAdapter is the decayed number of arrivals from which an adapter keeps its place; one arrival within two half-lives.
+const activeAdapter = 0.25
+
 func (planner *Planner) isRunning(service celerylanding.ServiceID, id celerylanding.ModelID) bool {
 	return planner.demand[demandKey{service, feed.Unit{Model: id}}].running() > 0
 }
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -41,6 +41,8 @@
 	isCountKnown bool
 	inspectDue   time.Time
 	inspecting   bool
+	// unanswered counts the orders in a row that got no answer.
+	unanswered int
 	// order is the one for a model that is under way; the engine refuses all others meanwhile.
 	order *Order
 	// adapterOrder is the one for an adapter whose answer has not come yet.
--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -6,6 +6,9 @@
 	celerylanding "celerylanding.example/celerylanding"
 )
 
+// maxUnanswered is the number of orders in a row without an answer after which an engine gets no more until it is heard of.
+const maxUnanswered = 4
+
 // Outcome takes an engine's answer to an order.
 func (planner *Planner) Outcome(now time.Time, answered Order, outcome Outcome) {
 	eng := planner.engines[answered.Endpoint.Target]
@@ -20,18 +23,24 @@
 	default:
 		return
 	}
-	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
-		// The engine may or may not have taken the order. Its next order carries a count that excludes the other case.
+	switch outcome {
+	case OutcomeUnknown:
+		// The next order carries the same count, so that the engine takes at most one of the two.
+		if eng.unanswered++; eng.unanswered >= maxUnanswered {
+			eng.unanswered = 0
+			eng.suspect = true
+			planner.unassign(eng)
+		}
+		return
+	case OutcomeConflict, OutcomeRejected:
 		eng.isCountKnown = false
 		eng.inspectDue = now.Add(conflictPause)
-		if outcome == OutcomeUnknown {
-			eng.inspectDue = now.Add(inspectPause)
-		}
-	}
-	if outcome == OutcomeElsewhere {
+	case OutcomeElsewhere:
 		eng.suspect = true
 		planner.unassign(eng)
+	case OutcomeAccepted, OutcomeHolds:
 	}
+	eng.unanswered = 0
 }
 
 func (planner *Planner) modelOutcome(now time.Time, eng *engine, outcome Outcome) {
--- a/waking/step.go
+++ b/waking/step.go
@@ -226,8 +226,9 @@
 		if key.unit.Adapter != "" {
 			continue
 		}
-		replicas := planner.replicas(key.service, key.unit.Model)
-		if replicas == 0 || dem.rate(now) < replicaRate*float64(replicas) {
+		holder := planner.holder(key.service, key.unit.Model)
+		if holder == nil || dem.recent(now) < 1 ||
+			planner.replicas(key.service, key.unit.Model) >= planner.wantedReplicas(now, holder, key.unit.Model) {
 			continue
 		}
 		wkey := wantKey{key.service, key.unit, true}
@@ -240,3 +241,13 @@
 		}
 	}
 }
+
+// holder returns an engine that holds the model for new work, or nil.
+func (planner *Planner) holder(service celerylanding.ServiceID, id celerylanding.ModelID) *engine {
+	for _, eng := range planner.engines {
+		if held := eng.held[id]; eng.isOpen() && eng.service == service && held != nil && !held.closing {
+			return eng
+		}
+	}
+	return nil
+}
