A voter whose node came back without its log is replaced at once

Cause (new test TestAcknowledgedVersionOutlastsLostDisks, red before): a wiped node's earlier incarnation kept its vote for 2.5 s of silence, so that a second loss within that time stopped the log for good. Change: a learner of the same node shows that the voter is lost. Tests of control nodes on loopback: any order of start, restarts, lost disks, a wiped seed alone, fences over a new leader.

--- a/membership/spread.go
+++ b/membership/spread.go
@@ -89,7 +89,7 @@
 	counts := countDomains(members, "")
 	for _, member := range members {
 		isCrowded := counts[member.Domain] > shape.perDomain() && member.Domain != ""
-		if member.Learner || member.ID == shape.Self || !(isCrowded || progress(member.ID).Silent) {
+		if member.Learner || member.ID == shape.Self || !(isCrowded || isLost(members, member, progress)) {
 			continue
 		}
 		if changed, ok := promoteSpread(members, shape, commit, progress, member.ID); ok {
@@ -99,6 +99,13 @@
 	return nil, false
 }
 
+// isLost reports whether a voter is silent or its node has come back under another incarnation, without its log.
+func isLost(members []quorum.Member, voter quorum.Member, progress func(quorum.MemberID) Progress) bool {
+	return progress(voter.ID).Silent || slices.ContainsFunc(members, func(member quorum.Member) bool {
+		return member.Learner && member.Node == voter.Node
+	})
+}
+
 // removeSurplus takes the vote of a silent voter, or else of one in the most crowded failure domain.
 func removeSurplus(members []quorum.Member, shape Shape, progress func(quorum.MemberID) Progress) ([]quorum.Member, bool) {
 	counts := countDomains(members, "")
@@ -107,7 +114,7 @@
 		if member.Learner || member.ID == shape.Self {
 			continue
 		}
-		if progress(member.ID).Silent {
+		if isLost(members, member, progress) {
 			worst = i
 			break
 		}
@@ -119,7 +126,7 @@
 		return nil, false
 	}
 	changed := slices.Clone(members)
-	if progress(members[worst].ID).Silent {
+	if isLost(members, members[worst], progress) {
 		return slices.Delete(changed, worst, worst+1), true
 	}
 	changed[worst].Learner = true
