--- a/control/control.go
+++ b/control/control.go
@@ -79,6 +79,7 @@
 	// lastOrder is when this start of the process last gave an order; zero if never.
 	lastOrder time.Time
 	expireDue time.Time
+	planDue   time.Time
 
 	mutex  sync.Mutex
 	leader string
@@ -155,7 +156,7 @@
 		return err
 	}
 	if configuration.Version > 0 {
-		ctl.configuration = configuration
+		ctl.adopt(configuration)
 	}
 	return nil
 }
--- a/control/duties.go
+++ b/control/duties.go
@@ -14,6 +14,8 @@
 const (
 	// expireInterval is the time between two looks for silent targets.
 	expireInterval = 200 * time.Millisecond
+	// planInterval is the shortest time between two rounds of decisions; one takes up to a millisecond on a large site.
+	planInterval = 15 * time.Millisecond
 	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
 	orderTimeout = 150 * time.Millisecond
 	// forgetAfter is how long a target that has left is remembered, so that its late heartbeats do not call it back.
@@ -40,7 +42,8 @@
 		ctl.expireDue = now.Add(expireInterval)
 		ctl.expire(now)
 	}
-	if ctl.mayOrder(now) {
+	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
+		ctl.planDue = now.Add(planInterval)
 		ctl.carryOut(ctl.planner.Step(now))
 	}
 	for _, id := range ctl.planner.Changed() {
--- a/control/feed.go
+++ b/control/feed.go
@@ -15,6 +15,8 @@
 	watchHold = 250 * time.Millisecond
 	// pushInterval is the shortest time between two rounds of answers, so that changes that come together travel together.
 	pushInterval = 8 * time.Millisecond
+	// pushCost is the time added to that for each router; an answer takes about a tenth of it on a small VM's processor.
+	pushCost = time.Millisecond
 	// routerSilence is the time after which a router that asks no more is not counted.
 	routerSilence = 3 * time.Second
 )
@@ -93,24 +95,33 @@
 		return
 	}
 	leads := ctl.leads(now)
-	isPushDue := now.Sub(ctl.feed.lastPush) >= pushInterval
+	isPushDue := now.Sub(ctl.feed.lastPush) >= pushInterval+time.Duration(len(ctl.feed.routers))*pushCost
+	pushed := false
 	waiting := ctl.feed.watchers[:0]
 	for _, watcher := range ctl.feed.watchers {
 		switch {
 		case !leads:
 			watcher.answer <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
-		case (isPushDue && ctl.hasNews(&watcher.args)) || !now.Before(watcher.due):
+		case ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
 			watcher.answer <- ctl.reply(&watcher.args)
-			ctl.feed.lastPush = now
+			pushed = true
 		default:
 			waiting = append(waiting, watcher)
 		}
 	}
 	ctl.feed.watchers = waiting
+	if pushed && isPushDue {
+		ctl.feed.lastPush = now
+	}
 }
 
-func (ctl *Control) hasNews(args *feed.WatchArgs) bool {
-	return args.Term != ctl.core.Term() || args.Revision < ctl.feed.revision || args.Version < ctl.version()
+// isUrgent reports whether a question is answered before its time: a router's when there is news, and that of a node that is new
+// to this leader.
+func (ctl *Control) isUrgent(args *feed.WatchArgs, isPushDue bool) bool {
+	if args.Term != ctl.core.Term() || args.Version < ctl.version() {
+		return true
+	}
+	return isPushDue && args.Router && args.Revision < ctl.feed.revision
 }
 
 func (ctl *Control) reply(args *feed.WatchArgs) feed.WatchReply {
--- a/control/log.go
+++ b/control/log.go
@@ -169,12 +169,22 @@
 	ctl.options.Log.Info().Uint64("index", entry.Index).Uint64("version", configuration.Version).Uint64("held", ctl.version()).
 		Bool("in_force", isNew).Msg("configuration committed")
 	if isNew {
-		ctl.configuration = configuration
+		ctl.adopt(configuration)
 		ctl.feed.configurationChanged = true
 	}
 	return nil
 }
 
+// adopt puts a configuration in force on this node.
+func (ctl *Control) adopt(configuration *routing.Configuration) {
+	for _, service := range configuration.Services {
+		if service.Engine != nil {
+			service.Engine.BuildIndex()
+		}
+	}
+	ctl.configuration = configuration
+}
+
 func (ctl *Control) version() uint64 {
 	if ctl.configuration == nil {
 		return 0
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -77,10 +77,25 @@
 	// StoreLoads is the number of loads per second that the weight store allows over all engines.
 	StoreLoads float64 `cbor:"5,keyasint"`
 	Models     []Model `cbor:"6,keyasint"`
+	index      map[celerylanding.ModelID]int
+}
+
+// BuildIndex makes Model fast; it must not run at the same time as Model.
+func (engine *Engine) BuildIndex() {
+	engine.index = make(map[celerylanding.ModelID]int, len(engine.Models))
+	for i, model := range engine.Models {
+		engine.index[model.ID] = i
+	}
 }
 
 // Model finds a model by its identifier.
 func (engine *Engine) Model(id celerylanding.ModelID) (Model, bool) {
+	if engine.index != nil {
+		if at, ok := engine.index[id]; ok {
+			return engine.Models[at], true
+		}
+		return Model{}, false
+	}
 	for _, model := range engine.Models {
 		if model.ID == id {
 			return model, true
--- a/waking/cost.go
+++ b/waking/cost.go
@@ -42,7 +42,7 @@
 // can't load it.
 func (planner *Planner) cost(now time.Time, eng *engine, wanted *want) (float64, bool) {
 	id := wanted.unit.Model
-	if wanted.spread && eng.held[id] != nil {
+	if wanted.replica > 0 && (eng.held[id] != nil || planner.isWanted(eng, id)) {
 		return 0, false
 	}
 	if held := eng.held[id]; held != nil {
@@ -61,7 +61,7 @@
 		return 0, false
 	}
 	if eng.tier(id) == celerylanding.TierRemote {
-		if wanted.spread {
+		if wanted.replica > 0 {
 			return 0, false
 		}
 		cost += storeCost
--- a/waking/demand.go
+++ b/waking/demand.go
@@ -104,6 +104,8 @@
 // wantedReplicas returns how many replicas a model's arrivals and adapters need.
 func (planner *Planner) wantedReplicas(now time.Time, eng *engine, id celerylanding.ModelID) int {
 	byRate := planner.modelRate(now, eng.service, id) / replicaRate
+	running := planner.demand[demandKey{eng.service, feed.Unit{Model: id}}].running()
+	byRunning := float64(running) / (fullShare * float64(max(1, eng.spec.Slots)))
 	model, _ := eng.spec.Model(id)
 	adapters := 0
 	for _, adapter := range model.Adapters {
@@ -112,9 +114,13 @@
 		}
 	}
 	byAdapters := float64(adapters) / float64(max(1, eng.spec.AdapterSlots))
-	return int(math.Ceil(max(byRate, byAdapters)))
+	return int(math.Ceil(max(byRate, byRunning, byAdapters)))
 }
 
+// fullShare is the part of an engine's places that the requests of one model may take before it should have another replica; the
+// rest is for the engine's other models.
+const fullShare = 0.5
+
 // activeAdapter is the decayed number of arrivals from which an adapter keeps its place; one arrival within two half-lives.
 const activeAdapter = 0.25
 
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -68,9 +68,9 @@
 	since   time.Time
 	until   time.Time
 	waiting map[celerylanding.NodeID]int
-	// spread is set for a further replica of a model that is loaded already.
-	spread bool
-	engine *engine
+	// replica is 0 for a unit that requests wait for, and otherwise numbers the further replicas that a model should have.
+	replica int
+	engine  *engine
 }
 
 func (want *want) count() int {
@@ -98,7 +98,7 @@
 type wantKey struct {
 	service celerylanding.ServiceID
 	unit    feed.Unit
-	spread  bool
+	replica int
 }
 
 // New returns a planner that knows no engines.
--- a/waking/step.go
+++ b/waking/step.go
@@ -22,7 +22,7 @@
 	// orderSlack is how much longer than expected an accepted order may take before the engine is asked.
 	orderSlack = 3 * time.Second
 	// spreadInterval is the time between two looks for models with too few replicas.
-	spreadInterval = time.Second
+	spreadInterval = 300 * time.Millisecond
 	// spreadPatience is how long a further replica stays wanted.
 	spreadPatience = 5 * time.Second
 )
@@ -46,7 +46,7 @@
 func (planner *Planner) expire(now time.Time) {
 	for key, wanted := range planner.wants {
 		isMet := wanted.engine != nil && wanted.engine.holds(now, wanted.unit)
-		if !isMet && !wanted.spread {
+		if !isMet && wanted.replica == 0 {
 			isMet = planner.isHeld(now, wanted.service, wanted.unit)
 		}
 		if isMet || now.After(wanted.until) {
@@ -84,7 +84,9 @@
 		eng.order = order
 	}
 	actions.Orders = append(actions.Orders, *order)
-	planner.placed = nil
+	if planner.placed != nil && order.Kind == celerylanding.OrderLoad {
+		planner.placed[demandKey{eng.service, order.Unit}] = true
+	}
 }
 
 // chooseOrder returns the next step for the requests that wait, adapters first since they take milliseconds, or else one that
@@ -216,32 +218,38 @@
 	actions.Inspects = append(actions.Inspects, eng.endpoint)
 }
 
-// spread wants further replicas of the models whose replicas get more than they serve well.
+// spread wants further replicas of the models that have too few.
 func (planner *Planner) spread(now time.Time) {
 	if now.Before(planner.spreadDue) {
 		return
 	}
 	planner.spreadDue = now.Add(spreadInterval)
 	for key, dem := range planner.demand {
-		if key.unit.Adapter != "" {
+		if key.unit.Adapter != "" || dem.recent(now) < 1 {
 			continue
 		}
 		holder := planner.holder(key.service, key.unit.Model)
-		if holder == nil || dem.recent(now) < 1 ||
-			planner.replicas(key.service, key.unit.Model) >= planner.wantedReplicas(now, holder, key.unit.Model) {
+		if holder == nil {
 			continue
 		}
-		wkey := wantKey{key.service, key.unit, true}
-		if planner.wants[wkey] != nil {
-			continue
-		}
-		wanted := &want{service: key.service, unit: key.unit, since: now, until: now.Add(spreadPatience), spread: true}
-		if planner.assign(now, wanted) {
-			planner.wants[wkey] = wanted
+		wanted := planner.wantedReplicas(now, holder, key.unit.Model)
+		for replica := planner.replicas(key.service, key.unit.Model); replica < wanted; replica++ {
+			planner.wantReplica(now, key, replica)
 		}
 	}
 }
 
+func (planner *Planner) wantReplica(now time.Time, key demandKey, replica int) {
+	place := wantKey{key.service, key.unit, replica}
+	if planner.wants[place] != nil {
+		return
+	}
+	wanted := &want{service: key.service, unit: key.unit, since: now, until: now.Add(spreadPatience), replica: replica}
+	if planner.assign(now, wanted) {
+		planner.wants[place] = wanted
+	}
+}
+
 // holder returns an engine that holds the model for new work, or nil.
 func (planner *Planner) holder(service celerylanding.ServiceID, id celerylanding.ModelID) *engine {
 	for _, eng := range planner.engines {
