--- a/waking/cost.go
+++ b/waking/cost.go
@@ -26,10 +26,6 @@
 	evictCost = 0.3
 	// storeCost is the charge in seconds for a load from the store beside its time, since all engines share it.
 	storeCost = 3.0
-	// maxStoreLoads is the number of loads from the store that are under way at once; beyond a few all of them slow down.
-	maxStoreLoads = 3
-	// storeWindow is the time over which the store's limit of loads counts.
-	storeWindow = 5 * time.Second
 )
 
 // victim is a resident that can make way.
@@ -42,7 +38,7 @@
 // can't load it.
 func (planner *Planner) cost(now time.Time, eng *engine, wanted *want) (float64, bool) {
 	id := wanted.unit.Model
-	if wanted.replica > 0 && (eng.held[id] != nil || planner.isWanted(eng, id)) {
+	if wanted.replica != 0 && (eng.held[id] != nil || planner.isWanted(eng, id)) {
 		return 0, false
 	}
 	if held := eng.held[id]; held != nil {
@@ -61,7 +57,7 @@
 		return 0, false
 	}
 	if eng.tier(id) == celerylanding.TierRemote {
-		if wanted.replica > 0 {
+		if wanted.replica != 0 {
 			return 0, false
 		}
 		cost += storeCost
@@ -140,17 +136,3 @@
 	}
 	return count
 }
-
-// mayLoadFromStore reports whether another load from the store keeps to its limits.
-func (planner *Planner) mayLoadFromStore(now time.Time, perSecond float64) bool {
-	for len(planner.storeLoads) > 0 && now.Sub(planner.storeLoads[0]) > storeWindow {
-		planner.storeLoads = planner.storeLoads[1:]
-	}
-	underWay := 0
-	for _, eng := range planner.engines {
-		if eng.order != nil && eng.order.Kind == celerylanding.OrderLoad && eng.order.Tier == celerylanding.TierRemote {
-			underWay++
-		}
-	}
-	return underWay < maxStoreLoads && float64(len(planner.storeLoads)) < perSecond*storeWindow.Seconds()
-}
--- a/waking/step.go
+++ b/waking/step.go
@@ -129,7 +129,7 @@
 func (planner *Planner) nextOrder(now time.Time, eng *engine, wanted *want) *Order {
 	held := eng.held[wanted.unit.Model]
 	if held == nil {
-		return planner.nextModelOrder(now, eng, wanted.unit.Model)
+		return planner.nextModelOrder(now, eng, wanted)
 	}
 	if held.closing {
 		held.closing = false
@@ -149,13 +149,14 @@
 	return model.AdapterWeights
 }
 
-func (planner *Planner) nextModelOrder(now time.Time, eng *engine, id celerylanding.ModelID) *Order {
+func (planner *Planner) nextModelOrder(now time.Time, eng *engine, wanted *want) *Order {
+	id := wanted.unit.Model
 	victims, ok := planner.victims(now, eng, id)
 	if !ok {
 		return nil
 	}
 	tier := eng.tier(id)
-	if tier == celerylanding.TierRemote && !planner.mayLoadFromStore(now, eng.spec.StoreLoads) {
+	if tier == celerylanding.TierRemote && !planner.mayFetch(now, wanted) {
 		return nil
 	}
 	if len(victims) == 0 {
@@ -237,6 +238,7 @@
 			planner.wantReplica(now, key, replica)
 		}
 	}
+	planner.background(now)
 }
 
 func (planner *Planner) wantReplica(now time.Time, key demandKey, replica int) {
--- /dev/null
+++ b/waking/store.go
@@ -0,0 +1,165 @@
+package waking
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+)
+
+const (
+	// maxFetches is the number of loads from the store that are under way at once; beyond a few all of them slow down.
+	maxFetches = 3
+	// maxBackground is the number of loads from the store that nobody waits for, so that one more can begin for a request.
+	maxBackground = 2
+	// fetchWindow is the time over which the store's limit of loads counts.
+	fetchWindow = 5 * time.Second
+	// enoughCopies is the number of engines that should have a copy of a model that is asked for, so that none is lost with one.
+	enoughCopies = 2
+	// leastDemand is the decayed number of arrivals from which a model gets a further copy.
+	leastDemand = 0.5
+	// backgroundLoss is the largest loss for which a resident makes way for a copy that nobody waits for.
+	backgroundLoss = 0.5
+	// backgroundShare is the part of the engines that may be taken by loads that nobody waits for; one takes several seconds.
+	backgroundShare = 0.1
+)
+
+// isFetch reports whether the order loads from the store.
+func isFetch(order *Order) bool {
+	return order != nil && order.Kind == celerylanding.OrderLoad && order.Unit.Adapter == "" && order.Tier == celerylanding.TierRemote
+}
+
+// fetches counts the loads from the store that are under way.
+func (planner *Planner) fetches() int {
+	count := 0
+	for _, eng := range planner.engines {
+		if isFetch(eng.order) {
+			count++
+		}
+	}
+	return count
+}
+
+// keepsStoreLimit reports whether one more load keeps to what the store allows in a window.
+func (planner *Planner) keepsStoreLimit(now time.Time, perSecond float64) bool {
+	for len(planner.storeLoads) > 0 && now.Sub(planner.storeLoads[0]) > fetchWindow {
+		planner.storeLoads = planner.storeLoads[1:]
+	}
+	return float64(len(planner.storeLoads)) < perSecond*fetchWindow.Seconds()
+}
+
+// mayFetch reports whether it is the wanted unit's turn at the store: the most urgent ones come first.
+func (planner *Planner) mayFetch(now time.Time, wanted *want) bool {
+	free := maxFetches - planner.fetches()
+	if free <= 0 || !planner.keepsStoreLimit(now, wanted.engine.spec.StoreLoads) {
+		return false
+	}
+	return planner.fetchesAhead(now, wanted) < free
+}
+
+// fetchesAhead counts the wanted units that need the store more urgently.
+func (planner *Planner) fetchesAhead(now time.Time, wanted *want) int {
+	urgency := planner.modelUrgency(now, wanted.service, wanted.unit.Model)
+	ahead := 0
+	for _, other := range planner.wants {
+		if other == wanted || other.engine == nil || other.engine.held[other.unit.Model] != nil || isFetch(other.engine.order) ||
+			other.engine.tier(other.unit.Model) != celerylanding.TierRemote {
+			continue
+		}
+		if planner.modelUrgency(now, other.service, other.unit.Model) > urgency {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// fetchWait returns how long the wanted unit waits for its turn at the store.
+func (planner *Planner) fetchWait(now time.Time, wanted *want) time.Duration {
+	eng := wanted.engine
+	if eng.held[wanted.unit.Model] != nil || eng.tier(wanted.unit.Model) != celerylanding.TierRemote {
+		return 0
+	}
+	before := max(0, planner.fetches()+planner.fetchesAhead(now, wanted)-maxFetches+1)
+	return time.Duration(before) * eng.loadTime(wanted.unit.Model) / maxFetches
+}
+
+// background wants a copy of the model that is asked for most among those with too few copies, where it costs least.
+func (planner *Planner) background(now time.Time) {
+	pending := planner.fetches()
+	for _, wanted := range planner.wants {
+		if wanted.engine != nil && wanted.engine.tier(wanted.unit.Model) == celerylanding.TierRemote {
+			pending++
+		}
+	}
+	if pending >= maxBackground || float64(pending+1) > max(1, backgroundShare*float64(len(planner.engines))) {
+		return
+	}
+	key, ok := planner.scarcest(now)
+	if !ok {
+		return
+	}
+	var best *engine
+	lowest := backgroundLoss
+	for _, id := range slices.Sorted(maps.Keys(planner.engines)) {
+		eng := planner.engines[id]
+		if loss, ok := planner.backgroundLoss(now, eng, key); ok && loss < lowest {
+			best, lowest = eng, loss
+		}
+	}
+	if best == nil {
+		return
+	}
+	wanted := &want{service: key.service, unit: key.unit, since: now, until: now.Add(spreadPatience), replica: backgroundReplica, engine: best}
+	best.wants = append(best.wants, wanted)
+	planner.wants[wantKey{key.service, key.unit, backgroundReplica}] = wanted
+}
+
+// backgroundReplica numbers the want of a copy that no request waits for.
+const backgroundReplica = -1
+
+// scarcest returns the model with too few copies that is asked for most.
+func (planner *Planner) scarcest(now time.Time) (demandKey, bool) {
+	copies := make(map[demandKey]int)
+	for _, eng := range planner.engines {
+		if !eng.isOpen() || eng.spec == nil {
+			continue
+		}
+		for id := range eng.onDisk {
+			copies[demandKey{eng.service, feed.Unit{Model: id}}]++
+		}
+	}
+	var best demandKey
+	highest := 0.0
+	for key, dem := range planner.demand {
+		if key.unit.Adapter != "" || dem.recent(now) < leastDemand || copies[key] >= enoughCopies ||
+			planner.wants[wantKey{key.service, key.unit, backgroundReplica}] != nil {
+			continue
+		}
+		need := dem.urgencyRate(now) / float64(1+copies[key]*copies[key]*4)
+		if need > highest || (need == highest && key.unit.Model < best.unit.Model) {
+			best, highest = key, need
+		}
+	}
+	return best, highest > 0
+}
+
+// backgroundLoss returns what a copy of the model on the engine costs; it is false where it can't be had or would keep requests
+// waiting.
+func (planner *Planner) backgroundLoss(now time.Time, eng *engine, key demandKey) (float64, bool) {
+	id := key.unit.Model
+	if !eng.isOpen() || eng.spec == nil || eng.service != key.service || eng.order != nil || len(eng.wants) > 0 ||
+		eng.held[id] != nil || eng.tier(id) != celerylanding.TierRemote {
+		return 0, false
+	}
+	victims, ok := planner.victims(now, eng, id)
+	if !ok {
+		return 0, false
+	}
+	loss := 0.0
+	for _, victim := range victims {
+		loss += victim.loss
+	}
+	return loss, true
+}
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -183,5 +183,5 @@
 		// An adapter waits for the order under way only.
 		return planner.remaining(now, wanted.engine) + planner.stepsTime(wanted.engine, wanted.unit)
 	}
-	return planner.backlog(now, wanted.engine, wanted) + planner.stepsTime(wanted.engine, wanted.unit)
+	return planner.backlog(now, wanted.engine, wanted) + planner.stepsTime(wanted.engine, wanted.unit) + planner.fetchWait(now, wanted)
 }
