--- a/waking/store.go
+++ b/waking/store.go
@@ -23,7 +23,7 @@
 	// backgroundLoss is the largest loss for which a resident makes way for a copy that nobody waits for.
 	backgroundLoss = 0.5
 	// backgroundShare is the part of the engines that may be taken by loads that nobody waits for; one takes several seconds.
-	backgroundShare = 0.1
+	backgroundShare = 0.05
 )
 
 // isFetch reports whether the order loads from the store.
@@ -93,7 +93,7 @@
 			pending++
 		}
 	}
-	if pending >= maxBackground || float64(pending+1) > max(1, backgroundShare*float64(len(planner.engines))) {
+	if pending >= maxBackground || float64(pending+1) > backgroundShare*float64(len(planner.engines)) {
 		return
 	}
 	key, ok := planner.scarcest(now)
