--- a/waking/step.go
+++ b/waking/step.go
@@ -239,6 +239,41 @@
 		}
 	}
 	planner.background(now)
+	planner.reconsider(now)
+}
+
+// reconsider moves units to other engines that can have them much sooner, such as one that has come back with a copy.
+func (planner *Planner) reconsider(now time.Time) {
+	for _, wanted := range planner.wants {
+		if wanted.replica != 0 || wanted.engine == nil {
+			continue
+		}
+		expected := planner.expected(now, wanted)
+		if expected < moveGain || !planner.hasSooner(now, wanted, expected-moveGain) {
+			continue
+		}
+		planner.release(wanted)
+		planner.assign(now, wanted)
+	}
+}
+
+// moveGain is how much sooner a unit must be there for it to move to another engine.
+const moveGain = 1500 * time.Millisecond
+
+// hasSooner reports whether another engine with a copy can have the unit within the time.
+func (planner *Planner) hasSooner(now time.Time, wanted *want, within time.Duration) bool {
+	for _, eng := range planner.engines {
+		if eng == wanted.engine || !eng.isOpen() || eng.service != wanted.service || eng.spec == nil || eng.held[wanted.unit.Model] != nil ||
+			eng.tier(wanted.unit.Model) == celerylanding.TierRemote {
+			continue
+		}
+		if planner.backlog(now, eng, nil)+planner.stepsTime(eng, wanted.unit) < within {
+			if _, ok := planner.cost(now, eng, wanted); ok {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (planner *Planner) wantReplica(now time.Time, key demandKey, replica int) {
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -85,6 +85,11 @@
 		return
 	}
 	play.accepted[id]++
+	if order.Tier == celerylanding.TierRemote {
+		// A load from the store takes longer than any of these tests.
+		play.planner.Outcome(play.now, order, waking.OutcomeAccepted)
+		return
+	}
 	kept := play.held[id][:0:0]
 	for _, model := range play.held[id] {
 		if order.Kind == celerylanding.OrderLoad || model != celerylanding.ModelID(order.Unit.String()) {
@@ -176,3 +181,19 @@
 	}
 	assert.Equal(t, play.orders[0].Endpoint.Target, celerylanding.TargetID("e2"))
 }
+
+// TestWakeMovesToAnEngineThatComesBackWithACopy plays a crash: the only engine with a copy was away when the unit was first asked
+// for, so that it waits for the store.
+func TestWakeMovesToAnEngineThatComesBackWithACopy(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a", "b"}})
+	assert.Assert(t, play.wake(feed.Unit{Model: "c"}, 20*time.Second).Expected >= 6*time.Second)
+	play.held["e2"] = nil
+	play.disk["e2"] = []celerylanding.ModelID{"c"}
+	play.announce("e2")
+	for range 40 {
+		play.step()
+	}
+	last := play.orders[len(play.orders)-1]
+	assert.Equal(t, last.Endpoint.Target, celerylanding.TargetID("e2"))
+	assert.Equal(t, play.wake(feed.Unit{Model: "c"}, 20*time.Second).Expected, time.Duration(0))
+}
