--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -187,6 +187,9 @@
 func TestWakeMovesToAnEngineThatComesBackWithACopy(t *testing.T) {
 	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a", "b"}})
 	assert.Assert(t, play.wake(feed.Unit{Model: "c"}, 20*time.Second).Expected >= 6*time.Second)
+	for range 20 {
+		play.step()
+	}
 	play.held["e2"] = nil
 	play.disk["e2"] = []celerylanding.ModelID{"c"}
 	play.announce("e2")
