A disk that refuses writes costs a node its part, not its process

Change: an unfinished write is taken back and tried again; nothing that depends on it leaves the node, so that a leader loses its role.

--- a/control/control.go
+++ b/control/control.go
@@ -70,6 +70,10 @@
 	joinDue   time.Time
 	joinTurn  int
 
+	// diskFailed is since when the disk refuses writes, and diskRetry when to try again.
+	diskFailed time.Time
+	diskRetry  time.Time
+
 	directory *membership.Directory
 	planner   *waking.Planner
 	feed      feedState
--- a/control/log.go
+++ b/control/log.go
@@ -5,11 +5,16 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
 
 	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/quorum/wal"
 	"celerylanding.example/celerylanding/routing"
 )
 
+// diskPause is the time between two tries of a write that the disk has refused.
+const diskPause = 100 * time.Millisecond
+
 // pending is a command that joins the next batch.
 type pending struct {
 	data  []byte
@@ -24,7 +29,7 @@
 
 // flush proposes the batch, makes it durable, sends and applies, until nothing is left to do.
 func (ctl *Control) flush(now time.Time) error {
-	for {
+	for now.After(ctl.diskRetry) {
 		ctl.proposeBatch(now)
 		if ctl.effects.IsEmpty() {
 			return nil
@@ -32,8 +37,9 @@
 		effects := ctl.effects
 		ctl.effects = quorum.Effects{}
 		if err := ctl.persist(effects.Records); err != nil {
-			return err
+			return ctl.postpone(now, effects, err)
 		}
+		ctl.noteDisk(now)
 		ctl.send(effects.Messages)
 		if err := ctl.applyAll(effects); err != nil {
 			return err
@@ -42,6 +48,7 @@
 			return err
 		}
 	}
+	return nil
 }
 
 // applyAll installs the snapshot and applies the entries that have been committed.
@@ -60,6 +67,31 @@
 	return nil
 }
 
+// postpone keeps what could not be made durable for another try; nothing that depends on it leaves this node meanwhile, which costs
+// a leader its role.
+func (ctl *Control) postpone(now time.Time, effects quorum.Effects, cause error) error {
+	if !errorx.IsOfType(cause, wal.ErrNotWritten) {
+		return cause
+	}
+	effects.Merge(ctl.effects)
+	ctl.effects = effects
+	if ctl.diskFailed.IsZero() {
+		ctl.diskFailed = now
+		ctl.options.Metrics.Counter("disk_failures").Inc(1)
+		ctl.options.Log.Error().Err(cause).Msg("disk refuses writes; this node takes no part until it accepts them")
+	}
+	ctl.diskRetry = now.Add(diskPause)
+	return nil
+}
+
+// noteDisk tells that the disk accepts writes again.
+func (ctl *Control) noteDisk(now time.Time) {
+	if !ctl.diskFailed.IsZero() {
+		ctl.options.Log.Info().Dur("after", now.Sub(ctl.diskFailed)).Msg("disk accepts writes again")
+		ctl.diskFailed = time.Time{}
+	}
+}
+
 func (ctl *Control) proposeBatch(now time.Time) {
 	if len(ctl.batch) == 0 {
 		return
--- a/quorum/wal/wal.go
+++ b/quorum/wal/wal.go
@@ -29,6 +29,8 @@
 	ErrCorrupt = celerylanding.Namespace.NewType("wal_corrupt")
 	// ErrLocked means that another process uses the data folder.
 	ErrLocked = celerylanding.Namespace.NewType("wal_locked")
+	// ErrNotWritten means that the disk has refused a write and that the file is as before; the write may be tried again.
+	ErrNotWritten = celerylanding.Namespace.NewType("wal_not_written")
 
 	decoder    = mustDecoder()
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -90,7 +92,7 @@
 		return err
 	}
 	if _, err := wal.file.Write(buffer); err != nil {
-		return err
+		return wal.undo(err)
 	}
 	wal.size += int64(len(buffer))
 	if !wal.sync {
@@ -99,12 +101,23 @@
 	return wal.file.Sync()
 }
 
+// undo takes back an unfinished write, so that the same records can be written again later.
+func (wal *WAL) undo(cause error) error {
+	if err := wal.file.Truncate(wal.size); err != nil {
+		return errors.Join(cause, err)
+	}
+	if _, err := wal.file.Seek(wal.size, io.SeekStart); err != nil {
+		return errors.Join(cause, err)
+	}
+	return ErrNotWritten.Wrap(cause, "%s", logName)
+}
+
 // Rewrite replaces the file by one that holds just this state; a crash leaves either the old file or the new one.
 func (wal *WAL) Rewrite(hard quorum.HardState, snapshot quorum.Snapshot, entries []quorum.Entry) error {
 	path := filepath.Join(wal.folder, logName)
 	temporary, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return err
+		return ErrNotWritten.Wrap(err, "%s", logName)
 	}
 	next := &WAL{folder: wal.folder, file: temporary, sync: wal.sync}
 	records := []quorum.Record{{Snapshot: &snapshot}, {HardState: &hard}}
