--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,150 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/dispatch"
+	"celerylanding.example/celerylanding/feed"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func target(id string, incarnation celerylanding.Incarnation, models ...celerylanding.ModelID) feed.Target {
+	made := feed.Target{ID: celerylanding.TargetID(id), Incarnation: incarnation, Service: "s", Address: "10.0.0.1:1", Domain: "d1", Slots: 10}
+	for _, model := range models {
+		made.Held = append(made.Held, feed.Held{Model: model})
+	}
+	return made
+}
+
+func reply(term, revision uint64, targets ...feed.Target) *feed.WatchReply {
+	return &feed.WatchReply{Leads: true, Term: term, Revision: revision, Targets: targets, Routers: 1}
+}
+
+func names(targets []*feed.Target) map[celerylanding.TargetID]bool {
+	set := make(map[celerylanding.TargetID]bool)
+	for _, target := range targets {
+		set[target.ID] = true
+	}
+	return set
+}
+
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	roster := dispatch.NewRoster()
+	leaving := target("t", 1)
+	leaving.Leaving = true
+	assert.Equal(t, len(roster.Apply(start, reply(1, 1, target("t", 1))).Targets("s")), 1)
+	assert.Equal(t, len(roster.Apply(start, reply(1, 2, leaving)).Targets("s")), 0)
+	assert.Equal(t, len(roster.Apply(start, reply(2, 1, target("t", 1))).Targets("s")), 0, "a new leader has not heard of it")
+	assert.Equal(t, len(roster.Apply(start, reply(2, 2, target("t", 2))).Targets("s")), 1, "a later incarnation is a new target")
+	assert.Equal(t, roster.Apply(start, reply(2, 3, target("t", 1))).Targets("s")[0].Incarnation, celerylanding.Incarnation(2))
+}
+
+func TestAnEarlierLeaderIsNotHeard(t *testing.T) {
+	roster := dispatch.NewRoster()
+	roster.Apply(start, reply(5, 1, target("t", 1)))
+	assert.Assert(t, roster.Apply(start, reply(4, 9, target("u", 1))) == nil)
+}
+
+// TestTargetsOutlastAChangeOfTheLeader keeps what a new leader has not heard of yet, and drops it in the end.
+func TestTargetsOutlastAChangeOfTheLeader(t *testing.T) {
+	roster := dispatch.NewRoster()
+	roster.Apply(start, reply(1, 1, target("t", 1), target("u", 1)))
+	table := roster.Apply(start, reply(2, 1, target("t", 1)))
+	assert.DeepEqual(t, names(table.Targets("s")), map[celerylanding.TargetID]bool{"t": true, "u": true})
+	table = roster.Apply(start.Add(10*time.Second), reply(2, 2))
+	assert.DeepEqual(t, names(table.Targets("s")), map[celerylanding.TargetID]bool{"t": true})
+}
+
+func TestClosingModelsGetNoNewWork(t *testing.T) {
+	roster := dispatch.NewRoster()
+	closing := target("t", 1, "m")
+	closing.Held[0].Closing = true
+	unit := feed.Unit{Model: "m"}
+	assert.Equal(t, len(roster.Apply(start, reply(1, 1, target("t", 1, "m"))).Holders("s", unit)), 1)
+	assert.Equal(t, len(roster.Apply(start, reply(1, 2, closing)).Holders("s", unit)), 0)
+}
+
+// TestLoadIsSpread plays requests that all run at once; what callers get is a place on the emptiest target.
+func TestLoadIsSpread(t *testing.T) {
+	roster := dispatch.NewRoster()
+	table := roster.Apply(start, reply(1, 1, target("a", 1, "m"), target("b", 1, "m"), target("c", 1, "m")))
+	picker := dispatch.NewPicker("d1")
+	counts := make(map[celerylanding.TargetID]int)
+	for i := range 30 {
+		picked, _ := picker.Pick(start, table, dispatch.Ask{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: fmt.Sprint(i % 5)})
+		counts[picked.ID]++
+	}
+	for _, id := range []celerylanding.TargetID{"a", "b", "c"} {
+		assert.Assert(t, counts[id] >= 8, "%v", counts)
+	}
+}
+
+func TestRequestsWithTheSamePromptMeet(t *testing.T) {
+	roster := dispatch.NewRoster()
+	table := roster.Apply(start, reply(1, 1, target("a", 1, "m"), target("b", 1, "m"), target("c", 1, "m")))
+	ask := dispatch.Ask{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 6000}
+	first, _ := dispatch.NewPicker("d1").Pick(start, table, ask)
+	second, _ := dispatch.NewPicker("d1").Pick(start, table, ask)
+	assert.Equal(t, first.ID, second.ID, "two routers agree without asking each other")
+}
+
+func TestUnreachableTargetsRest(t *testing.T) {
+	roster := dispatch.NewRoster()
+	table := roster.Apply(start, reply(1, 1, target("a", 1)))
+	picker := dispatch.NewPicker("d1")
+	picked, _ := picker.Pick(start, table, dispatch.Ask{Service: "s"})
+	picker.Done(start, picked, dispatch.ResultUnreachable)
+	picked, unreachable := picker.Pick(start.Add(10*time.Millisecond), table, dispatch.Ask{Service: "s"})
+	assert.Assert(t, picked == nil)
+	assert.Equal(t, len(unreachable), 1)
+	picked, _ = picker.Pick(start.Add(time.Second), table, dispatch.Ask{Service: "s"})
+	assert.Assert(t, picked != nil)
+	again := roster.Apply(start, reply(1, 2, target("a", 2)))
+	picker.Done(start.Add(time.Second), picked, dispatch.ResultUnreachable)
+	picked, _ = picker.Pick(start.Add(time.Second), again, dispatch.Ask{Service: "s"})
+	assert.Assert(t, picked != nil, "a new incarnation starts without the failures of the last one")
+}
+
+func TestFailingTargetsAreAvoided(t *testing.T) {
+	roster := dispatch.NewRoster()
+	table := roster.Apply(start, reply(1, 1, target("a", 1), target("b", 1)))
+	picker := dispatch.NewPicker("d1")
+	counts := make(map[celerylanding.TargetID]int)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		picked, _ := picker.Pick(now, table, dispatch.Ask{Service: "s"})
+		counts[picked.ID]++
+		result := dispatch.ResultAnswered
+		if picked.ID == "a" {
+			result = dispatch.ResultFailed
+		}
+		picker.Done(now, picked, result)
+	}
+	assert.Assert(t, counts["a"] <= 8, "%v", counts)
+}
+
+// TestRepeatsKeepToTheCommonBudget lets four routers repeat as often as they may.
+func TestRepeatsKeepToTheCommonBudget(t *testing.T) {
+	const routers = 4
+	settings := dispatch.BudgetSettings{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	repeats, requests := 0, 0
+	for range routers {
+		budget := dispatch.NewBudget(settings)
+		for i := range 2000 {
+			now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+			budget.Request(now, "s")
+			requests++
+			for budget.Repeat(now, "s", routers) {
+				repeats++
+			}
+		}
+	}
+	assert.Assert(t, repeats > 0)
+	assert.Assert(t, float64(repeats) <= settings.Ratio*float64(requests)+settings.Slack, "%d repeats of %d requests", repeats, requests)
+}
