--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -49,12 +49,23 @@
 		eng.accepted++
 		eng.order.taken = now
 	case OutcomeHolds:
+		planner.holdsAlready(now, eng)
 		planner.finish(now, eng)
 	default:
 		eng.order = nil
 	}
 }
 
+// holdsAlready brings the residents up to date with an engine that was as an order wanted it.
+func (planner *Planner) holdsAlready(now time.Time, eng *engine) {
+	id := eng.order.Unit.Model
+	if eng.order.Kind == celerylanding.OrderUnload {
+		delete(eng.held, id)
+	} else if eng.held[id] == nil {
+		eng.held[id] = &resident{since: now, adapters: make(map[string]time.Time)}
+	}
+}
+
 // adapterOutcome notes an adapter's change, which takes no longer than the answer's way to the routers.
 func (planner *Planner) adapterOutcome(now time.Time, eng *engine, outcome Outcome) {
 	order := eng.adapterOrder
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -200,3 +200,34 @@
 	assert.Equal(t, last.Endpoint.Target, celerylanding.TargetID("e2"))
 	assert.Equal(t, play.wake(feed.Unit{Model: "c"}, 20*time.Second).Expected, time.Duration(0))
 }
+
+// TestModelThatAnEngineHoldsAlreadyCounts answers a load with the word that the model is there, which no announcement has said.
+func TestModelThatAnEngineHoldsAlreadyCounts(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a"}})
+	play.disk["e1"] = []celerylanding.ModelID{"b"}
+	play.announce("e1")
+	first := play.firstOrder("b")
+	assert.Equal(t, first.Unit.Model, celerylanding.ModelID("b"))
+	play.planner.Outcome(play.now, first, waking.OutcomeHolds)
+	play.disk["e1"] = []celerylanding.ModelID{"c"}
+	play.announce("e1")
+	assert.Equal(t, play.firstOrder("c").Kind, celerylanding.OrderUnload, "the engine is full")
+}
+
+// firstOrder asks for a model and returns the first order that follows.
+func (play *world) firstOrder(id celerylanding.ModelID) waking.Order {
+	play.t.Helper()
+	play.wake(feed.Unit{Model: id}, 9*time.Second)
+	for range 20 {
+		play.now = play.now.Add(20 * time.Millisecond)
+		actions := play.planner.Step(play.now)
+		for _, endpoint := range actions.Inspects {
+			play.planner.Inspected(play.now, endpoint, &waking.Report{Inventory: play.announcement("e1").Inventory})
+		}
+		if len(actions.Orders) > 0 {
+			return actions.Orders[0]
+		}
+	}
+	play.t.Fatalf("no order for %s", id)
+	return waking.Order{}
+}
