--- a/waking/cost.go
+++ b/waking/cost.go
@@ -51,6 +51,10 @@
 		}
 		return wait + adapterShare*float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
 	}
+	if eng.isComing(id) {
+		// Units of one model wait for the same load.
+		return planner.backlog(now, eng, nil).Seconds()*float64(max(1, wanted.count())) + adapterShare, true
+	}
 	wait := planner.backlog(now, eng, nil) + planner.stepsTime(eng, wanted.unit)
 	cost := wait.Seconds() * float64(max(1, wanted.count()))
 	if _, ok := eng.spec.Model(id); !ok {
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -125,6 +125,16 @@
 	return ok && !now.Before(ready)
 }
 
+// isLoading reports whether the engine is loading the model.
+func (eng *engine) isLoading(id celerylanding.ModelID) bool {
+	return eng.order != nil && eng.order.Kind == celerylanding.OrderLoad && eng.order.Unit.Model == id
+}
+
+// isComing reports whether the engine is loading the model or will, for requests that wait.
+func (eng *engine) isComing(id celerylanding.ModelID) bool {
+	return eng.isLoading(id) || slices.ContainsFunc(eng.wants, func(want *want) bool { return want.unit.Model == id })
+}
+
 // isOpen reports whether the engine can take new work.
 func (eng *engine) isOpen() bool { return eng.usable && !eng.suspect }
 
--- a/waking/store.go
+++ b/waking/store.go
@@ -20,6 +20,8 @@
 	enoughCopies = 2
 	// leastDemand is the decayed number of arrivals from which a model gets a further copy.
 	leastDemand = 0.5
+	// busyUrgency is the weight of arrivals per second from which a model's last copy is not left alone on any site.
+	busyUrgency = 1.0
 	// backgroundLoss is the largest loss for which a resident makes way for a copy that nobody waits for.
 	backgroundLoss = 0.5
 	// backgroundShare is the part of the engines that may be taken by loads that nobody waits for; one takes several seconds.
@@ -93,10 +95,11 @@
 			pending++
 		}
 	}
-	if pending >= maxBackground || float64(pending+1) > backgroundShare*float64(len(planner.engines)) {
+	if pending >= maxBackground {
 		return
 	}
-	key, ok := planner.scarcest(now)
+	isLarge := float64(pending+1) <= backgroundShare*float64(len(planner.engines))
+	key, ok := planner.scarcest(now, isLarge)
 	if !ok {
 		return
 	}
@@ -119,8 +122,9 @@
 // backgroundReplica numbers the want of a copy that no request waits for.
 const backgroundReplica = -1
 
-// scarcest returns the model with too few copies that is asked for most.
-func (planner *Planner) scarcest(now time.Time) (demandKey, bool) {
+// scarcest returns the model with too few copies that is asked for most. Where a load takes a large part of the engines, only the
+// models that have no copy left and the busy ones count.
+func (planner *Planner) scarcest(now time.Time, isLarge bool) (demandKey, bool) {
 	copies := make(map[demandKey]int)
 	for _, eng := range planner.engines {
 		if !eng.isOpen() || eng.spec == nil {
@@ -137,6 +141,9 @@
 			planner.wants[wantKey{key.service, key.unit, backgroundReplica}] != nil {
 			continue
 		}
+		if !isLarge && copies[key] > 0 && dem.urgencyRate(now) < busyUrgency {
+			continue
+		}
 		need := dem.urgencyRate(now) / float64(1+copies[key]*copies[key]*4)
 		if need > highest || (need == highest && key.unit.Model < best.unit.Model) {
 			best, highest = key, need
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -139,10 +139,16 @@
 // backlog returns how long the engine is taken by its order and by the units that wait for it, up to the wanted one.
 func (planner *Planner) backlog(now time.Time, eng *engine, until *want) time.Duration {
 	sum := planner.remaining(now, eng)
+	counted := make(map[celerylanding.ModelID]bool)
 	for _, ahead := range eng.wants {
 		if ahead == until {
 			break
 		}
+		if counted[ahead.unit.Model] || eng.isLoading(ahead.unit.Model) {
+			sum += adapterTime
+			continue
+		}
+		counted[ahead.unit.Model] = true
 		sum += planner.stepsTime(eng, ahead.unit)
 	}
 	return sum
@@ -166,7 +172,7 @@
 // stepsTime returns the time of all orders that the unit still needs on the engine.
 func (planner *Planner) stepsTime(eng *engine, unit feed.Unit) time.Duration {
 	sum := orderOverhead
-	if eng.held[unit.Model] == nil {
+	if eng.held[unit.Model] == nil && !eng.isLoading(unit.Model) {
 		sum += eng.loadTime(unit.Model)
 		if eng.used()+eng.weights(unit.Model) > eng.spec.Memory {
 			sum += unloadTime
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -231,3 +231,21 @@
 	play.t.Fatalf("no order for %s", id)
 	return waking.Order{}
 }
+
+// TestUnitsOfOneModelWaitForTheSameLoad asks for three adapters of a model that only the store has.
+func TestUnitsOfOneModelWaitForTheSameLoad(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": nil, "e2": nil, "e3": nil})
+	for _, adapter := range []string{"", "a1", "a2", "a3"} {
+		play.wake(feed.Unit{Model: "a", Adapter: adapter}, 20*time.Second)
+		for range 5 {
+			play.step()
+		}
+	}
+	loads := 0
+	for _, order := range play.orders {
+		if order.Tier == celerylanding.TierRemote {
+			loads++
+		}
+	}
+	assert.Equal(t, loads, 1, "%v", play.orders)
+}
