--- a/waking/planner.go
+++ b/waking/planner.go
@@ -89,6 +89,8 @@
 	changed map[celerylanding.TargetID]bool
 	// storeLoads are the times at which loads from the store began, oldest first.
 	storeLoads []time.Time
+	// maxFetches is the number of loads from the store that are under way at once.
+	maxFetches int
 	number     uint64
 	spreadDue  time.Time
 	// placed is what engines hold or are about to, counted when it is first asked for in a step.
@@ -104,10 +106,11 @@
 // New returns a planner that knows no engines.
 func New() *Planner {
 	return &Planner{
-		engines: make(map[celerylanding.TargetID]*engine),
-		wants:   make(map[wantKey]*want),
-		demand:  make(map[demandKey]*demand),
-		changed: make(map[celerylanding.TargetID]bool),
+		maxFetches: firstFetches,
+		engines:    make(map[celerylanding.TargetID]*engine),
+		wants:      make(map[wantKey]*want),
+		demand:     make(map[demandKey]*demand),
+		changed:    make(map[celerylanding.TargetID]bool),
 	}
 }
 
@@ -245,6 +248,10 @@
 
 func (planner *Planner) finish(now time.Time, eng *engine) {
 	order := eng.order
+	if isFetch(order) && !order.taken.IsZero() {
+		model, _ := eng.spec.Model(order.Unit.Model)
+		planner.learnFetch(now.Sub(order.taken), model.FromStore, planner.fetches())
+	}
 	eng.order = nil
 	planner.changed[eng.endpoint.Target] = true
 	if order.Kind != celerylanding.OrderLoad {
--- a/waking/store.go
+++ b/waking/store.go
@@ -10,8 +10,15 @@
 )
 
 const (
-	// maxFetches is the number of loads from the store that are under way at once; beyond a few all of them slow down.
-	maxFetches = 3
+	// firstFetches is the number of loads from the store that are under way at once at first; beyond some number, which differs
+	// from site to site, all of them slow down.
+	firstFetches = 3
+	// leastFetches and mostFetches bound that number.
+	leastFetches = 2
+	mostFetches  = 8
+	// slowFetch and fastFetch are the times of a load, as multiples of a load alone, above and below which the number changes.
+	slowFetch = 1.4
+	fastFetch = 1.15
 	// maxBackground is the number of loads from the store that nobody waits for, so that one more can begin for a request.
 	maxBackground = 2
 	// fetchWindow is the time over which the store's limit of loads counts.
@@ -44,6 +51,19 @@
 	return count
 }
 
+// learnFetch adapts the number of loads at once to how long one has taken; busy is the number that were under way.
+func (planner *Planner) learnFetch(took, alone time.Duration, busy int) {
+	if alone <= 0 {
+		return
+	}
+	switch ratio := took.Seconds() / alone.Seconds(); {
+	case ratio > slowFetch:
+		planner.maxFetches = max(leastFetches, planner.maxFetches-1)
+	case ratio < fastFetch && busy >= planner.maxFetches:
+		planner.maxFetches = min(mostFetches, planner.maxFetches+1)
+	}
+}
+
 // keepsStoreLimit reports whether one more load keeps to what the store allows in a window.
 func (planner *Planner) keepsStoreLimit(now time.Time, perSecond float64) bool {
 	for len(planner.storeLoads) > 0 && now.Sub(planner.storeLoads[0]) > fetchWindow {
@@ -54,7 +74,7 @@
 
 // mayFetch reports whether it is the wanted unit's turn at the store: the most urgent ones come first.
 func (planner *Planner) mayFetch(now time.Time, wanted *want) bool {
-	free := maxFetches - planner.fetches()
+	free := planner.maxFetches - planner.fetches()
 	if free <= 0 || !planner.keepsStoreLimit(now, wanted.engine.spec.StoreLoads) {
 		return false
 	}
@@ -83,8 +103,8 @@
 	if eng.held[wanted.unit.Model] != nil || eng.tier(wanted.unit.Model) != celerylanding.TierRemote {
 		return 0
 	}
-	before := max(0, planner.fetches()+planner.fetchesAhead(now, wanted)-maxFetches+1)
-	return time.Duration(before) * eng.loadTime(wanted.unit.Model) / maxFetches
+	before := max(0, planner.fetches()+planner.fetchesAhead(now, wanted)-planner.maxFetches+1)
+	return time.Duration(before) * eng.loadTime(wanted.unit.Model) / time.Duration(planner.maxFetches)
 }
 
 // background wants a copy of the model that is asked for most among those with too few copies, where it costs least.
