--- a/commands/commands.go
+++ b/commands/commands.go
@@ -51,6 +51,7 @@
 	Submit   submitCommand   `cmd:"" help:"Put a base file and an overlay in force."`
 	Show     showCommand     `cmd:"" help:"Print the intended state and what is in force."`
 	Timeline timelineCommand `cmd:"" help:"Merge the time lines of several processes."`
+	Explain  explainCommand  `cmd:"" help:"Print what happened to one request, from the logs of all processes."`
 	Platform platformCommand `cmd:"" help:"Run a process on the users' platform, from the settings file that it writes."`
 	Demo     demoCommand     `cmd:"" help:"Run a node with stand-in targets on loopback."`
 }
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,43 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/explain"
+)
+
+const router = `  12.1 edge-1 {"node":"edge-1","request":"r1","unit":"m/a3","target":"t1","took":3200,"status":503,"verdict":"not_run","cause":"the time is up","time":"2026-01-01T10:00:05.000Z","message":"deadline_exceeded"}
+not a log line
+{"node":"edge-1","request":"r2","unit":"m","took":10,"answered":200,"time":"2026-01-01T10:00:04.000Z","message":"answered"}
+{"node":"edge-1","leader":"10.0.0.1:7","time":"2026-01-01T10:00:02.500Z","message":"leader lost"}
+{"broken
+`
+
+const controller = `{"node":"core-1","unit":"m/a3","router":"edge-1","expected":100,"time":"2026-01-01T10:00:02.000Z","message":"wake asked for"}
+{"node":"core-1","unit":"other","target":"t9","time":"2026-01-01T10:00:03.000Z","message":"order given"}
+{"node":"core-1","unit":"m","target":"t1","outcome":"unknown","time":"2026-01-01T10:00:02.100Z","message":"order given"}
+{"node":"core-1","unit":"m","target":"t1","outcome":"accepted","time":"2026-01-01T09:00:00.000Z","message":"order given"}
+`
+
+func TestStoryHoldsWhatBearsOnARequest(t *testing.T) {
+	lines, skipped, err := explain.Read(strings.NewReader(router + controller))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 2)
+	story, err := explain.Of("r1", lines)
+	assert.NilError(t, err)
+	assert.Equal(t, story.Cause(), "deadline_exceeded (status 503): the time is up")
+	var texts []string
+	for _, line := range story.Lines() {
+		texts = append(texts, line.String())
+	}
+	assert.Equal(t, len(texts), 4, strings.Join(texts, "\n"))
+	assert.Assert(t, strings.Contains(texts[0], "wake asked for"))
+	assert.Assert(t, strings.Contains(texts[1], "outcome=unknown"))
+	assert.Assert(t, strings.Contains(texts[2], "leader lost"))
+	assert.Assert(t, strings.Contains(texts[3], "cause=the time is up"))
+	_, err = explain.Of("r9", lines)
+	assert.Assert(t, err != nil)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -36,6 +36,10 @@
 	arrived  time.Time
 	deadline time.Time
 
+	// version is the configuration that the route is from, and viewAge how long ago the leader had answered then.
+	version uint64
+	viewAge time.Duration
+
 	// What has happened so far, for the decisions that follow and the log.
 	verdict   celerylanding.Verdict
 	sends     int
@@ -87,6 +91,7 @@
 			cause: "no route matches"}
 	}
 	call.route = route
+	call.version, call.viewAge = table.Routes().Version(), relay.state.age(now)
 	if refusal := call.read(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
 )
 
 const (
@@ -56,7 +57,8 @@
 	event := relay.options.Log.WithLevel(level).Str("request", call.said.ID).Str("target", string(call.last)).
 		Dur("took", relay.options.Clock().Sub(call.arrived)).Dur("first", call.firstByte).Dur("waited", call.waited).Int("sends", call.sends)
 	if call.route != nil {
-		event = event.Str("route", call.route.Name).Str("unit", call.unit.String())
+		event = event.Str("route", call.route.Name).Str("unit", call.unit.String()).
+			Uint64("version", call.version).Dur("view_age", call.viewAge)
 	}
 	outcome := "answered"
 	switch {
@@ -72,3 +74,9 @@
 	event.Int("answered", call.status).Msg(outcome)
 	relay.options.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
 }
+
+// logTry writes the line of a try that did not end with an answer for the caller.
+func (relay *Relay) logTry(call *call, target *feed.Target, again bool) {
+	relay.options.Log.Warn().Str("request", call.said.ID).Str("target", string(target.ID)).Str("unit", call.unit.String()).
+		Str("verdict", call.verdict.String()).Int("sends", call.sends).Bool("again", again).Str("cause", call.cause).Msg("try ended")
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -27,6 +27,9 @@
 			return refusal
 		}
 		again, refusal := relay.try(ctx, writer, call, target)
+		if again || refusal != nil {
+			relay.logTry(call, target, again)
+		}
 		if !again {
 			return refusal
 		}
--- a/relay/state.go
+++ b/relay/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"celerylanding.example/celerylanding/dispatch"
 )
@@ -11,6 +12,8 @@
 	mutex   sync.Mutex
 	current *dispatch.Table
 	changed chan struct{}
+	// heard is when the leader last answered.
+	heard time.Time
 }
 
 func newState() *state {
@@ -37,3 +40,16 @@
 	close(state.changed)
 	state.changed = make(chan struct{})
 }
+
+func (state *state) touch(now time.Time) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.heard = now
+}
+
+// age returns how long ago the leader last answered.
+func (state *state) age(now time.Time) time.Duration {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return now.Sub(state.heard)
+}
--- a/waking/cost.go
+++ b/waking/cost.go
@@ -42,14 +42,7 @@
 		return 0, false
 	}
 	if held := eng.held[id]; held != nil {
-		if held.closing || !held.missing.IsZero() {
-			return 0, false
-		}
-		wait := planner.remaining(now, eng).Seconds() * float64(max(1, wanted.count()))
-		if eng.adapterCount() >= eng.spec.AdapterSlots {
-			wait += evictCost
-		}
-		return wait + adapterShare*float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots)), true
+		return planner.adapterCost(now, eng, wanted), !held.closing && held.missing.IsZero()
 	}
 	if eng.isComing(id) {
 		// Units of one model wait for the same load.
@@ -76,6 +69,15 @@
 	return cost, true
 }
 
+// adapterCost returns the delay that an adapter causes on an engine that holds its model.
+func (planner *Planner) adapterCost(now time.Time, eng *engine, wanted *want) float64 {
+	cost := planner.remaining(now, eng).Seconds() * float64(max(1, wanted.count()))
+	if eng.adapterCount() >= eng.spec.AdapterSlots {
+		cost += evictCost
+	}
+	return cost + adapterShare*float64(eng.adapterCount())/float64(max(1, eng.spec.AdapterSlots))
+}
+
 // victims returns the residents to unload so that the model fits, the cheapest set that a greedy choice finds.
 func (planner *Planner) victims(now time.Time, eng *engine, id celerylanding.ModelID) ([]victim, bool) {
 	need := eng.used() + eng.weights(id) - eng.spec.Memory
--- a/waking/store.go
+++ b/waking/store.go
@@ -145,15 +145,7 @@
 // scarcest returns the model with too few copies that is asked for most. Where a load takes a large part of the engines, only the
 // models that have no copy left and the busy ones count.
 func (planner *Planner) scarcest(now time.Time, isLarge bool) (demandKey, bool) {
-	copies := make(map[demandKey]int)
-	for _, eng := range planner.engines {
-		if !eng.isOpen() || eng.spec == nil {
-			continue
-		}
-		for id := range eng.onDisk {
-			copies[demandKey{eng.service, feed.Unit{Model: id}}]++
-		}
-	}
+	copies := planner.copies()
 	var best demandKey
 	highest := 0.0
 	for key, dem := range planner.demand {
@@ -172,6 +164,20 @@
 	return best, highest > 0
 }
 
+// copies counts for each model the engines whose disk has a copy of its weights.
+func (planner *Planner) copies() map[demandKey]int {
+	copies := make(map[demandKey]int)
+	for _, eng := range planner.engines {
+		if !eng.isOpen() || eng.spec == nil {
+			continue
+		}
+		for id := range eng.onDisk {
+			copies[demandKey{eng.service, feed.Unit{Model: id}}]++
+		}
+	}
+	return copies
+}
+
 // backgroundLoss returns what a copy of the model on the engine costs; it is false where it can't be had or would keep requests
 // waiting.
 func (planner *Planner) backgroundLoss(now time.Time, eng *engine, key demandKey) (float64, bool) {
