--- a/relay/try.go
+++ b/relay/try.go
@@ -99,7 +99,12 @@
 	}
 	call.sends++
 	call.verdict = celerylanding.MayHaveRun
-	relay.picker.Done(now, target, endOf(isLate, dispatch.ResultFailed))
+	result := dispatch.ResultFailed
+	if errorx.IsOfType(err, upstream.ErrSilent) {
+		// The target or the way to it is gone, also for new connections.
+		result = dispatch.ResultUnreachable
+	}
+	relay.picker.Done(now, target, endOf(isLate, result))
 	if isLate {
 		return false, outOfTime(call)
 	}
--- /dev/null
+++ b/soak/load.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"celerylanding.example/celerylanding/platform/fake"
+)
+
+const (
+	// callerPause is the mean time between two requests of one caller.
+	callerPause = 25 * time.Millisecond
+	// patience is how long callers wait.
+	patience = 3 * time.Second
+	// submitPause is the mean time between two changes of the configuration.
+	submitPause = 600 * time.Millisecond
+	// operatorTimeout bounds one call of the operator.
+	operatorTimeout = time.Second
+)
+
+// call sends requests of all kinds to routers until the context ends.
+func (run *runner) call(ctx context.Context, caller int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer client.CloseIdleConnections()
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("c%d-%d", caller, number)
+		kind := kind(random.IntN(3))
+		run.book.sent(id, kind)
+		run.callOnce(client, id, kind, run.routers[random.IntN(len(run.routers))].ip, random)
+		pause(ctx, time.Duration(random.Int64N(int64(2*callerPause))))
+	}
+}
+
+func (run *runner) callOnce(client *http.Client, id string, kind kind, ip string, random *rand.Rand) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience+time.Second)
+	defer cancel()
+	path, want := [...]string{"/once/", "/idempotent/", "/stream/"}[kind], fake.Answer(id)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ip+":8149"+path+"x", bytes.NewReader([]byte("body of "+id)))
+	if err != nil {
+		run.book.report(err.Error())
+		return
+	}
+	request.Host = "soak.example"
+	request.Header.Set("X-Celerylanding-Attempt-Id", id)
+	request.Header.Set("X-Celerylanding-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	if kind == kindStream {
+		want = fake.Stream(id)
+		request.Header.Set("X-Celerylanding-Model", run.models[random.IntN(len(run.models))])
+		request.Header.Set("X-Celerylanding-Token-Count", "100,10")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		run.book.answered(id, 0, "", "")
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil {
+		run.book.answered(id, 0, "", "")
+		return
+	}
+	run.book.answered(id, response.StatusCode, string(body), want)
+}
+
+// configuration returns a version in the platform's form.
+func (run *runner) configuration(version uint64) ([]byte, error) {
+	route := func(name, path, kind, service string) map[string]any {
+		return map[string]any{"name": name, "host": "soak.example", "pathPrefix": path, "type": kind, "timeoutMs": 3000 + version%100,
+			"targetLatencyMs": 500, "service": service, "attempts": 2, "priority": 0}
+	}
+	var models []map[string]any
+	for _, model := range run.models {
+		models = append(models, map[string]any{"name": model, "weightsMb": 1000, "loadS": 1.0, "diskS": 0.3, "warmS": 0.2, "adapters": 0})
+	}
+	return json.Marshal(map[string]any{"version": version,
+		"routes": []any{route("once", "/once/", "unsafe", "plain"), route("idempotent", "/idempotent/", "safe", "plain"),
+			route("stream", "/stream/", "stream", "engines")},
+		"services": []any{map[string]any{"name": "plain", "maxConns": 100},
+			map[string]any{"name": "engines", "maxConns": 100, "engine": map[string]any{"slots": 16, "kvCapacity": 10000,
+				"weightsMb": 1000 * modelsPerEngine, "adapterSlots": 4, "loadsPerS": 5, "models": models}}}})
+}
+
+// operate submits rising versions and reads back, at any controller, until the context ends.
+func (run *runner) operate(ctx context.Context, random *rand.Rand) {
+	client := &http.Client{Timeout: operatorTimeout}
+	defer client.CloseIdleConnections()
+	for version := uint64(2); ctx.Err() == nil; version += 1 + random.Uint64N(3) {
+		run.submit(client, version, random.IntN(len(run.controllers)))
+		run.readBack(client, random.IntN(len(run.controllers)))
+		pause(ctx, time.Duration(random.Int64N(int64(2*submitPause))))
+	}
+}
+
+func (run *runner) submit(client *http.Client, version uint64, controller int) bool {
+	body, err := run.configuration(version)
+	if err != nil {
+		run.book.report(err.Error())
+		return false
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+run.controllers[controller].ip+":8144/config", bytes.NewReader(body))
+	if err != nil {
+		run.book.report(err.Error())
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= 400 && response.StatusCode < 500 {
+		run.book.report(fmt.Sprintf("valid version %d was refused with %d", version, response.StatusCode))
+	}
+	if response.StatusCode == http.StatusOK {
+		run.book.ack(version)
+	}
+	return response.StatusCode == http.StatusOK
+}
+
+// readBack reads the configuration and returns its version, or zero when the node is not sure.
+func (run *runner) readBack(client *http.Client, controller int) uint64 {
+	sent := time.Now()
+	response, err := client.Get("http://" + run.controllers[controller].ip + ":8144/config")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0
+	}
+	var read struct{ Version uint64 }
+	if err := json.NewDecoder(response.Body).Decode(&read); err != nil {
+		return 0
+	}
+	run.book.read(read.Version, sent)
+	return read.Version
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -66,6 +67,9 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() == nil {
 			pool.Drop(address)
 		}
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			return nil, ErrSilent.Wrap(err, "%s", address)
+		}
 		return nil, ErrBroken.Wrap(err, "%s", address)
 	}
 	answer := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -18,7 +18,7 @@
 	readBuffer = 4 << 10
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection counts as dead; several round trips
 	// between failure domains.
-	ackTimeout = 700 * time.Millisecond
+	ackTimeout = 500 * time.Millisecond
 	// idleMargin is how much earlier than a target a connection is given up here.
 	idleMargin = 500 * time.Millisecond
 )
@@ -28,6 +28,8 @@
 	ErrNotSent = celerylanding.Namespace.NewType("upstream_not_sent")
 	// ErrBroken means that the exchange broke off after bytes of the request had left.
 	ErrBroken = celerylanding.Namespace.NewType("upstream_broken")
+	// ErrSilent means that bytes of the request had left and that nothing acknowledged them.
+	ErrSilent = ErrBroken.NewSubtype("silent")
 )
 
 // Settings fix how connections are made and kept.
