--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -87,14 +87,14 @@
 	var best *feed.Target
 	lowest := math.Inf(1)
 	for _, candidate := range candidates {
-		if slices.Contains(ask.Excluded, candidate.ID) {
-			continue
-		}
 		known := picker.standing(candidate)
 		if !known.isUsable(now, candidate) {
 			unreachable = append(unreachable, candidate.Endpoint())
 			continue
 		}
+		if slices.Contains(ask.Excluded, candidate.ID) {
+			continue
+		}
 		cost := picker.cost(now, table, candidate, known)
 		if home != nil && home.ID != candidate.ID {
 			cost += strangerCost(ask)
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -30,7 +30,7 @@
 	usable   bool
 	// sequence numbers the last announcement that was taken.
 	sequence uint64
-	// suspect is set when a router could not reach the engine, until the engine is heard of again.
+	// suspect is set when the engine does not answer orders, until it is heard of again.
 	suspect  bool
 	held     map[celerylanding.ModelID]*resident
 	onDisk   map[celerylanding.ModelID]bool
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -70,7 +70,19 @@
 	waiting map[celerylanding.NodeID]int
 	// replica is 0 for a unit that requests wait for, and otherwise numbers the further replicas that a model should have.
 	replica int
-	engine  *engine
+	// avoid holds the engines that a router which waits can't reach.
+	avoid  map[lifetime]bool
+	engine *engine
+}
+
+// lifetime names one start of an engine, wherever it is reached.
+type lifetime struct {
+	target      celerylanding.TargetID
+	incarnation celerylanding.Incarnation
+}
+
+func lifetimeOf(endpoint celerylanding.Endpoint) lifetime {
+	return lifetime{endpoint.Target, endpoint.Incarnation}
 }
 
 func (want *want) count() int {
--- a/waking/step.go
+++ b/waking/step.go
@@ -47,7 +47,7 @@
 	for key, wanted := range planner.wants {
 		isMet := wanted.engine != nil && wanted.engine.holds(now, wanted.unit)
 		if !isMet && wanted.replica == 0 {
-			isMet = planner.isHeld(now, wanted.service, wanted.unit)
+			isMet = planner.isHeld(now, wanted)
 		}
 		if isMet || now.After(wanted.until) {
 			planner.release(wanted)
@@ -263,7 +263,7 @@
 // hasSooner reports whether another engine with a copy can have the unit within the time.
 func (planner *Planner) hasSooner(now time.Time, wanted *want, within time.Duration) bool {
 	for _, eng := range planner.engines {
-		if eng == wanted.engine || !eng.isOpen() || eng.service != wanted.service || eng.spec == nil || eng.held[wanted.unit.Model] != nil ||
+		if eng == wanted.engine || wanted.avoid[lifetimeOf(eng.endpoint)] || !eng.isOpen() || eng.service != wanted.service || eng.spec == nil || eng.held[wanted.unit.Model] != nil ||
 			eng.tier(wanted.unit.Model) == celerylanding.TierRemote {
 			continue
 		}
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -24,16 +24,15 @@
 	for _, refusal := range args.Refusals {
 		planner.refused(refusal, args.Unit)
 	}
-	for _, endpoint := range args.Unreachable {
-		planner.suspect(endpoint)
-	}
-	if planner.isHeld(now, args.Service, args.Unit) {
-		return feed.WakeReply{Leads: true}
-	}
 	key := wantKey{service: args.Service, unit: args.Unit}
 	wanted := planner.wants[key]
 	if wanted == nil {
-		wanted = &want{service: args.Service, unit: args.Unit, since: now, waiting: make(map[celerylanding.NodeID]int)}
+		wanted = &want{service: args.Service, unit: args.Unit, since: now, waiting: make(map[celerylanding.NodeID]int),
+			avoid: make(map[lifetime]bool)}
+	}
+	planner.avoid(wanted, args.Unreachable)
+	if planner.isHeld(now, wanted) {
+		return feed.WakeReply{Leads: true}
 	}
 	if wanted.engine == nil && !planner.assign(now, wanted) {
 		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "no engine can load it now", Expected: retryUnplaced}
@@ -65,12 +64,13 @@
 // retryUnplaced is when a caller should come back while no engine can take a load.
 const retryUnplaced = time.Second
 
-// suspect keeps new work off an engine that a router can't reach, until the engine is heard of again.
-func (planner *Planner) suspect(endpoint celerylanding.Endpoint) {
-	eng := planner.engines[endpoint.Target]
-	if eng != nil && eng.endpoint.Incarnation == endpoint.Incarnation {
-		eng.suspect = true
-		planner.unassign(eng)
+// avoid keeps a unit off the engines that a router which waits for it can't reach, be they crashed or cut off from it.
+func (planner *Planner) avoid(wanted *want, unreachable []celerylanding.Endpoint) {
+	for _, endpoint := range unreachable {
+		wanted.avoid[lifetimeOf(endpoint)] = true
+	}
+	if wanted.engine != nil && wanted.avoid[lifetimeOf(wanted.engine.endpoint)] {
+		planner.release(wanted)
 	}
 }
 
@@ -88,9 +88,10 @@
 	planner.changed[endpoint.Target] = true
 }
 
-func (planner *Planner) isHeld(now time.Time, service celerylanding.ServiceID, unit feed.Unit) bool {
+// isHeld reports whether the unit is where all routers that wait for it can reach it.
+func (planner *Planner) isHeld(now time.Time, wanted *want) bool {
 	for _, eng := range planner.engines {
-		if eng.isOpen() && eng.service == service && eng.holds(now, unit) {
+		if eng.isOpen() && eng.service == wanted.service && eng.holds(now, wanted.unit) && !wanted.avoid[lifetimeOf(eng.endpoint)] {
 			return true
 		}
 	}
@@ -102,7 +103,7 @@
 	var best *engine
 	var lowest float64
 	for _, eng := range planner.engines {
-		if !eng.isOpen() || eng.service != wanted.service || eng.spec == nil {
+		if !eng.isOpen() || eng.service != wanted.service || eng.spec == nil || wanted.avoid[lifetimeOf(eng.endpoint)] {
 			continue
 		}
 		cost, ok := planner.cost(now, eng, wanted)
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -175,10 +175,13 @@
 	assert.Equal(t, play.planner.Wake(play.now, args).Expected, time.Duration(0))
 	args.Unreachable = []celerylanding.Endpoint{{Target: "e1", Incarnation: 1}}
 	reply := play.planner.Wake(play.now, args)
-	assert.Assert(t, reply.Expected > 0 && !reply.Hopeless)
+	assert.Assert(t, reply.Expected > 0 && !reply.Hopeless, "%+v", reply)
+	// The engine still sends heartbeats, since only the router is cut off from it.
+	play.announce("e1")
 	for range 10 {
 		play.step()
 	}
+	assert.Assert(t, len(play.orders) > 0)
 	assert.Equal(t, play.orders[0].Endpoint.Target, celerylanding.TargetID("e2"))
 }
 
