--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -41,7 +41,8 @@
 // maxBroken bounds the broken promises that are told.
 const maxBroken = 50
 
-func (book *ledger) break1(format string, args ...any) {
+// note keeps a broken promise; the caller holds the lock.
+func (book *ledger) note(format string, args ...any) {
 	if len(book.broken) < maxBroken {
 		book.broken = append(book.broken, fmt.Sprintf(format, args...))
 	}
@@ -50,7 +51,7 @@
 func (book *ledger) report(text string) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.break1("%s", text)
+	book.note("%s", text)
 }
 
 func (book *ledger) sent(id string, kind kind) {
@@ -65,15 +66,15 @@
 	defer book.mutex.Unlock()
 	found := book.attempts[id]
 	if found == nil {
-		book.break1("a target ran %q, which no caller has sent", id)
+		book.note("a target ran %q, which no caller has sent", id)
 		return
 	}
 	found.runs++
 	if found.kind != kindIdempotent && found.runs > 1 {
-		book.break1("%s ran %d times", id, found.runs)
+		book.note("%s ran %d times", id, found.runs)
 	}
 	if found.isEnd && isPromise(found.status) && found.kind != kindIdempotent {
-		book.break1("%s ran after its caller was told that it had not (%d)", id, found.status)
+		book.note("%s ran after its caller was told that it had not (%d)", id, found.status)
 	}
 }
 
@@ -89,11 +90,11 @@
 	found.status, found.isEnd, found.ended = status, true, time.Now()
 	switch {
 	case status == 200 && body != want:
-		book.break1("%s got %q as a whole answer", id, body)
+		book.note("%s got %q as a whole answer", id, body)
 	case isPromise(status) && found.runs > 0 && found.kind != kindIdempotent:
-		book.break1("%s was told that it had not run (%d), and had", id, status)
+		book.note("%s was told that it had not run (%d), and had", id, status)
 	case status == 404 || status == 400:
-		book.break1("%s was refused with %d", id, status)
+		book.note("%s was refused with %d", id, status)
 	}
 }
 
@@ -129,7 +130,7 @@
 	defer book.mutex.Unlock()
 	for acked, at := range book.ackedAt {
 		if acked > version && sent.Sub(at) > inForceWithin {
-			book.break1("version %d was read %v after version %d had been acknowledged", version, sent.Sub(at), acked)
+			book.note("version %d was read %v after version %d had been acknowledged", version, sent.Sub(at), acked)
 			return
 		}
 	}
--- a/soak/load.go
+++ b/soak/load.go
@@ -40,20 +40,15 @@
 func (run *runner) callOnce(client *http.Client, id string, kind kind, ip string, random *rand.Rand) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience+time.Second)
 	defer cancel()
-	path, want := [...]string{"/once/", "/idempotent/", "/stream/"}[kind], fake.Answer(id)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ip+":8149"+path+"x", bytes.NewReader([]byte("body of "+id)))
+	path, model, want := [...]string{fake.PathOnce, fake.PathIdempotent, fake.PathStream}[kind], "", fake.Answer(id)
+	if kind == kindStream {
+		model, want = run.models[random.IntN(len(run.models))], fake.Stream(id)
+	}
+	request, err := fake.NewRequest(ctx, ip+":8149", path, id, model, patience)
 	if err != nil {
 		run.book.report(err.Error())
 		return
 	}
-	request.Host = "soak.example"
-	request.Header.Set("X-Celerylanding-Attempt-Id", id)
-	request.Header.Set("X-Celerylanding-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	if kind == kindStream {
-		want = fake.Stream(id)
-		request.Header.Set("X-Celerylanding-Model", run.models[random.IntN(len(run.models))])
-		request.Header.Set("X-Celerylanding-Token-Count", "100,10")
-	}
 	response, err := client.Do(request)
 	if err != nil {
 		run.book.answered(id, 0, "", "")
@@ -68,24 +63,6 @@
 	run.book.answered(id, response.StatusCode, string(body), want)
 }
 
-// configuration returns a version in the platform's form.
-func (run *runner) configuration(version uint64) ([]byte, error) {
-	route := func(name, path, kind, service string) map[string]any {
-		return map[string]any{"name": name, "host": "soak.example", "pathPrefix": path, "type": kind, "timeoutMs": 3000 + version%100,
-			"targetLatencyMs": 500, "service": service, "attempts": 2, "priority": 0}
-	}
-	var models []map[string]any
-	for _, model := range run.models {
-		models = append(models, map[string]any{"name": model, "weightsMb": 1000, "loadS": 1.0, "diskS": 0.3, "warmS": 0.2, "adapters": 0})
-	}
-	return json.Marshal(map[string]any{"version": version,
-		"routes": []any{route("once", "/once/", "unsafe", "plain"), route("idempotent", "/idempotent/", "safe", "plain"),
-			route("stream", "/stream/", "stream", "engines")},
-		"services": []any{map[string]any{"name": "plain", "maxConns": 100},
-			map[string]any{"name": "engines", "maxConns": 100, "engine": map[string]any{"slots": 16, "kvCapacity": 10000,
-				"weightsMb": 1000 * modelsPerEngine, "adapterSlots": 4, "loadsPerS": 5, "models": models}}}})
-}
-
 // operate submits rising versions and reads back, at any controller, until the context ends.
 func (run *runner) operate(ctx context.Context, random *rand.Rand) {
 	client := &http.Client{Timeout: operatorTimeout}
@@ -98,7 +75,7 @@
 }
 
 func (run *runner) submit(client *http.Client, version uint64, controller int) bool {
-	body, err := run.configuration(version)
+	body, err := fake.Configuration(version, run.models, modelsPerEngine)
 	if err != nil {
 		run.book.report(err.Error())
 		return false
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -135,11 +135,11 @@
 		ended := make(chan struct{})
 		go prox.run(ended)
 		run.group.Go(func() { <-ended })
-		options := fake.Options{ID: fmt.Sprintf("i-%d", i), Service: "plain", Zone: "z1", Listener: listener,
+		options := fake.Options{ID: fmt.Sprintf("i-%d", i), Service: fake.ServicePlain, Zone: "z1", Listener: listener,
 			Address: outside.Addr().String(), Controllers: controllers, Interval: heartbeat, LoadTime: loadTime,
 			Ran: run.book.ran, Broken: run.book.report}
 		if i < engineCount {
-			options.Service, options.Models, options.MaxModels = "engines", run.models, modelsPerEngine
+			options.Service, options.Models, options.MaxModels = fake.ServiceEngines, run.models, modelsPerEngine
 		}
 		server := fake.New(options, options.Models)
 		run.group.Go(func() {
