Names that no configuration knows cost no memory

Cause (reading the diff): a caller may name any model; each name stayed in the routers' counts, in their questions to the leader and in the leader's demand. Change: only known models are counted, settled questions are dropped, and units that nobody asks for are forgotten after a minute. The soak resets connections when answers begin and reads from all controllers at once, also from frozen ones.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -108,8 +108,10 @@
 	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(arrived))
 	defer cancel()
 	defer context.AfterFunc(relay.ending, cancel)()
-	done := relay.usage.begin(call.unit, call.route.Aim)
-	defer done()
+	// Names that no configuration knows are not counted, since there is no end of them.
+	if relay.state.table().Routes().HasModel(call.unit.Model) {
+		defer relay.usage.begin(call.unit, call.route.Aim)()
+	}
 	refusal = relay.serve(ctx, writer, call)
 	if refusal != nil {
 		relay.refuse(writer, request, call, refusal)
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -24,9 +24,6 @@
 
 // begin counts an arrival; the returned function ends it.
 func (counts *usage) begin(unit feed.Unit, aim time.Duration) func() {
-	if unit.Model == "" {
-		return func() {}
-	}
 	counts.mutex.Lock()
 	defer counts.mutex.Unlock()
 	count := counts.units[unit]
--- a/relay/waker.go
+++ b/relay/waker.go
@@ -96,7 +96,9 @@
 func (waker *waker) leave(key wakeKey, state *wakeState) {
 	waker.mutex.Lock()
 	defer waker.mutex.Unlock()
-	if state.waiting--; state.waiting == 0 && state.done == nil && state.reply.Expected == 0 {
+	state.waiting--
+	isSettled := state.reply.Expected == 0 || state.reply.Hopeless || state.err != nil
+	if state.waiting == 0 && state.done == nil && isSettled {
 		delete(waker.units, key)
 	}
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,6 +14,7 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts    map[string][]*Route
 	services map[celerylanding.ServiceID]*Service
+	models   map[celerylanding.ModelID]bool
 }
 
 // NewTable returns the table of a valid configuration.
@@ -22,6 +23,7 @@
 		configuration: configuration,
 		hosts:         make(map[string][]*Route),
 		services:      make(map[celerylanding.ServiceID]*Service),
+		models:        make(map[celerylanding.ModelID]bool),
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -32,11 +34,25 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for i := range configuration.Services {
-		table.services[configuration.Services[i].ID] = &configuration.Services[i]
+		service := &configuration.Services[i]
+		table.services[service.ID] = service
+		table.addModels(service.Engine)
 	}
 	return table
 }
 
+func (table *Table) addModels(engine *Engine) {
+	if engine == nil {
+		return
+	}
+	for _, model := range engine.Models {
+		table.models[model.ID] = true
+	}
+}
+
+// HasModel reports whether an engine of some service can load the model.
+func (table *Table) HasModel(id celerylanding.ModelID) bool { return table.models[id] }
+
 // Version returns the version of the configuration.
 func (table *Table) Version() uint64 { return table.configuration.Version }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -11,7 +11,7 @@
 
 const (
 	// longestFreeze bounds how long a process stands still, and longestHarm how long a proxy does harm.
-	longestFreeze = 3 * time.Second
+	longestFreeze = 6 * time.Second
 	longestHarm   = 2 * time.Second
 )
 
--- a/soak/load.go
+++ b/soak/load.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"celerylanding.example/celerylanding/platform/fake"
@@ -67,9 +68,13 @@
 func (run *runner) operate(ctx context.Context, random *rand.Rand) {
 	client := &http.Client{Timeout: operatorTimeout}
 	defer client.CloseIdleConnections()
+	var reading sync.WaitGroup
+	defer reading.Wait()
 	for version := uint64(2); ctx.Err() == nil; version += 1 + random.Uint64N(3) {
 		run.submit(client, version, random.IntN(len(run.controllers)))
-		run.readBack(client, random.IntN(len(run.controllers)))
+		for controller := range run.controllers {
+			reading.Go(func() { run.readBack(client, controller) })
+		}
 		pause(ctx, time.Duration(random.Int64N(int64(2*submitPause))))
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -15,6 +15,7 @@
 	modeDelay
 	modeSilence
 	modeOneWay
+	// modeReset resets connections, the ones of new requests when their answer begins.
 	modeReset
 	modeCount
 )
@@ -44,12 +45,17 @@
 		return
 	}
 	for conn := range prox.open {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			// Closing with nothing to linger for resets the connection.
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		reset(conn)
+	}
+}
+
+// reset closes a connection so that its other end gets a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Closing with nothing to linger for resets the connection.
+		_ = tcp.SetLinger(0)
 	}
+	_ = conn.Close()
 }
 
 func (prox *proxy) now() mode {
@@ -70,11 +76,8 @@
 			return
 		}
 		target, err := net.Dial("tcp", prox.target)
-		if err != nil || prox.now() == modeReset {
+		if err != nil {
 			_ = caller.Close()
-			if target != nil {
-				_ = target.Close()
-			}
 			continue
 		}
 		prox.mutex.Lock()
@@ -99,6 +102,11 @@
 			if isAnswer {
 				continue
 			}
+		case modeReset:
+			if isAnswer {
+				reset(from)
+				continue
+			}
 		case modeDelay:
 			time.Sleep(delayTime)
 		default:
--- a/waking/demand.go
+++ b/waking/demand.go
@@ -11,6 +11,9 @@
 // demandHalfLife is the time after which an arrival counts half; about the time in which the popular models change.
 const demandHalfLife = 6 * time.Second
 
+// forgottenDemand is the decayed number of arrivals below which a unit is forgotten; one arrival ten half-lives ago.
+const forgottenDemand = 0.001
+
 // demandKey names a unit of a service.
 type demandKey struct {
 	service celerylanding.ServiceID
--- a/waking/step.go
+++ b/waking/step.go
@@ -226,6 +226,10 @@
 	}
 	planner.spreadDue = now.Add(spreadInterval)
 	for key, dem := range planner.demand {
+		if dem.recent(now) < forgottenDemand && dem.running() == 0 {
+			delete(planner.demand, key)
+			continue
+		}
 		if key.unit.Adapter != "" || dem.recent(now) < 1 {
 			continue
 		}
