Requests that crash their targets are found and refused

Ruled out: blaming every broken exchange, since answers get lost without a crash. Change: a router remembers broken exchanges for a second and takes a refused connection to the same incarnation as its death; the leader counts deaths over all routers and names the requests with three, which routers refuse as not run.

--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 	"celerylanding.example/celerylanding/quorum"
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/quorum/wal"
+	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/waking"
 )
@@ -77,6 +78,9 @@
 	directory *membership.Directory
 	planner   *waking.Planner
 	feed      feedState
+	// quarantine counts the targets that requests have crashed, and quarantined are the requests that routers refuse.
+	quarantine  *router.Quarantine
+	quarantined []uint64
 	// leadSince is when this node began to lead; zero while it does not.
 	leadSince time.Time
 	handover  handover
@@ -97,15 +101,16 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ctl := &Control{
-		options:   options,
-		clock:     hlc.New(clockLead),
-		stop:      stop,
-		tasks:     tasks.New(ctx),
-		inbox:     make(chan func(time.Time), inboxDepth),
-		waiters:   make(map[uint64]waiter),
-		addresses: make(map[quorum.MemberID]string),
-		directory: directory,
-		planner:   waking.New(),
+		options:    options,
+		clock:      hlc.New(clockLead),
+		stop:       stop,
+		tasks:      tasks.New(ctx),
+		inbox:      make(chan func(time.Time), inboxDepth),
+		waiters:    make(map[uint64]waiter),
+		addresses:  make(map[quorum.MemberID]string),
+		directory:  directory,
+		planner:    waking.New(),
+		quarantine: router.NewQuarantine(),
 	}
 	ctl.feed = newFeedState()
 	if err := ctl.recover(now); err != nil {
--- a/control/duties.go
+++ b/control/duties.go
@@ -41,6 +41,7 @@
 	if !now.Before(ctl.expireDue) {
 		ctl.expireDue = now.Add(expireInterval)
 		ctl.expire(now)
+		ctl.expireQuarantine(now)
 	}
 	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
 		ctl.planDue = now.Add(planInterval)
--- a/control/feed.go
+++ b/control/feed.go
@@ -7,6 +7,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/membership"
+	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/routing"
 )
 
@@ -58,12 +59,40 @@
 	if args.Router {
 		ctl.feed.routers[args.Node] = now
 	}
+	for _, crash := range args.Crashes {
+		ctl.noteCrash(now, crash)
+	}
 	for _, usage := range args.Usage {
 		ctl.planner.Use(now, args.Node, ctl.serviceOf(usage.Unit.Model), usage)
 	}
 	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, answer: answer, due: now.Add(watchHold)})
 }
 
+// crashesToRefuse is the number of targets that a request may crash; one that was merely running beside it is rarely in more.
+const crashesToRefuse = 3
+
+// noteCrash counts a target that died while it ran a request, and has routers refuse one that has crashed too many.
+func (ctl *Control) noteCrash(now time.Time, crash feed.Crash) {
+	if !ctl.quarantine.Add(now, router.Crash{Fingerprint: crash.Fingerprint, Target: crash.Target, Incarnation: crash.Incarnation}) {
+		return
+	}
+	count := ctl.quarantine.Crashes(now, crash.Fingerprint)
+	ctl.options.Log.Warn().Uint64("fingerprint", crash.Fingerprint).Str("target", string(crash.Target)).Int("crashes", count).
+		Msg("target died while it ran a request")
+	if count == crashesToRefuse {
+		ctl.quarantined = append(ctl.quarantined, crash.Fingerprint)
+		ctl.feed.revision++
+	}
+}
+
+// expireQuarantine lets requests try again whose time has passed.
+func (ctl *Control) expireQuarantine(now time.Time) {
+	ctl.quarantine.Expire(now)
+	ctl.quarantined = slices.DeleteFunc(slices.Clone(ctl.quarantined), func(fingerprint uint64) bool {
+		return ctl.quarantine.Crashes(now, fingerprint) == 0
+	})
+}
+
 // serviceOf returns the service whose engines know the model.
 func (ctl *Control) serviceOf(id celerylanding.ModelID) celerylanding.ServiceID {
 	if ctl.configuration == nil {
@@ -127,6 +156,7 @@
 func (ctl *Control) reply(args *feed.WatchArgs) feed.WatchReply {
 	reply := feed.WatchReply{Leads: true, Leader: ctl.member.Address, Members: ctl.memberAddresses(), Term: ctl.core.Term(),
 		Revision: ctl.feed.revision, Routers: len(ctl.feed.routers)}
+	reply.Quarantined = ctl.quarantined
 	if args.Version < ctl.version() {
 		configuration := *ctl.configuration
 		if args.Router {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -95,6 +95,16 @@
 	// Router is set for a node that serves callers.
 	Router bool    `cbor:"5,keyasint,omitempty"`
 	Usage  []Usage `cbor:"6,keyasint,omitempty"`
+	// Crashes are the targets that have died while they ran a request, since the last question.
+	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+}
+
+// Crash says that a request was running on an incarnation of a target when that died.
+type Crash struct {
+	// Fingerprint names all tries of the same request.
+	Fingerprint uint64                    `cbor:"1,keyasint"`
+	Target      celerylanding.TargetID    `cbor:"2,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"3,keyasint"`
 }
 
 // WatchReply carries the changes.
@@ -110,6 +120,8 @@
 	Targets       []Target               `cbor:"7,keyasint,omitempty"`
 	// Routers is the number of nodes that serve callers now.
 	Routers int `cbor:"8,keyasint,omitempty"`
+	// Quarantined are the fingerprints of requests that crash their targets.
+	Quarantined []uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // WakeArgs ask the leader to have a unit loaded for waiting requests.
--- a/relay/call.go
+++ b/relay/call.go
@@ -95,6 +95,9 @@
 	if refusal := call.read(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
+	if relay.crashes.isQuarantined(now, call) {
+		return call, refuseNotRun(celerylanding.ReasonQuarantined, 0, "the request has crashed the targets that ran it")
+	}
 	patience := route.Timeout
 	if said.Patience > 0 {
 		patience = min(patience, said.Patience)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,7 @@
 	budget   *dispatch.Budget
 	waker    *waker
 	usage    *usage
+	crashes  *crashes
 	open     atomic.Int64
 	draining atomic.Bool
 	// closing is set when requests that wait for a wake are better off at another router.
@@ -64,6 +65,7 @@
 		budget:  dispatch.NewBudget(options.Budget),
 		waker:   newWaker(options.Node, options.Leader),
 		usage:   newUsage(),
+		crashes: newCrashes(),
 	}
 }
 
@@ -79,6 +81,14 @@
 // Usage returns what was asked for since the last call.
 func (relay *Relay) Usage() []feed.Usage { return relay.usage.take() }
 
+// Crashes returns the targets that have died while they ran a request, since the last call.
+func (relay *Relay) Crashes() []feed.Crash { return relay.crashes.take() }
+
+// Quarantine refuses the requests with these fingerprints from now on.
+func (relay *Relay) Quarantine(now time.Time, fingerprints []uint64) {
+	relay.crashes.refuse(now, fingerprints)
+}
+
 // Open returns the number of requests that are being answered.
 func (relay *Relay) Open() int { return int(relay.open.Load()) }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,9 @@
 	}
 	isLate := ctx.Err() != nil
 	relay.picker.Done(now, target, endOf(isLate, dispatch.ResultFailed))
+	if !isLate && !errors.Is(err, errCallerLeft) {
+		relay.crashes.suspect(now, call, target.Endpoint())
+	}
 	call.cause = err.Error()
 	if !isLate && relay.mayRepeat(call) && (!call.began || call.lastEvent != "") {
 		call.exclude(target)
--- a/relay/try.go
+++ b/relay/try.go
@@ -89,6 +89,9 @@
 	now := relay.options.Clock()
 	call.cause = celerylanding.MessageOf(err)
 	isLate := ctx.Err() != nil
+	if errorx.IsOfType(err, upstream.ErrRefused) {
+		relay.crashes.confirm(now, target.Endpoint())
+	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		relay.picker.Done(now, target, endOf(isLate, dispatch.ResultUnreachable))
 		if isLate {
@@ -103,6 +106,8 @@
 	if errorx.IsOfType(err, upstream.ErrSilent) {
 		// The target or the way to it is gone, also for new connections.
 		result = dispatch.ResultUnreachable
+	} else if !isLate {
+		relay.crashes.suspect(now, call, target.Endpoint())
 	}
 	relay.picker.Done(now, target, endOf(isLate, result))
 	if isLate {
@@ -152,26 +157,8 @@
 	if err == nil && len(body) > maxAnswer {
 		return relay.passOn(writer, call, target, response, body)
 	}
-	now := relay.options.Clock()
-	isSuccess := response.Status < http.StatusMultipleChoices
-	isFailure := response.Status >= http.StatusInternalServerError
-	if err != nil || (isSuccess && !reply.IsSigned) || isFailure {
-		isLate := ctx.Err() != nil
-		relay.picker.Done(now, target, endOf(isLate, dispatch.ResultFailed))
-		call.cause = "answer broke off"
-		if err == nil {
-			call.cause = "target answered " + strconv.Itoa(response.Status)
-		}
-		if !isLate && relay.mayRepeat(call) {
-			call.exclude(target)
-			return true, nil
-		}
-		if err != nil || !reply.IsSigned || isPromise(response.Status) {
-			return false, &refusal{status: http.StatusBadGateway, verdict: celerylanding.MayHaveRun,
-				reason: celerylanding.ReasonAnswerIncomplete, cause: call.cause}
-		}
-	} else {
-		relay.picker.Done(now, target, dispatch.ResultAnswered)
+	if again, refusal := relay.judge(ctx, call, target, response, reply, err); again || refusal != nil {
+		return again, refusal
 	}
 	relay.writeHeader(writer, call, response, int64(len(body)))
 	if _, err := writer.Write(body); err != nil {
@@ -180,6 +167,35 @@
 	return false, nil
 }
 
+// judge decides whether a whole answer is passed on; a failure of the target is, once nothing better can be had.
+func (relay *Relay) judge(ctx context.Context, call *call, target *feed.Target, response *upstream.Response, reply celerylanding.Reply,
+	err error) (bool, *refusal) {
+	now := relay.options.Clock()
+	isUnsigned := response.Status < http.StatusMultipleChoices && !reply.IsSigned
+	if err == nil && !isUnsigned && response.Status < http.StatusInternalServerError {
+		relay.picker.Done(now, target, dispatch.ResultAnswered)
+		return false, nil
+	}
+	isLate := ctx.Err() != nil
+	relay.picker.Done(now, target, endOf(isLate, dispatch.ResultFailed))
+	call.cause = "target answered " + strconv.Itoa(response.Status)
+	if err != nil {
+		call.cause = "answer broke off"
+		if !isLate {
+			relay.crashes.suspect(now, call, target.Endpoint())
+		}
+	}
+	if !isLate && relay.mayRepeat(call) {
+		call.exclude(target)
+		return true, nil
+	}
+	if err != nil || !reply.IsSigned || isPromise(response.Status) {
+		return false, &refusal{status: http.StatusBadGateway, verdict: celerylanding.MayHaveRun,
+			reason: celerylanding.ReasonAnswerIncomplete, cause: call.cause}
+	}
+	return false, nil
+}
+
 // isPromise reports whether callers take the status as word that the request has not run.
 func isPromise(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -56,6 +56,9 @@
 		pool.Drop(address)
 	}
 	link, _, err := pool.get(ctx, now, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrRefused.Wrap(err, "%s", address)
+	}
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "%s", address)
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,6 +26,8 @@
 var (
 	// ErrNotSent means that no byte of the request can have reached the target.
 	ErrNotSent = celerylanding.Namespace.NewType("upstream_not_sent")
+	// ErrRefused means that nothing listens at the address.
+	ErrRefused = ErrNotSent.NewSubtype("refused")
 	// ErrBroken means that the exchange broke off after bytes of the request had left.
 	ErrBroken = celerylanding.Namespace.NewType("upstream_broken")
 	// ErrSilent means that bytes of the request had left and that nothing acknowledged them.
