--- a/control/operate.go
+++ b/control/operate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/routing"
@@ -13,6 +14,9 @@
 // submitPause is the time between two tries to have a configuration committed.
 const submitPause = 40 * time.Millisecond
 
+// commitBuckets reach from one write of a disk to the time within which operators want an answer.
+var commitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+
 // ErrNoQuorum means that nothing certain can be said, because no leader with a quorum could be reached in time.
 var ErrNoQuorum = celerylanding.Namespace.NewType("no_quorum")
 
@@ -30,8 +34,10 @@
 	if err != nil {
 		return 0, err
 	}
+	began := ctl.options.Clock()
 	for {
 		if reply := ctl.proposeOnce(ctx, data); reply.Committed {
+			ctl.options.Metrics.Histogram("commit_seconds", commitBuckets).RecordDuration(ctl.options.Clock().Sub(began))
 			return reply.Version, nil
 		}
 		select {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
@@ -72,7 +73,26 @@
 		event = event.Str("cause", call.cause)
 	}
 	event.Int("answered", call.status).Msg(outcome)
+	relay.measure(call, outcome)
+}
+
+// latencyBuckets reach from a plain service's answer to the longest wait for a model.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 14)
+
+// measure counts a request and the times that its caller saw.
+func (relay *Relay) measure(call *call, outcome string) {
 	relay.options.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+	if call.route == nil {
+		return
+	}
+	scope := relay.options.Metrics.Tagged(map[string]string{"kind": call.route.Kind.String()})
+	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(relay.options.Clock().Sub(call.arrived))
+	if call.began {
+		scope.Histogram("first_byte_seconds", latencyBuckets).RecordDuration(call.firstByte)
+	}
+	if call.waited > 0 {
+		scope.Histogram("wake_wait_seconds", latencyBuckets).RecordDuration(call.waited)
+	}
 }
 
 // logTry writes the line of a try that did not end with an answer for the caller.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -96,7 +96,10 @@
 	return nil
 }
 
-var errCallerLeft = errors.New("caller left")
+var (
+	errStreamEnd  = errors.New("stream broke off")
+	errCallerLeft = errors.New("caller left")
+)
 
 // completeEvents returns the length of the complete events at the beginning of the bytes.
 func completeEvents(data []byte) int {
--- a/relay/try.go
+++ b/relay/try.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -240,5 +239,3 @@
 	call.began = true
 	call.firstByte = relay.options.Clock().Sub(call.arrived)
 }
-
-var errStreamEnd = errors.New("stream broke off")
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -19,6 +19,17 @@
 	KindStream
 )
 
+// String returns the name used in metrics.
+func (kind Kind) String() string {
+	switch kind {
+	case KindIdempotent:
+		return "idempotent"
+	case KindStream:
+		return "stream"
+	}
+	return "once"
+}
+
 // Share is one of the services that a route's requests are divided among.
 type Share struct {
 	Service celerylanding.ServiceID `cbor:"1,keyasint"`
