--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,7 +20,6 @@
 func (run *runner) injectFaults(ctx context.Context) error {
 	var mutex sync.Mutex
 	var errs []error
-	var controller sync.Mutex
 	routers := make([]sync.Mutex, len(run.routers))
 	var faults sync.WaitGroup
 	begin := func(name string, harm func() error) {
@@ -38,7 +37,7 @@
 		switch choice := run.random.IntN(4); choice {
 		case 0:
 			victim, how := run.controllers[run.random.IntN(len(run.controllers))], run.random.IntN(4)
-			begin(fmt.Sprintf("%s, way %d", victim.ip, how), func() error { return harmProcess(&controller, victim, how, length, true) })
+			begin(fmt.Sprintf("%s, way %d", victim.ip, how), func() error { return harmProcess(&run.harming, victim, how, length, true) })
 		case 1:
 			number, how := run.random.IntN(len(run.routers)), run.random.IntN(3)
 			begin(fmt.Sprintf("%s, way %d", run.routers[number].ip, how), func() error {
@@ -60,6 +59,14 @@
 	return errors.Join(errs...)
 }
 
+// The ways to harm a process; a wipe kills it and takes its disk.
+const (
+	harmFreeze = iota
+	harmKill
+	harmStop
+	harmWipe
+)
+
 // settleTime is the time after which a controller that was harmed counts as whole again.
 const settleTime = 4 * time.Second
 
@@ -71,11 +78,11 @@
 	defer group.Unlock()
 	var err error
 	switch how {
-	case 0:
+	case harmFreeze:
 		err = errors.Join(victim.signal(syscall.SIGSTOP), sleep(length), victim.signal(syscall.SIGCONT))
-	case 1:
+	case harmKill:
 		err = victim.restart(syscall.SIGKILL, false)
-	case 2:
+	case harmStop:
 		err = errors.Join(victim.signal(syscall.SIGHUP), victim.restart(syscall.SIGTERM, false))
 	default:
 		err = victim.restart(syscall.SIGKILL, true)
--- a/soak/load.go
+++ b/soak/load.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -64,19 +65,36 @@
 	run.book.answered(id, response.StatusCode, string(body), want)
 }
 
-// operate submits rising versions and reads back, at any controller, until the context ends.
-func (run *runner) operate(ctx context.Context, random *rand.Rand) {
+// killShare is the share of the acknowledgements after which the node that gave them is killed, or loses its disk.
+const killShare = 0.3
+
+// operate submits rising versions and reads back, at any controller, until the context ends; some controllers die right after they
+// have acknowledged a version.
+func (run *runner) operate(ctx context.Context, random *rand.Rand) error {
 	client := &http.Client{Timeout: operatorTimeout}
 	defer client.CloseIdleConnections()
 	var reading sync.WaitGroup
 	defer reading.Wait()
+	var errs []error
+	var harm sync.WaitGroup
+	failed := make(chan error, 1024)
 	for version := uint64(2); ctx.Err() == nil; version += 1 + random.Uint64N(3) {
-		run.submit(client, version, random.IntN(len(run.controllers)))
+		controller := random.IntN(len(run.controllers))
+		if run.submit(client, version, controller) && random.Float64() < killShare {
+			how := harmKill + 2*random.IntN(2)
+			harm.Go(func() { failed <- harmProcess(&run.harming, run.controllers[controller], how, 0, true) })
+		}
 		for controller := range run.controllers {
 			reading.Go(func() { run.readBack(client, controller) })
 		}
 		pause(ctx, time.Duration(random.Int64N(int64(2*submitPause))))
 	}
+	harm.Wait()
+	close(failed)
+	for err := range failed {
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
 }
 
 func (run *runner) submit(client *http.Client, version uint64, controller int) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -64,6 +64,8 @@
 	proxies     []*proxy
 	models      []string
 	group       sync.WaitGroup
+	// harming is held while a controller is harmed, so that never more are than the system must bear.
+	harming sync.Mutex
 }
 
 // Run plays one seed; a broken promise is an error.
@@ -183,11 +185,11 @@
 		callers.Go(func() { run.call(loading, i, random) })
 	}
 	operating, stopOperator := context.WithCancel(loading)
-	var operator sync.WaitGroup
-	operator.Go(func() { run.operate(operating, rand.New(rand.NewPCG(run.options.Seed, 2))) })
+	operated := make(chan error, 1)
+	go func() { operated <- run.operate(operating, rand.New(rand.NewPCG(run.options.Seed, 2))) }()
 	err := run.injectFaults(ctx)
 	stopOperator()
-	operator.Wait()
+	err = errors.Join(err, <-operated)
 	pause(ctx, recoverTime)
 	run.judge()
 	cancel()
