A leader that has just started takes no model for one without copies

Ruled out: the store's order, since the copies were announced a second later. Change: until every live engine has had time for a heartbeat the answer to a wake is when that will be, and nothing is loaded from the store. Test seen failing before.

--- a/control/control.go
+++ b/control/control.go
@@ -109,7 +109,7 @@
 		waiters:    make(map[uint64]waiter),
 		addresses:  make(map[quorum.MemberID]string),
 		directory:  directory,
-		planner:    waking.New(),
+		planner:    waking.New(time.Time{}),
 		quarantine: router.NewQuarantine(),
 	}
 	ctl.feed = newFeedState()
--- a/control/duties.go
+++ b/control/duties.go
@@ -14,6 +14,8 @@
 const (
 	// expireInterval is the time between two looks for silent targets.
 	expireInterval = 200 * time.Millisecond
+	// settleShare is the part of a target's longest silence in which each live target sends a heartbeat.
+	settleShare = 0.4
 	// planInterval is the shortest time between two rounds of decisions; one takes up to a millisecond on a large site.
 	planInterval = 15 * time.Millisecond
 	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
@@ -68,10 +70,10 @@
 	switch {
 	case role != quorum.Leader && !ctl.leadSince.IsZero():
 		ctl.leadSince = time.Time{}
-		ctl.planner = waking.New()
+		ctl.planner = waking.New(time.Time{})
 	case role == quorum.Leader && ctl.leadSince.IsZero() && ctl.core.IsSettled():
 		ctl.leadSince = now
-		ctl.planner = waking.New()
+		ctl.planner = waking.New(now.Add(time.Duration(settleShare * float64(ctl.options.TargetSilence))))
 		watchers := ctl.feed.watchers
 		ctl.feed = newFeedState()
 		ctl.feed.watchers = watchers
--- a/loadmodel/play.go
+++ b/loadmodel/play.go
@@ -99,7 +99,7 @@
 		return Result{}, err
 	}
 	run := &play{experiment: experiment, random: rand.New(rand.NewPCG(experiment.Seed, 1)), now: time.Unix(1_700_000_000, 0),
-		planner: waking.New(), picker: dispatch.NewPicker("d"), roster: dispatch.NewRoster(), table: &dispatch.Table{},
+		planner: waking.New(time.Time{}), picker: dispatch.NewPicker("d"), roster: dispatch.NewRoster(), table: &dispatch.Table{},
 		engines: make(map[celerylanding.TargetID]*modelEngine), waits: make(map[feed.Unit][]*visit),
 		result: Result{Name: experiment.Name, Classes: make(map[string]*ClassResult)}}
 	run.begin()
--- a/waking/bench_test.go
+++ b/waking/bench_test.go
@@ -28,7 +28,7 @@
 }
 
 func largePlanner(now time.Time) (*waking.Planner, *routing.Engine) {
-	planner, spec := waking.New(), largeSpec()
+	planner, spec := waking.New(time.Time{}), largeSpec()
 	for i := range 90 {
 		announcement := celerylanding.Announcement{Target: celerylanding.TargetID(fmt.Sprintf("e%d", i)), Incarnation: 1, Sequence: 1, Group: "s"}
 		for slot := range 3 {
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -105,6 +105,8 @@
 	maxFetches int
 	number     uint64
 	spreadDue  time.Time
+	// settled is when all live engines have been heard of.
+	settled time.Time
 	// placed is what engines hold or are about to, counted when it is first asked for in a step.
 	placed map[demandKey]bool
 }
@@ -115,9 +117,11 @@
 	replica int
 }
 
-// New returns a planner that knows no engines.
-func New() *Planner {
+// New returns a planner that knows no engines. Until it has settled, which is when all live engines have been heard of, it takes no
+// model for one without copies.
+func New(settled time.Time) *Planner {
 	return &Planner{
+		settled:    settled,
 		maxFetches: firstFetches,
 		engines:    make(map[celerylanding.TargetID]*engine),
 		wants:      make(map[wantKey]*want),
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -34,6 +34,9 @@
 	if planner.isHeld(now, wanted) {
 		return feed.WakeReply{Leads: true}
 	}
+	if now.Before(planner.settled) && wanted.engine == nil && !planner.hasCopy(wanted) {
+		return feed.WakeReply{Leads: true, Expected: max(planner.settled.Sub(now), orderOverhead), Cause: "not all engines are known yet"}
+	}
 	if wanted.engine == nil && !planner.assign(now, wanted) {
 		return feed.WakeReply{Leads: true, Hopeless: true, Cause: "no engine can load it now", Expected: retryUnplaced}
 	}
@@ -51,6 +54,17 @@
 	return feed.WakeReply{Leads: true, Expected: expected}
 }
 
+// hasCopy reports whether an engine can load the unit without the store.
+func (planner *Planner) hasCopy(wanted *want) bool {
+	for _, eng := range planner.engines {
+		if eng.isOpen() && eng.service == wanted.service && (eng.held[wanted.unit.Model] != nil ||
+			eng.tier(wanted.unit.Model) != celerylanding.TierRemote) {
+			return true
+		}
+	}
+	return false
+}
+
 // returnTime is how long a unit stays wanted after it was expected, for requests that were told to come back.
 const returnTime = 2 * time.Second
 
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -39,7 +39,7 @@
 }
 
 func newWorld(t *testing.T, held map[celerylanding.TargetID][]celerylanding.ModelID) *world {
-	play := &world{t: t, planner: waking.New(), now: start, held: held, accepted: map[celerylanding.TargetID]uint64{},
+	play := &world{t: t, planner: waking.New(time.Time{}), now: start, held: held, accepted: map[celerylanding.TargetID]uint64{},
 		disk: map[celerylanding.TargetID][]celerylanding.ModelID{}}
 	for id := range held {
 		play.announce(id)
@@ -252,3 +252,25 @@
 	}
 	assert.Equal(t, loads, 1, "%v", play.orders)
 }
+
+// TestNewLeaderWaitsForHeartbeats asks a planner for a model before the engine with its copy has been heard of.
+func TestNewLeaderWaitsForHeartbeats(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a"}})
+	play.planner = waking.New(start.Add(time.Second))
+	play.announce("e1")
+	reply := play.wake(feed.Unit{Model: "c"}, 3*time.Second)
+	assert.Assert(t, !reply.Hopeless && reply.Expected > 0 && reply.Expected <= time.Second, "%+v", reply)
+	for range 20 {
+		play.step()
+	}
+	assert.Equal(t, len(play.orders), 0, "no load from the store begins")
+	play.held["e2"], play.disk["e2"] = nil, []celerylanding.ModelID{"c"}
+	play.announce("e2")
+	play.wake(feed.Unit{Model: "c"}, 3*time.Second)
+	for range 20 {
+		play.step()
+	}
+	assert.Equal(t, play.orders[0].Tier, celerylanding.TierDisk)
+	play.now = start.Add(2 * time.Second)
+	assert.Assert(t, play.wake(feed.Unit{Model: "d"}, 3*time.Second).Hopeless, "once all engines are known the store is the last resort")
+}
