--- a/control/control_test.go
+++ b/control/control_test.go
@@ -208,22 +208,24 @@
 	assert.Equal(t, place.read(place.members[3]), "version 70")
 }
 
-// TestWipedSeedStartsNoSecondLog restarts a seed with an empty folder and without its peers.
-func TestWipedSeedStartsNoSecondLog(t *testing.T) {
+// TestWipedSeedsStartNoSecondLog restarts one seed, and two that would make a majority, with empty folders and without the third.
+func TestWipedSeedsStartNoSecondLog(t *testing.T) {
 	place := newSite(t, 0)
 	place.submit(place.members[0], 1)
 	for _, mem := range place.members {
 		place.stop(mem)
 	}
-	alone := place.members[0]
-	alone.folder = t.TempDir()
-	place.start(alone, nil, false)
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	_, err := alone.node.Submit(ctx, configuration(2))
-	assert.Assert(t, err != nil, "a node without its log must not accept anything by itself")
-	_, err = alone.node.Read(ctx)
-	assert.Assert(t, err != nil)
+	for wiped := 1; wiped <= 2; wiped++ {
+		mem := place.members[wiped-1]
+		mem.folder = t.TempDir()
+		place.start(mem, nil, false)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		_, err := mem.node.Submit(ctx, configuration(2))
+		assert.Assert(t, err != nil, "%d nodes without the log must not accept anything by themselves", wiped)
+		_, err = mem.node.Read(ctx)
+		assert.Assert(t, err != nil)
+		cancel()
+	}
 }
 
 func announcement(id string, sequence uint64, leaving bool) *control.AnnounceArgs {
