--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -129,22 +129,24 @@
 	assert.Assert(t, counts["a"] <= 8, "%v", counts)
 }
 
-// TestRepeatsKeepToTheCommonBudget lets four routers repeat as often as they may.
+// TestRepeatsKeepToTheCommonBudget lets four routers repeat as often as they may, under much and under little traffic.
 func TestRepeatsKeepToTheCommonBudget(t *testing.T) {
 	const routers = 4
 	settings := dispatch.BudgetSettings{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
-	repeats, requests := 0, 0
-	for range routers {
-		budget := dispatch.NewBudget(settings)
-		for i := range 2000 {
-			now := start.Add(time.Duration(i) * 5 * time.Millisecond)
-			budget.Request(now, "s")
-			requests++
-			for budget.Repeat(now, "s", routers) {
-				repeats++
+	for _, perRouter := range []int{3, 2000} {
+		repeats, requests := 0, 0
+		for range routers {
+			budget := dispatch.NewBudget(settings)
+			for i := range perRouter {
+				now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+				budget.Request(now, "s")
+				requests++
+				for budget.Repeat(now, "s", routers) {
+					repeats++
+				}
 			}
 		}
+		assert.Assert(t, repeats > 0)
+		assert.Assert(t, float64(repeats) <= settings.Ratio*float64(requests)+settings.Slack, "%d repeats of %d requests", repeats, requests)
 	}
-	assert.Assert(t, repeats > 0)
-	assert.Assert(t, float64(repeats) <= settings.Ratio*float64(requests)+settings.Slack, "%d repeats of %d requests", repeats, requests)
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -160,16 +160,16 @@
 // TestSecondAnswerBelongsToNobody lets a target answer a request twice, at once or where the next answer is due.
 func TestSecondAnswerBelongsToNobody(t *testing.T) {
 	first := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none"
-	for name, late := range map[string]bool{"at once": false, "late": true} {
+	unnamed := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+	for name, tc := range map[string]struct{ atOnce, late string }{
+		"at once": {first, ""}, "late": {"", first}, "at once and unnamed": {unnamed, ""},
+	} {
 		t.Run(name, func(t *testing.T) {
 			stand := newStandIn(t, func(number int64, request *http.Request, conn net.Conn) bool {
-				if number == 1 && !late {
-					return reply(conn, first+first)
-				}
 				if number == 1 {
-					return reply(conn, first)
+					return reply(conn, first+tc.atOnce)
 				}
-				return reply(conn, first+"HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 3\r\n\r\ntwo")
+				return reply(conn, tc.late+"HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 3\r\n\r\ntwo")
 			})
 			pool := newPool()
 			_, body, err := exchange(t.Context(), pool, stand.address(), "1")
