Soak: a connection that has lost bytes stays silent

TCP never loses the middle of a connection, so that the check was right and the fault was not. Ruled out: the router, whose line says one send and a whole answer.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -90,18 +90,18 @@
 
 func (prox *proxy) copy(to io.Writer, from net.Conn, isAnswer bool) {
 	buffer := make([]byte, 4<<10)
+	// A connection that has lost bytes stays silent, since nothing that follows them could be delivered.
+	isSilent := false
 	for {
 		count, err := from.Read(buffer)
 		if err != nil {
 			break
 		}
-		switch prox.now() {
-		case modeSilence:
+		now := prox.now()
+		if isSilent = isSilent || now == modeSilence || (now == modeOneWay && isAnswer); isSilent {
 			continue
-		case modeOneWay:
-			if isAnswer {
-				continue
-			}
+		}
+		switch now {
 		case modeReset:
 			if isAnswer {
 				reset(from)
