A leader that has just restarted is elected again at once

A member that has just started refuses its vote for an election timeout, since it may have granted a lease, and candidates wait as long.

Ruled out: slow starts (16 ms to the recovered state), routers that search for the leader (all had the configuration 50 ms after the election), targets (they repeat their heartbeats until one is taken).

Change: the leader whose messages a member has answered is durable with its term. A member that led its term before it restarted asks for votes at once and every heartbeat; members that are still in its term grant them at once, since a leader that asks leads no more and nobody else can hold a lease on their word.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -101,6 +101,9 @@
 	}
 	core.reloadMembers()
 	core.resetElection(now)
+	if core.returnsToLead(now) {
+		core.electionDue = now
+	}
 	return core
 }
 
@@ -136,7 +139,7 @@
 		return Effects{}, err
 	}
 	if message.Term > core.hard.Term && message.Kind != MessagePreVote && message.Kind != MessagePreVoteReply {
-		if message.Kind == MessageVote && core.hasLiveLeader(now) {
+		if message.Kind == MessageVote && core.owesSilence(now, message.From) {
 			return Effects{}, nil
 		}
 		core.becomeFollower(now, message.Term, "")
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -195,3 +195,94 @@
 		assert.Equal(t, core.LastIndex(), uint64(2))
 	}
 }
+
+// restart returns the member as it starts again from what it had made durable.
+func restart(t *testing.T, now time.Time, id quorum.MemberID, records []quorum.Record) *quorum.Core {
+	t.Helper()
+	durable := quorum.Durable{}
+	assert.NilError(t, durable.Replay(quorum.Record{Entry: &quorum.Entry{Index: 1, Term: 1, Kind: quorum.EntryMembers, Members: members}}))
+	for _, record := range records {
+		assert.NilError(t, durable.Replay(record))
+	}
+	return quorum.New(now, quorum.Settings{ID: id, ElectionTimeout: electionTimeout, Heartbeat: electionTimeout / 10,
+		LearnerHeartbeat: electionTimeout / 2, MaxAppend: 1, Random: rand.New(rand.NewPCG(1, 1))},
+		durable.HardState, durable.Snapshot, durable.Entries)
+}
+
+// follow returns what the member makes durable when it answers a leader of term 2.
+func follow(t *testing.T, id, leader quorum.MemberID) []quorum.Record {
+	t.Helper()
+	return receive(t, newMember(id, 2), begin, quorum.Message{Kind: quorum.MessageAppend, From: leader, To: id, Term: 2,
+		LastIndex: 1, LastTerm: 1}).Records
+}
+
+func TestRestartedLeaderIsElectedAtOnce(t *testing.T) {
+	core := newMember("a/1", 1)
+	now := begin.Add(2 * electionTimeout)
+	records := core.Tick(now).Records
+	records = append(records, receive(t, core, now,
+		quorum.Message{Kind: quorum.MessagePreVoteReply, From: "b/1", To: "a/1", Term: 2, Granted: true}).Records...)
+	records = append(records, receive(t, core, now,
+		quorum.Message{Kind: quorum.MessageVoteReply, From: "b/1", To: "a/1", Term: 2, Granted: true}).Records...)
+	assert.Equal(t, core.Role(), quorum.Leader)
+
+	now = now.Add(electionTimeout)
+	leader := restart(t, now, "a/1", records)
+	voter := restart(t, now, "b/1", append(follow(t, "b/1", "a/1"), *entryOf(records)))
+	asked := leader.Tick(now).Messages
+	assert.Assert(t, len(asked) > 0, "the former leader asks at once")
+	reply := receive(t, voter, now, messageTo(t, asked, "b/1"))
+	assert.Assert(t, grants(reply), "a pre-vote for the leader that the voter followed")
+	vote := receive(t, leader, now, messageTo(t, reply.Messages, "a/1"))
+	elected := receive(t, voter, now, messageTo(t, vote.Messages, "b/1"))
+	assert.Assert(t, grants(elected), "a vote for it")
+	receive(t, leader, now, messageTo(t, elected.Messages, "a/1"))
+	assert.Equal(t, leader.Role(), quorum.Leader)
+}
+
+// entryOf returns the last entry among the records.
+func entryOf(records []quorum.Record) *quorum.Record {
+	var last *quorum.Record
+	for i := range records {
+		if records[i].Entry != nil {
+			last = &records[i]
+		}
+	}
+	return last
+}
+
+// messageTo returns the message to the member.
+func messageTo(t *testing.T, messages []quorum.Message, to quorum.MemberID) quorum.Message {
+	t.Helper()
+	for _, message := range messages {
+		if message.To == to {
+			return message
+		}
+	}
+	t.Fatalf("no message to %s", to)
+	return quorum.Message{}
+}
+
+func TestRestartedLeaderAsksUntilOthersAreUp(t *testing.T) {
+	records := []quorum.Record{{HardState: &quorum.HardState{Term: 2, Vote: "a/1", Leader: "a/1"}}}
+	core := restart(t, begin, "a/1", records)
+	rounds := 0
+	for now := begin; now.Sub(begin) < electionTimeout; now = now.Add(electionTimeout / 50) {
+		if len(core.Tick(now).Messages) > 0 {
+			rounds++
+		}
+	}
+	assert.Assert(t, rounds >= 8, "%d rounds of questions within an election timeout", rounds)
+}
+
+func TestNoVoteRightAfterStartForAnotherThanTheLeader(t *testing.T) {
+	vote := quorum.Message{Kind: quorum.MessageVote, From: "b/1", To: "a/1", Term: 3, LastIndex: 9, LastTerm: 2}
+	now := begin.Add(electionTimeout / 2)
+	for _, kind := range []quorum.MessageKind{quorum.MessagePreVote, quorum.MessageVote} {
+		vote.Kind = kind
+		core := restart(t, begin, "a/1", follow(t, "a/1", "c/1"))
+		assert.Assert(t, !grants(receive(t, core, now, vote)), "the member may have promised c to wait")
+		voted := restart(t, begin, "a/1", []quorum.Record{{HardState: &quorum.HardState{Term: 2, Vote: "b/1"}}})
+		assert.Assert(t, !grants(receive(t, voted, now, vote)), "a vote for b does not say that b has led the term")
+	}
+}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -3,14 +3,31 @@
 import "time"
 
 func (core *Core) resetElection(now time.Time) {
+	if core.returnsToLead(now) {
+		core.electionDue = now.Add(core.settings.Heartbeat)
+		return
+	}
 	spread := time.Duration(core.settings.Random.Int64N(int64(core.settings.ElectionTimeout)))
 	core.electionDue = now.Add(core.settings.ElectionTimeout + spread)
 }
 
-// hasLiveLeader keeps a member that returns from a partition from disturbing a working leader. A member that has just
-// started can't know whether it promised a leader to wait, so it waits.
-func (core *Core) hasLiveLeader(now time.Time) bool {
-	if core.role == Leader || now.Sub(core.started) < core.settings.ElectionTimeout {
+// returnsToLead reports whether the member led its term before it started again. It then asks for votes at once, and again as the
+// others come up, since the members that followed it need not wait for another leader's lease to lapse.
+func (core *Core) returnsToLead(now time.Time) bool {
+	return core.role != Leader && core.hard.Leader == core.settings.ID && now.Sub(core.started) < core.settings.ElectionTimeout
+}
+
+// owesSilence keeps a member that returns from a partition from disturbing a working leader. A member that has just
+// started can't know whether it promised a leader to wait, so it waits. A leader that asks for votes leads no more, and nobody
+// else can hold a lease on the word of a member that is still in that leader's term.
+func (core *Core) owesSilence(now time.Time, candidate MemberID) bool {
+	if core.role == Leader {
+		return true
+	}
+	if core.hard.Leader == candidate {
+		return false
+	}
+	if now.Sub(core.started) < core.settings.ElectionTimeout {
 		return true
 	}
 	return core.leader != "" && now.Sub(core.leaderContact) < core.settings.ElectionTimeout
@@ -69,7 +86,7 @@
 
 func (core *Core) onPreVote(now time.Time, message Message) {
 	granted := message.Term > core.hard.Term &&
-		!core.hasLiveLeader(now) &&
+		!core.owesSilence(now, message.From) &&
 		core.log.isUpToDate(message.LastIndex, message.LastTerm)
 	reply := Message{Kind: MessagePreVoteReply, To: message.From, Granted: granted}
 	if granted {
@@ -134,6 +151,8 @@
 func (core *Core) becomeLeader(now time.Time) {
 	core.role = Leader
 	core.leader = core.settings.ID
+	core.hard.Leader = core.settings.ID
+	core.saveHardState()
 	core.votes = nil
 	core.peers = make(map[MemberID]*progress)
 	core.syncPeers(now)
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -44,6 +44,8 @@
 type HardState struct {
 	Term uint64   `cbor:"1,keyasint"`
 	Vote MemberID `cbor:"2,keyasint"`
+	// Leader is the leader of the term whose messages the member has answered, or "" if it has answered none.
+	Leader MemberID `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot replaces the log up to and including Index.
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -135,6 +135,10 @@
 	if core.role != Follower || core.leader != leader {
 		core.becomeFollower(now, core.hard.Term, leader)
 	}
+	if core.hard.Leader != leader {
+		core.hard.Leader = leader
+		core.saveHardState()
+	}
 	core.leaderContact = now
 	core.resetElection(now)
 }
