A router that has just started lets requests wait for its first configuration

Most of these callers had used their retry on the outage itself.

Ruled out: a longer Retry-After; the callers have none left.

Change: within 2 s of its start a router without a configuration lets a request wait, for a third of the caller's patience at most, so that one who is refused after all can still come back. Later than that it refuses at once as before. The time counts from the request's arrival.

--- a/relay/call.go
+++ b/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -20,6 +21,12 @@
 	defaultBody = 4 << 20
 	// soon is when a caller should come back to a node that knows no configuration yet.
 	soon = 500 * time.Millisecond
+	// startTime is how long after its start a node may still be without a configuration because the other nodes start as well; an
+	// election takes up to 1.2 s, and processes start within half a second of each other.
+	startTime = 2 * time.Second
+	// startShare is the part of its patience for which a request waits for a node's first configuration, so that its caller still
+	// has time to come back.
+	startShare = 1.0 / 3
 )
 
 // call is one request on its way.
@@ -33,6 +40,7 @@
 	host     string
 	header   http.Header
 	body     []byte
+	isRead   bool
 	arrived  time.Time
 	deadline time.Time
 
@@ -83,7 +91,14 @@
 	}
 	table := relay.state.table()
 	if table.Routes() == nil {
-		return call, refuseNotRun(celerylanding.ReasonNoQuorum, soon, "no configuration is known yet")
+		if refusal := call.read(writer, request, 0); refusal != nil {
+			return call, refusal
+		}
+		if table = relay.awaitRoutes(request.Context(), call); table.Routes() == nil {
+			return call, refuseNotRun(celerylanding.ReasonNoQuorum, soon, "no configuration is known yet")
+		}
+		now = relay.options.Clock()
+		call.waited = now.Sub(call.arrived)
 	}
 	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
 	if !ok {
@@ -102,7 +117,7 @@
 	if said.Patience > 0 {
 		patience = min(patience, said.Patience)
 	}
-	call.deadline = now.Add(patience)
+	call.deadline = call.arrived.Add(patience)
 	call.service = route.Choose(float64(xxhash.Sum64String(said.ID)>>11) / (1 << 53))
 	if service, ok := table.Routes().Service(call.service); ok && service.Engine != nil {
 		call.unit = waking.UnitOf(said.Model)
@@ -110,11 +125,41 @@
 	return call, nil
 }
 
-// read takes the whole body, so that the caller's leaving shows and a second try has the same bytes.
+// awaitRoutes waits for the first configuration while this node has just started, and returns the table then in force.
+func (relay *Relay) awaitRoutes(ctx context.Context, call *call) *dispatch.Table {
+	until := relay.options.Started.Add(startTime)
+	if patient := call.arrived.Add(time.Duration(startShare * float64(call.said.Patience))); call.said.Patience > 0 && patient.Before(until) {
+		until = patient
+	}
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(call.arrived))
+	defer cancel()
+	defer context.AfterFunc(relay.ending, cancel)()
+	for {
+		table, changed := relay.state.watch()
+		if table.Routes() != nil {
+			return table
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return relay.state.table()
+		}
+	}
+}
+
+// read takes the whole body, so that the caller's leaving shows and a second try has the same bytes. A body that was read before the
+// configuration was known is held to its limit afterwards.
 func (call *call) read(writer http.ResponseWriter, request *http.Request, limit int64) *refusal {
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	if call.isRead {
+		if int64(len(call.body)) > limit {
+			return bodyTooLarge()
+		}
+		return nil
+	}
+	call.isRead = true
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
 	call.body = body
 	if err == nil {
@@ -122,13 +167,17 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, verdict: celerylanding.NotRun,
-			reason: celerylanding.ReasonBadRequest, cause: "body exceeds the limit"}
+		return bodyTooLarge()
 	}
 	return &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
 		cause: "body broke off: " + err.Error()}
 }
 
+func bodyTooLarge() *refusal {
+	return &refusal{status: http.StatusRequestEntityTooLarge, verdict: celerylanding.NotRun,
+		reason: celerylanding.ReasonBadRequest, cause: "body exceeds the limit"}
+}
+
 // ask returns what the request needs of a target.
 func (call *call) ask() dispatch.Ask {
 	ask := dispatch.Ask{Service: call.service, Unit: call.unit, PromptTokens: call.said.PromptTokens, Excluded: call.excluded}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	Pool    *upstream.Pool
 	Leader  Leader
 	Budget  dispatch.BudgetSettings
+	// Started is when this process began, by Clock.
+	Started time.Time
 	// Clock returns the present time of a clock that counts suspended time.
 	Clock   func() time.Time
 	Log     zerolog.Logger
@@ -115,7 +117,7 @@
 		relay.refuse(writer, request, call, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(arrived))
+	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(relay.options.Clock()))
 	defer cancel()
 	defer context.AfterFunc(relay.ending, cancel)()
 	// Names that no configuration knows are not counted, since there is no end of them.
