A new leader that knows no engines asks the other members for them, and moves nothing before it has heard of them

Change: a leader without targets asks the members for theirs together with the question for the last order. While engines are still becoming known nothing is ordered, and a request whose model is not known anywhere waits.

TestNewLeaderMovesNothingThatItHasNotHeardOf and TestRestartedLeaderLearnsTargetsFromOthers failed before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -16,7 +16,11 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/common/boottime"
+	"celerylanding.example/celerylanding/common/hlc"
+	"celerylanding.example/celerylanding/common/rpccodec"
 	"celerylanding.example/celerylanding/control"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/waking"
 )
@@ -314,3 +318,34 @@
 	}
 	place.t.Fatal("no leader is known")
 }
+
+// TestRestartedLeaderLearnsTargetsFromOthers restarts a leader, which is elected again and has forgotten all targets.
+func TestRestartedLeaderLearnsTargetsFromOthers(t *testing.T) {
+	place := newSite(t, 0)
+	place.submit(place.members[0], 1)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	place.announceUntilTaken(ctx, announcement("t1", 1, false))
+	peers := rpc.NewPeers(ctx, rpc.Options{Local: "127.0.0.1", Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
+	defer peers.Close()
+	// The others have heard of the target once an answer of the leader has reached them.
+	time.Sleep(600 * time.Millisecond)
+	for _, mem := range place.members {
+		if mem.addr == place.members[0].node.Leader() {
+			place.stop(mem)
+			place.start(mem, nil, false)
+			break
+		}
+	}
+	for ctx.Err() == nil {
+		for _, mem := range place.members {
+			var reply feed.WatchReply
+			err := peers.Call(ctx, mem.addr, "Peer.Watch", &feed.WatchArgs{Node: "r", Router: true}, &reply)
+			if err == nil && len(reply.Targets) == 1 && reply.Targets[0].ID == "t1" {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("no leader knows the target")
+}
--- a/control/feed.go
+++ b/control/feed.go
@@ -9,6 +9,7 @@
 	"celerylanding.example/celerylanding/membership"
 	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/waking"
 )
 
 const (
@@ -214,7 +215,11 @@
 		Silent:      !target.IsRoutable(),
 		Sequence:    announcement.Sequence,
 	}
-	if ctl.engineSpec(view.Service) != nil {
+	switch {
+	case ctl.engineSpec(view.Service) == nil:
+	case ctl.leadSince.IsZero():
+		view.Held = heldOf(announcement.Inventory)
+	default:
 		view.Held = ctl.planner.View(now, announcement.Target)
 	}
 	for _, cached := range announcement.Cached {
@@ -238,6 +243,23 @@
 	return service.Engine
 }
 
+// heldOf groups an inventory by models.
+func heldOf(inventory []celerylanding.LoadedModel) []feed.Held {
+	var list []feed.Held
+	for _, entry := range inventory {
+		unit := waking.UnitOf(entry.Model)
+		at := slices.IndexFunc(list, func(held feed.Held) bool { return held.Model == unit.Model })
+		if at < 0 {
+			at = len(list)
+			list = append(list, feed.Held{Model: unit.Model})
+		}
+		if unit.Adapter != "" {
+			list[at].Adapters = append(list[at].Adapters, unit.Adapter)
+		}
+	}
+	return list
+}
+
 // announcementOf turns what a leader has published back into an announcement.
 func announcementOf(view *feed.Target) celerylanding.Announcement {
 	announcement := celerylanding.Announcement{
--- a/control/handover.go
+++ b/control/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/quorum"
 )
 
@@ -14,6 +15,12 @@
 	maxDrift = 100 * time.Millisecond
 )
 
+// LastOrderArgs ask a member what a new leader needs to know.
+type LastOrderArgs struct {
+	// WantsTargets is set by a leader that knows no targets, such as one that has just started.
+	WantsTargets bool `cbor:"1,keyasint,omitempty"`
+}
+
 // LastOrderReply tells when a node last gave an order.
 type LastOrderReply struct {
 	// Never is set when this start of the process has given none.
@@ -22,6 +29,8 @@
 	Ago time.Duration `cbor:"2,keyasint"`
 	// Leads is set when the node believes that it still leads.
 	Leads bool `cbor:"3,keyasint"`
+	// Targets are those that the node knows, where they were asked for.
+	Targets []feed.Target `cbor:"4,keyasint,omitempty"`
 }
 
 // handover decides from when a new leader may give orders. Orders of two holders must lie a lease apart, unless engines refuse
@@ -39,6 +48,10 @@
 func (ctl *Control) beginHandover(now time.Time) {
 	ctl.handover = handover{from: now.Add(ctl.options.LeaseTime), earliest: now}
 	since := ctl.leadSince
+	args := &LastOrderArgs{WantsTargets: len(ctl.directory.Targets()) == 0}
+	if !args.WantsTargets {
+		ctl.planner.Inherited()
+	}
 	for _, member := range ctl.core.Members() {
 		if member.ID == ctl.member.ID {
 			continue
@@ -48,7 +61,7 @@
 			asked, cancel := context.WithTimeout(ctx, handoverTimeout)
 			defer cancel()
 			var reply LastOrderReply
-			err := ctl.peers.Call(asked, member.Address, "Peer.LastOrder", &Empty{}, &reply)
+			err := ctl.peers.Call(asked, member.Address, "Peer.LastOrder", args, &reply)
 			ctl.post(ctx, func(now time.Time) { ctl.takeLastOrder(now, since, reply, err) })
 		})
 	}
@@ -63,6 +76,7 @@
 		return
 	}
 	ctl.handover.unanswered--
+	ctl.inherit(now, reply.Targets)
 	switch {
 	case err != nil && !ctl.options.Fencing, err == nil && reply.Leads:
 		ctl.handover.earliest = later(ctl.handover.earliest, ctl.handover.from)
@@ -83,12 +97,29 @@
 	return b
 }
 
+// inherit takes the targets that a member has learned from the former leader.
+func (ctl *Control) inherit(now time.Time, targets []feed.Target) {
+	if len(targets) == 0 {
+		return
+	}
+	ctl.learn(now, targets)
+	ctl.observeAll(now)
+	ctl.planner.Inherited()
+	ctl.options.Log.Info().Int("targets", len(targets)).Msg("targets learned from another member")
+}
+
 // tellLastOrder answers a new leader.
-func (ctl *Control) tellLastOrder(now time.Time) LastOrderReply {
-	if ctl.lastOrder.IsZero() {
-		return LastOrderReply{Never: true}
+func (ctl *Control) tellLastOrder(now time.Time, args *LastOrderArgs) LastOrderReply {
+	reply := LastOrderReply{Never: ctl.lastOrder.IsZero()}
+	if !reply.Never {
+		reply.Ago, reply.Leads = now.Sub(ctl.lastOrder), ctl.core.Role() == quorum.Leader
+	}
+	if args.WantsTargets {
+		for _, target := range ctl.directory.Targets() {
+			reply.Targets = append(reply.Targets, ctl.viewOf(now, target))
+		}
 	}
-	return LastOrderReply{Ago: now.Sub(ctl.lastOrder), Leads: ctl.core.Role() == quorum.Leader}
+	return reply
 }
 
 // mayOrder reports whether no earlier leader's order can follow one of this leader's.
--- a/control/messages.go
+++ b/control/messages.go
@@ -120,9 +120,9 @@
 	return service.ask(func(now time.Time) { reply.Leads = service.control.announce(now, args) })
 }
 
-// LastOrder tells a new leader when this node last gave an order.
-func (service *PeerService) LastOrder(_ *Empty, reply *LastOrderReply) error {
-	return service.ask(func(now time.Time) { *reply = service.control.tellLastOrder(now) })
+// LastOrder tells a new leader when this node last gave an order, and which targets it knows.
+func (service *PeerService) LastOrder(args *LastOrderArgs, reply *LastOrderReply) error {
+	return service.ask(func(now time.Time) { *reply = service.control.tellLastOrder(now, args) })
 }
 
 // Watch waits for changes and returns them.
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -107,6 +107,10 @@
 	spreadDue  time.Time
 	// settled is when all live engines have been heard of.
 	settled time.Time
+	// learned is when the last engine became known, and isInherited is set when those known are all that an
+	// earlier leader knew.
+	learned     time.Time
+	isInherited bool
 	// placed is what engines hold or are about to, counted when it is first asked for in a step.
 	placed map[demandKey]bool
 }
@@ -135,6 +139,7 @@
 	eng := planner.engines[announcement.Target]
 	if eng == nil || eng.endpoint.Incarnation != announcement.Incarnation {
 		planner.drop(eng)
+		planner.learned = now
 		eng = &engine{held: make(map[celerylanding.ModelID]*resident)}
 		planner.engines[announcement.Target] = eng
 	}
@@ -160,6 +165,18 @@
 	}
 }
 
+// Inherited tells the planner that the engines known so far are all that an earlier leader knew.
+func (planner *Planner) Inherited() { planner.isInherited = true }
+
+// quietTime is how long no further engine must have become known before those that are count as all; engines whose heartbeat was
+// not taken repeat it within some hundred milliseconds.
+const quietTime = 300 * time.Millisecond
+
+// isBlind reports whether engines may hold models that the planner does not know of, so that orders would do harm.
+func (planner *Planner) isBlind(now time.Time) bool {
+	return now.Before(planner.settled) && !planner.isInherited && (len(planner.engines) == 0 || now.Sub(planner.learned) < quietTime)
+}
+
 // Forget drops an engine that is gone.
 func (planner *Planner) Forget(id celerylanding.TargetID) {
 	planner.drop(planner.engines[id])
--- a/waking/step.go
+++ b/waking/step.go
@@ -29,6 +29,9 @@
 
 // Step returns the orders and questions that are due.
 func (planner *Planner) Step(now time.Time) Actions {
+	if planner.isBlind(now) {
+		return Actions{}
+	}
 	planner.placed = nil
 	planner.expire(now)
 	planner.spread(now)
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -34,6 +34,9 @@
 	if planner.isHeld(now, wanted) {
 		return feed.WakeReply{Leads: true}
 	}
+	if planner.isBlind(now) {
+		return feed.WakeReply{Leads: true, Expected: quietTime, Cause: "engines are still becoming known"}
+	}
 	if now.Before(planner.settled) && wanted.engine == nil && !planner.hasCopy(wanted) {
 		return feed.WakeReply{Leads: true, Expected: max(planner.settled.Sub(now), orderOverhead), Cause: "not all engines are known yet"}
 	}
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -274,3 +274,39 @@
 	play.now = start.Add(2 * time.Second)
 	assert.Assert(t, play.wake(feed.Unit{Model: "d"}, 3*time.Second).Hopeless, "once all engines are known the store is the last resort")
 }
+
+// TestNewLeaderMovesNothingThatItHasNotHeardOf asks a planner for a model that an engine holds which it does not know yet.
+func TestNewLeaderMovesNothingThatItHasNotHeardOf(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a", "b"}, "e2": {"c"}})
+	play.planner = waking.New(start.Add(2 * time.Second))
+	reply := play.wake(feed.Unit{Model: "c"}, 3*time.Second)
+	assert.Assert(t, !reply.Hopeless && reply.Expected > 0, "no engine is known yet: %+v", reply)
+	play.disk["e1"] = []celerylanding.ModelID{"c"}
+	play.announce("e1")
+	for range 10 {
+		reply = play.wake(feed.Unit{Model: "c"}, 3*time.Second)
+		assert.Assert(t, !reply.Hopeless && reply.Expected > 0, "%+v", reply)
+		play.step()
+	}
+	assert.Equal(t, len(play.orders), 0, "neither a nor b makes way")
+	play.announce("e2")
+	assert.Equal(t, play.wake(feed.Unit{Model: "c"}, 3*time.Second).Expected, time.Duration(0))
+	for range 20 {
+		play.step()
+	}
+	assert.Equal(t, len(play.orders), 0)
+}
+
+// TestInformedLeaderOrdersAtOnce knows from its predecessor which engines there are.
+func TestInformedLeaderOrdersAtOnce(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a", "b"}})
+	play.planner = waking.New(start.Add(2 * time.Second))
+	play.disk["e1"] = []celerylanding.ModelID{"c"}
+	play.announce("e1")
+	play.planner.Inherited()
+	play.wake(feed.Unit{Model: "c"}, 3*time.Second)
+	for range 5 {
+		play.step()
+	}
+	assert.Assert(t, len(play.orders) > 0)
+}
