A leader asks the engines that it knew before a restart, in place of waiting for their heartbeats

Cause: after all processes had lost power nobody knew the engines; their heartbeats came over the 1.2 s of their interval, and meanwhile models that engines held were neither served nor safe from being loaded twice.

Ruled out: taking the file at its word (an engine may have left since; a router would send it work after its leaving was acknowledged).

Change: every controller writes the engines that it knows to engines.cache every 2 s, with a checksum. A leader that knows no engine asks each of the file for its account, and takes it in place of a heartbeat if it is the same incarnation and ready.

TestEnginesAreKnownAfterAllNodesRestart failed before; TestSavedEngines cuts the file at every byte.

--- a/control/control.go
+++ b/control/control.go
@@ -84,6 +84,7 @@
 	// leadSince is when this node began to lead; zero while it does not.
 	leadSince time.Time
 	handover  handover
+	recall    recall
 	// lastOrder is when this start of the process last gave an order; zero if never.
 	lastOrder time.Time
 	expireDue time.Time
@@ -149,6 +150,7 @@
 		MaxAppend:        maxAppend,
 		Random:           rand.New(rand.NewPCG(ctl.options.Seed, 1)),
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
+	ctl.loadRecall()
 	ctl.options.Log.Info().Str("member", string(id)).Uint64("snapshot", recovered.Snapshot.Index).Int("entries", len(recovered.Entries)).
 		Int64("torn_bytes", recovered.Torn).Msg("control state recovered")
 	return nil
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
@@ -43,10 +45,13 @@
 	return waking.OutcomeAccepted
 }
 
-func (eng *engines) Inspect(context.Context, time.Time, celerylanding.Endpoint) (*waking.Report, error) {
-	return &waking.Report{}, nil
+func (eng *engines) Inspect(_ context.Context, _ time.Time, endpoint celerylanding.Endpoint) (*waking.Report, error) {
+	return &waking.Report{Incarnation: endpoint.Incarnation, Ready: endpoint.Target != leavingEngine}, nil
 }
 
+// leavingEngine is an engine that takes no new work by its own account.
+const leavingEngine = "leaving"
+
 // member is one control node of a test.
 type member struct {
 	node   *control.Control
@@ -260,13 +265,9 @@
 // TestFencesRise follows orders over a change of the leader.
 func TestFencesRise(t *testing.T) {
 	place := newSite(t, 0)
-	engine := &routing.Engine{Slots: 1, Memory: 100, StoreLoads: 5, Models: []routing.Model{{ID: "m", Weights: 10,
-		FromStore: time.Second, FromDisk: time.Second, FromMemory: time.Second}}}
-	with := configuration(1)
-	with.Services[0].Engine = engine
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	_, err := place.members[0].node.Submit(ctx, with)
+	_, err := place.members[0].node.Submit(ctx, withEngine(1))
 	assert.NilError(t, err)
 	for round := range 2 {
 		target := announcement(fmt.Sprintf("t%d", round), 1, false)
@@ -326,8 +327,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	place.announceUntilTaken(ctx, announcement("t1", 1, false))
-	peers := rpc.NewPeers(ctx, rpc.Options{Local: "127.0.0.1", Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
-	defer peers.Close()
 	// The others have heard of the target once an answer of the leader has reached them.
 	time.Sleep(600 * time.Millisecond)
 	for _, mem := range place.members {
@@ -337,15 +336,82 @@
 			break
 		}
 	}
+	assert.Equal(t, place.awaitTargets(ctx)[0].ID, celerylanding.TargetID("t1"))
+}
+
+// awaitTargets returns the targets that a leader tells a router of, once it knows any.
+func (place *site) awaitTargets(ctx context.Context) []feed.Target {
+	place.t.Helper()
+	peers := rpc.NewPeers(ctx, rpc.Options{Local: "127.0.0.1", Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
+	defer peers.Close()
 	for ctx.Err() == nil {
 		for _, mem := range place.members {
 			var reply feed.WatchReply
 			err := peers.Call(ctx, mem.addr, "Peer.Watch", &feed.WatchArgs{Node: "r", Router: true}, &reply)
-			if err == nil && len(reply.Targets) == 1 && reply.Targets[0].ID == "t1" {
-				return
+			if err == nil && len(reply.Targets) > 0 {
+				return reply.Targets
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.Fatal("no leader knows the target")
+	place.t.Fatal("no leader knows a target")
+	return nil
+}
+
+// withEngine returns a configuration whose service has one model.
+func withEngine(version uint64) *routing.Configuration {
+	with := configuration(version)
+	with.Services[0].Engine = &routing.Engine{Slots: 1, Memory: 100, StoreLoads: 5, Models: []routing.Model{{ID: "m", Weights: 10,
+		FromStore: time.Second, FromDisk: time.Second, FromMemory: time.Second}}}
+	return with
+}
+
+// TestEnginesAreKnownAfterAllNodesRestart restarts all nodes; the engines are asked, and none sends a heartbeat.
+func TestEnginesAreKnownAfterAllNodesRestart(t *testing.T) {
+	place := newSite(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := place.members[0].node.Submit(ctx, withEngine(1))
+	assert.NilError(t, err)
+	place.announceUntilTaken(ctx, announcement("t1", 1, false))
+	place.announceUntilTaken(ctx, announcement(leavingEngine, 1, false))
+	for _, mem := range place.members {
+		for known := 0; known < 2; time.Sleep(20 * time.Millisecond) {
+			assert.NilError(t, ctx.Err(), "the engines are not saved")
+			engines, err := control.LoadEngines(mem.folder)
+			assert.NilError(t, err)
+			known = len(engines)
+		}
+	}
+	for _, mem := range place.members {
+		place.stop(mem)
+	}
+	for _, mem := range place.members {
+		place.start(mem, nil, false)
+	}
+	targets := place.awaitTargets(ctx)
+	assert.Equal(t, len(targets), 1)
+	assert.Equal(t, targets[0].ID, celerylanding.TargetID("t1"))
+	assert.Equal(t, targets[0].Address, "127.0.0.1:1")
+}
+
+func TestSavedEngines(t *testing.T) {
+	folder := t.TempDir()
+	engines, err := control.LoadEngines(folder)
+	assert.NilError(t, err, "no file is no mistake")
+	assert.Equal(t, len(engines), 0)
+	saved := []feed.Target{{ID: "t1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 2, OnDisk: []celerylanding.ModelID{"m"}}}
+	assert.NilError(t, control.SaveEngines(folder, saved))
+	engines, err = control.LoadEngines(folder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, engines, saved)
+
+	path := filepath.Join(folder, "engines.cache")
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for size := range len(data) {
+		assert.NilError(t, os.WriteFile(path, data[:size], 0o600))
+		_, err := control.LoadEngines(folder)
+		assert.Assert(t, errorx.IsOfType(err, control.ErrRecallDamaged), "torn after %d bytes: %v", size, err)
+	}
 }
--- a/control/duties.go
+++ b/control/duties.go
@@ -33,6 +33,7 @@
 func (ctl *Control) duties(now time.Time) {
 	ctl.noteRole(now)
 	ctl.tendMembership(now)
+	ctl.saveRecall(now)
 	if ctl.leadSince.IsZero() || !ctl.core.HasLeadership(now) {
 		return
 	}
@@ -79,6 +80,7 @@
 		ctl.feed.watchers = watchers
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
+		ctl.askRecalled(now)
 	}
 }
 
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -52,7 +52,10 @@
 	Incarnation celerylanding.Incarnation
 	Accepted    uint64
 	Busy        bool
-	Inventory   []celerylanding.LoadedModel
+	// Ready is set when the engine takes new work and is not about to leave.
+	Ready     bool
+	Inventory []celerylanding.LoadedModel
+	Cached    []celerylanding.CachedCheckpoint
 }
 
 // Actions are what the caller has to do after a step.
