A new leader does not take targets for silent that said nothing new

A follower hears of a target only when the leader publishes a change; a new leader judged silence by that, took 31 targets for silent at 3.9 s and 80 at 34 s, and had their models loaded elsewhere until their heartbeats came, on engines whose residents had to make way.

Ruled out: decisions without the former leader's demand (wake questions doubled in the first second already), the wait for the former leader's last order (none).

Change: a new leader counts the silence of the targets that it has known as a follower from its election on; followers learn which targets the leader holds for silent.

TestNewLeaderTrustsTargetsThatWereNotNews failed before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -69,6 +69,8 @@
 	members []*member
 	engines *engines
 	clock   func() time.Time
+	// silence is how long targets may be silent.
+	silence time.Duration
 }
 
 func listen(t *testing.T, addr string) net.Listener {
@@ -79,8 +81,10 @@
 }
 
 // newSite starts three seeds and further nodes, all at once.
-func newSite(t *testing.T, further int) *site {
-	place := &site{t: t, engines: &engines{}, clock: boottime.Now}
+func newSite(t *testing.T, further int) *site { return newSiteWithSilence(t, further, 5*time.Second) }
+
+func newSiteWithSilence(t *testing.T, further int, silence time.Duration) *site {
+	place := &site{t: t, engines: &engines{}, clock: boottime.Now, silence: silence}
 	listeners := make([]net.Listener, 3+further)
 	for i := range listeners {
 		listeners[i] = listen(t, "127.0.0.1:0")
@@ -115,7 +119,7 @@
 		MaxVoters:     3,
 		Fencing:       true,
 		LeaseTime:     time.Second,
-		TargetSilence: 5 * time.Second,
+		TargetSilence: place.silence,
 		Engines:       place.engines,
 		Clock:         place.clock,
 		Log:           zerolog.Nop(),
@@ -415,3 +419,24 @@
 		assert.Assert(t, errorx.IsOfType(err, control.ErrRecallDamaged), "torn after %d bytes: %v", size, err)
 	}
 }
+
+// TestNewLeaderTrustsTargetsThatWereNotNews changes the leader while a target goes on sending heartbeats that say nothing new, and
+// another one has fallen silent.
+func TestNewLeaderTrustsTargetsThatWereNotNews(t *testing.T) {
+	const silence = 1500 * time.Millisecond
+	place := newSiteWithSilence(t, 0, silence)
+	place.submit(place.members[0], 1)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	place.announceUntilTaken(ctx, announcement("dead", 1, false))
+	for sequence, begun := uint64(1), time.Now(); time.Since(begun) < 2*silence; sequence++ {
+		place.announceUntilTaken(ctx, announcement("quiet", sequence, false))
+		time.Sleep(silence / 5)
+	}
+	place.stopLeader()
+	targets := place.awaitTargets(ctx)
+	assert.Equal(t, len(targets), 2)
+	for _, target := range targets {
+		assert.Equal(t, target.Silent, target.ID == "dead", "%+v", target)
+	}
+}
--- a/control/duties.go
+++ b/control/duties.go
@@ -74,6 +74,8 @@
 		ctl.planner = waking.New(time.Time{})
 	case role == quorum.Leader && ctl.leadSince.IsZero() && ctl.core.IsSettled():
 		ctl.leadSince = now
+		// A follower hears of a target only when something has changed.
+		ctl.directory.Renew(now)
 		ctl.planner = waking.New(now.Add(time.Duration(settleShare * float64(ctl.options.TargetSilence))))
 		watchers := ctl.feed.watchers
 		ctl.feed = newFeedState()
@@ -214,5 +216,8 @@
 func (ctl *Control) learn(now time.Time, targets []feed.Target) {
 	for i := range targets {
 		ctl.directory.Observe(now, announcementOf(&targets[i]))
+		if targets[i].Silent {
+			ctl.directory.Silence(targets[i].ID)
+		}
 	}
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -137,6 +137,21 @@
 	return changed
 }
 
+// Silence suspects a target on the word of a node that hears its heartbeats.
+func (directory *Directory) Silence(id celerylanding.TargetID) {
+	if target, ok := directory.targets[id]; ok {
+		directory.move(target, EventSilent)
+	}
+}
+
+// Renew counts the silence of all targets from now on; it is for a node that hears their heartbeats from now on and has known them
+// from another node.
+func (directory *Directory) Renew(now time.Time) {
+	for _, target := range directory.targets {
+		target.heard = now
+	}
+}
+
 // Target finds a target.
 func (directory *Directory) Target(id celerylanding.TargetID) (*Target, bool) {
 	target, ok := directory.targets[id]
