A new leader counts the loads from the store that the former one began; lost engines leave the store

Loads of engines that had crashed counted as under way for good, and after a change of the leader the new one began three more beside the three under way, so that seven shared the width of two. Busy models with too few copies waited behind requests for rare ones, two of which are always waiting there.

Change: engines that are gone take no part of the store; the leader tells its followers what engines load from the store, and a new leader counts it and lets units wait for it; a busy model's copy comes before requests that wait. The leader logs every 5 s how many engines and copies it knows (with gauges).

Tests, each seen failing: TestLoadsOfLostEnginesLeaveTheStore, TestNewLeaderCountsTheLoadsOfTheFormerOne.

--- a/control/control.go
+++ b/control/control.go
@@ -89,6 +89,8 @@
 	lastOrder time.Time
 	expireDue time.Time
 	planDue   time.Time
+	// summaryDue is when the next line on the state of the engines is written.
+	summaryDue time.Time
 
 	mutex  sync.Mutex
 	leader string
--- a/control/duties.go
+++ b/control/duties.go
@@ -20,6 +20,8 @@
 	planInterval = 15 * time.Millisecond
 	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
 	orderTimeout = 150 * time.Millisecond
+	// summaryInterval is the time between two lines on the state of the engines; short against the time of a load from the store.
+	summaryInterval = 5 * time.Second
 	// forgetAfter is how long a target that has left is remembered, so that its late heartbeats do not call it back.
 	forgetAfter = 2 * time.Minute
 )
@@ -50,6 +52,10 @@
 		ctl.planDue = now.Add(planInterval)
 		ctl.carryOut(ctl.planner.Step(now))
 	}
+	if !now.Before(ctl.summaryDue) {
+		ctl.summaryDue = now.Add(summaryInterval)
+		ctl.logSummary(now)
+	}
 	for _, id := range ctl.planner.Changed() {
 		if target, ok := ctl.directory.Target(id); ok {
 			ctl.publish(now, target)
@@ -57,6 +63,18 @@
 	}
 }
 
+// logSummary tells what the leader's decisions about engines rest on.
+func (ctl *Control) logSummary(now time.Time) {
+	summary := ctl.planner.Summary(now)
+	for name, value := range map[string]int{"engines_open": summary.Open, "engines_suspect": summary.Suspect, "models_loaded": summary.Loaded,
+		"models_without_copy": summary.Lost, "units_waiting": summary.Waiting, "store_loads": summary.Fetching} {
+		ctl.options.Metrics.Gauge(name).Update(float64(value))
+	}
+	ctl.options.Log.Info().Int("engines", summary.Engines).Int("open", summary.Open).Int("suspect", summary.Suspect).
+		Int("models", summary.Models).Int("loaded", summary.Loaded).Int("one_copy", summary.Scarce).Int("no_copy", summary.Lost).
+		Int("waiting", summary.Waiting).Int("store_loads", summary.Fetching).Int("store_most", summary.MostFetches).Msg("engines")
+}
+
 // noteRole begins and ends the leader's work.
 func (ctl *Control) noteRole(now time.Time) {
 	role, leader := ctl.core.Role(), ctl.core.Leader()
--- a/control/feed.go
+++ b/control/feed.go
@@ -175,7 +175,7 @@
 		}
 		target := entry.target
 		if args.Router {
-			target.OnDisk, target.InMemory = nil, nil
+			target.OnDisk, target.InMemory, target.Fetching = nil, nil, ""
 		}
 		reply.Targets = append(reply.Targets, target)
 	}
@@ -199,7 +199,7 @@
 	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving &&
 		a.Silent == b.Silent && a.Slots == b.Slots && slices.EqualFunc(a.Held, b.Held, func(x, y feed.Held) bool {
 		return x.Model == y.Model && x.Closing == y.Closing && slices.Equal(x.Adapters, y.Adapters)
-	}) && len(a.OnDisk) == len(b.OnDisk) && len(a.InMemory) == len(b.InMemory)
+	}) && len(a.OnDisk) == len(b.OnDisk) && len(a.InMemory) == len(b.InMemory) && a.Fetching == b.Fetching
 }
 
 func (ctl *Control) viewOf(now time.Time, target *membership.Target) feed.Target {
@@ -221,6 +221,7 @@
 		view.Held = heldOf(announcement.Inventory)
 	default:
 		view.Held = ctl.planner.View(now, announcement.Target)
+		view.Fetching = ctl.planner.Fetching(announcement.Target)
 	}
 	for _, cached := range announcement.Cached {
 		if cached.Tier == celerylanding.TierMemory {
@@ -271,6 +272,7 @@
 		Address:     view.Address,
 		Leaving:     view.Leaving,
 		Slots:       view.Slots,
+		Fetching:    view.Fetching,
 	}
 	for _, held := range view.Held {
 		announcement.Inventory = append(announcement.Inventory, celerylanding.LoadedModel{Model: held.Model})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -48,6 +48,8 @@
 	// OnDisk and InMemory name the models whose weights the engine has a copy of; routers do not get them.
 	OnDisk   []celerylanding.ModelID `cbor:"11,keyasint,omitempty"`
 	InMemory []celerylanding.ModelID `cbor:"12,keyasint,omitempty"`
+	// Fetching is the model that the engine loads from the store; routers do not get it.
+	Fetching celerylanding.ModelID `cbor:"13,keyasint,omitempty"`
 }
 
 // Endpoint returns where the incarnation is reached.
--- a/types.go
+++ b/types.go
@@ -140,6 +140,8 @@
 	Load        TargetLoad         `json:"load" cbor:"14,keyasint"`
 	// Role is what an engine does of a request now; "" is all of it.
 	Role Role `json:"role,omitempty" cbor:"15,keyasint,omitempty"`
+	// Fetching is the model that an engine loads from the store, by the word of the node that ordered it; engines don't say.
+	Fetching ModelID `json:"fetching,omitempty" cbor:"16,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of an announcement that changes all the time.
--- a/waking/engine.go
+++ b/waking/engine.go
@@ -45,6 +45,8 @@
 	unanswered int
 	// order is the one for a model that is under way; the engine refuses all others meanwhile.
 	order *Order
+	// inherited is the model that the engine loads from the store on the order of an earlier leader, until it shows; else "".
+	inherited celerylanding.ModelID
 	// adapterOrder is the one for an adapter whose answer has not come yet.
 	adapterOrder *Order
 	// prepareDue is when to look again for something to prepare.
@@ -130,9 +132,14 @@
 	return eng.order != nil && eng.order.Kind == celerylanding.OrderLoad && eng.order.Unit.Model == id
 }
 
+// isFetching reports whether the engine takes part of the store's width.
+func (eng *engine) isFetching() bool {
+	return eng.isOpen() && (isFetch(eng.order) || eng.inherited != "")
+}
+
 // isComing reports whether the engine is loading the model or will, for requests that wait.
 func (eng *engine) isComing(id celerylanding.ModelID) bool {
-	return eng.isLoading(id) || slices.ContainsFunc(eng.wants, func(want *want) bool { return want.unit.Model == id })
+	return eng.isLoading(id) || eng.inherited == id || slices.ContainsFunc(eng.wants, func(want *want) bool { return want.unit.Model == id })
 }
 
 // isOpen reports whether the engine can take new work.
--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -48,6 +48,10 @@
 	case OutcomeAccepted:
 		eng.accepted++
 		eng.order.taken = now
+		if isFetch(eng.order) {
+			// Other nodes are told what comes from the store, in case one of them takes over.
+			planner.changed[eng.endpoint.Target] = true
+		}
 	case OutcomeHolds:
 		planner.holdsAlready(now, eng)
 		planner.finish(now, eng)
@@ -109,6 +113,7 @@
 		}
 		eng.order = nil
 	}
+	eng.inherited = ""
 	eng.accepted = report.Accepted
 	eng.isCountKnown = true
 	planner.adopt(now, eng, report.Inventory)
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -150,7 +150,7 @@
 	if eng == nil || eng.endpoint.Incarnation != announcement.Incarnation {
 		planner.drop(eng)
 		planner.learned = now
-		eng = &engine{held: make(map[celerylanding.ModelID]*resident)}
+		eng = &engine{held: make(map[celerylanding.ModelID]*resident), inherited: announcement.Fetching}
 		planner.engines[announcement.Target] = eng
 	}
 	eng.endpoint = celerylanding.Endpoint{Target: announcement.Target, Incarnation: announcement.Incarnation, Address: announcement.Address}
@@ -224,6 +224,9 @@
 			planner.changed[eng.endpoint.Target] = true
 		}
 	}
+	if found[eng.inherited] != nil {
+		eng.inherited = ""
+	}
 	for id, adapters := range found {
 		if planner.adoptModel(now, eng, id, adapters) {
 			planner.changed[eng.endpoint.Target] = true
@@ -316,6 +319,18 @@
 	return list
 }
 
+// Fetching returns the model that the engine loads from the store, or "".
+func (planner *Planner) Fetching(id celerylanding.TargetID) celerylanding.ModelID {
+	eng := planner.engines[id]
+	switch {
+	case eng == nil:
+		return ""
+	case isFetch(eng.order) && !eng.order.taken.IsZero():
+		return eng.order.Unit.Model
+	}
+	return eng.inherited
+}
+
 // View returns what routers are told of an engine's models.
 func (planner *Planner) View(now time.Time, id celerylanding.TargetID) []feed.Held {
 	if eng := planner.engines[id]; eng != nil {
--- a/waking/store.go
+++ b/waking/store.go
@@ -41,11 +41,11 @@
 	return order != nil && order.Kind == celerylanding.OrderLoad && order.Unit.Adapter == "" && order.Tier == celerylanding.TierRemote
 }
 
-// fetches counts the loads from the store that are under way.
+// fetches counts the loads from the store that are under way; those of engines that are gone have ended with them.
 func (planner *Planner) fetches() int {
 	count := 0
 	for _, eng := range planner.engines {
-		if isFetch(eng.order) {
+		if eng.isFetching() {
 			count++
 		}
 	}
@@ -110,18 +110,22 @@
 
 // background wants a copy of the model that is asked for most among those with too few copies, where it costs least.
 func (planner *Planner) background(now time.Time) {
-	pending := planner.fetches()
+	pending, ahead := planner.fetches(), 0
 	for _, wanted := range planner.wants {
 		if wanted.engine != nil && wanted.engine.tier(wanted.unit.Model) == celerylanding.TierRemote {
 			pending++
 		}
+		if wanted.replica == backgroundReplica {
+			ahead++
+		}
 	}
-	if pending >= maxBackground || now.Before(planner.settled) {
+	if ahead >= maxBackground || now.Before(planner.settled) {
 		return
 	}
 	isLarge := float64(pending+1) <= backgroundShare*float64(len(planner.engines))
 	key, ok := planner.scarcest(now, isLarge)
-	if !ok {
+	// A busy model whose replicas are overloaded comes before requests that wait for other models.
+	if !ok || (pending >= maxBackground && planner.demand[key].urgencyRate(now) < busyUrgency) {
 		return
 	}
 	var best *engine
--- a/waking/wake.go
+++ b/waking/wake.go
@@ -176,7 +176,9 @@
 // remaining returns how long the order under way still takes.
 func (planner *Planner) remaining(now time.Time, eng *engine) time.Duration {
 	if eng.order == nil {
-		return 0
+		// When an earlier leader's load began is not known.
+		model, _ := eng.spec.Model(eng.inherited)
+		return model.FromStore
 	}
 	return max(planner.orderTime(eng, eng.order)-now.Sub(eng.order.sent), orderOverhead)
 }
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -402,3 +403,56 @@
 	}
 	assert.Assert(t, len(play.orders) >= 2, "%v", play.orders)
 }
+
+// TestLoadsOfLostEnginesLeaveTheStore loses all engines that load from the store, none of which comes back.
+func TestLoadsOfLostEnginesLeaveTheStore(t *testing.T) {
+	lost := []celerylanding.TargetID{"e1", "e2", "e3"}
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": nil, "e2": nil, "e3": nil})
+	for _, model := range []celerylanding.ModelID{"a", "b", "c"} {
+		play.wake(feed.Unit{Model: model}, 20*time.Second)
+	}
+	for range 10 {
+		play.step()
+	}
+	assert.Equal(t, len(play.orders), 3, "%v", play.orders)
+	for _, id := range lost {
+		play.sequence++
+		play.planner.Observe(play.now, play.announcement(id), spec(), false)
+	}
+	play.held["e4"] = nil
+	play.announce("e4")
+	play.wake(feed.Unit{Model: "d"}, 20*time.Second)
+	for range 10 {
+		play.step()
+	}
+	assert.Equal(t, len(play.orders), 4, "the store is free again: %v", play.orders)
+	assert.Equal(t, play.orders[3].Tier, celerylanding.TierRemote)
+}
+
+// TestNewLeaderCountsTheLoadsOfTheFormerOne takes over while three engines load from the store on an earlier leader's order.
+func TestNewLeaderCountsTheLoadsOfTheFormerOne(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e4": nil})
+	for id, model := range map[celerylanding.TargetID]celerylanding.ModelID{"e1": "a", "e2": "b", "e3": "c"} {
+		announcement := play.announcement(id)
+		announcement.Fetching = model
+		play.planner.Observe(play.now, announcement, spec(), true)
+		assert.Equal(t, play.planner.Fetching(id), model)
+	}
+	// steps counts the orders of ten rounds, in which the engines that load say that they are busy.
+	steps := func(busy ...celerylanding.TargetID) int {
+		count := 0
+		for range 10 {
+			play.now = play.now.Add(100 * time.Millisecond)
+			actions := play.planner.Step(play.now)
+			for _, endpoint := range actions.Inspects {
+				play.planner.Inspected(play.now, endpoint, &waking.Report{Incarnation: 1, Busy: slices.Contains(busy, endpoint.Target)})
+			}
+			count += len(actions.Orders)
+		}
+		return count
+	}
+	play.wake(feed.Unit{Model: "a"}, 20*time.Second)
+	play.wake(feed.Unit{Model: "d"}, 20*time.Second)
+	assert.Equal(t, steps("e1", "e2", "e3"), 0, "the store has enough to do, and a is on its way")
+	assert.Equal(t, steps("e2", "e3"), 1, "the first load has ended")
+}
