An engine is asked when the announcement of a load is late

Change: a load from a copy that is 0.3 s over its time makes the leader ask the engine, and takes its account as the end if it shows the model. The line on the state of the engines tells the replicas in memory.

TestLostAnnouncementOfALoad failed before.

--- a/waking/outcome.go
+++ b/waking/outcome.go
@@ -1,6 +1,7 @@
 package waking
 
 import (
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -96,6 +97,14 @@
 	}
 }
 
+// shows reports whether the inventory is as the order wants it.
+func (report *Report) shows(order *Order) bool {
+	isHeld := slices.ContainsFunc(report.Inventory, func(entry celerylanding.LoadedModel) bool {
+		return entry.Model == celerylanding.ModelID(order.Unit.String())
+	})
+	return isHeld == (order.Kind == celerylanding.OrderLoad)
+}
+
 // Inspected takes an engine's account of itself, or nil when it gave none.
 func (planner *Planner) Inspected(now time.Time, endpoint celerylanding.Endpoint, report *Report) {
 	eng := planner.engines[endpoint.Target]
@@ -108,7 +117,7 @@
 		return
 	}
 	if order := eng.order; order != nil {
-		if report.Accepted < order.Accepted+1 || now.Sub(order.taken) < reportLag {
+		if report.Accepted < order.Accepted+1 || (now.Sub(order.taken) < reportLag && !report.shows(order)) {
 			return
 		}
 		eng.order = nil
--- a/waking/step.go
+++ b/waking/step.go
@@ -19,6 +19,9 @@
 	// conflictPause is the time between an order that an engine refused and the next question; an engine's account lags by some
 	// hundred milliseconds.
 	conflictPause = 250 * time.Millisecond
+	// announceSlack is how much longer than expected a load from a copy may take before the engine is asked; its announcement comes
+	// within some milliseconds unless it was lost, and the next one is a heartbeat away.
+	announceSlack = 300 * time.Millisecond
 	// orderSlack is how much longer than expected an accepted order may take before the engine is asked.
 	orderSlack = 3 * time.Second
 	// spreadInterval is the time between two looks for models with too few replicas.
@@ -221,7 +224,11 @@
 	if order.taken.IsZero() {
 		return
 	}
-	if now.Sub(order.taken) > 2*planner.orderTime(eng, order)+orderSlack {
+	limit := 2*planner.orderTime(eng, order) + orderSlack
+	if order.Kind == celerylanding.OrderLoad && !isFetch(order) {
+		limit = planner.orderTime(eng, order) + announceSlack
+	}
+	if now.Sub(order.taken) > limit {
 		planner.inspect(now, eng, actions)
 	}
 }
--- a/waking/summary.go
+++ b/waking/summary.go
@@ -11,9 +11,9 @@
 type Summary struct {
 	// Engines are all known ones, Open those that take work, Suspect those that gave no answer to orders or had their address taken.
 	Engines, Open, Suspect int
-	// Models are those that the configuration names, Loaded those on open engines, Scarce those with a copy on one open engine only and
+	// Models are those that the configuration names, Loaded those on open engines with Residents replicas in all, Scarce those with a copy on one open engine only and
 	// Lost those with none.
-	Models, Loaded, Scarce, Lost int
+	Models, Loaded, Residents, Scarce, Lost int
 	// Waiting are the units that requests wait for, Fetching the loads from the store and MostFetches how many may run at once.
 	Waiting, Fetching, MostFetches int
 }
@@ -32,6 +32,7 @@
 			continue
 		}
 		summary.Open++
+		summary.Residents += len(eng.held)
 		for id := range eng.held {
 			loaded[demandKey{eng.service, feed.Unit{Model: id}}] = true
 		}
--- a/waking/waking_test.go
+++ b/waking/waking_test.go
@@ -456,3 +456,34 @@
 	assert.Equal(t, steps("e1", "e2", "e3"), 0, "the store has enough to do, and a is on its way")
 	assert.Equal(t, steps("e2", "e3"), 1, "the first load has ended")
 }
+
+// TestLostAnnouncementOfALoad loses the announcement that a load has ended; the engine is asked long before the next one.
+func TestLostAnnouncementOfALoad(t *testing.T) {
+	play := newWorld(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {"a"}})
+	play.disk["e1"] = []celerylanding.ModelID{"c"}
+	play.announce("e1")
+	play.wake(feed.Unit{Model: "c"}, 9*time.Second)
+	var taken time.Time
+	var model celerylanding.ModelID
+	for play.now.Sub(start) < 3*time.Second {
+		play.now = play.now.Add(20 * time.Millisecond)
+		actions := play.planner.Step(play.now)
+		for _, order := range actions.Orders {
+			taken, model = play.now, order.Unit.Model
+			play.accepted["e1"]++
+			play.planner.Outcome(play.now, order, waking.OutcomeAccepted)
+		}
+		for _, endpoint := range actions.Inspects {
+			report := &waking.Report{Incarnation: 1, Accepted: play.accepted["e1"], Inventory: play.announcement("e1").Inventory}
+			if report.Busy = !taken.IsZero() && play.now.Sub(taken) < time.Second; !report.Busy && !taken.IsZero() {
+				report.Inventory = append(report.Inventory, celerylanding.LoadedModel{Model: model})
+			}
+			play.planner.Inspected(play.now, endpoint, report)
+		}
+		if !taken.IsZero() && len(play.planner.View(play.now, "e1")) == 2 {
+			break
+		}
+	}
+	assert.Equal(t, model, celerylanding.ModelID("c"))
+	assert.Assert(t, play.now.Sub(taken) < 1500*time.Millisecond, "known %v after the order, which took 1 s", play.now.Sub(taken))
+}
