A question that the leader does not answer is logged; the header's size follows the configuration

relay.wait dropped the error of a question to the leader: it is logged once a request, counted in the request's last line and in wakes_unanswered. A request whose header is larger than the configuration's limit gets 431.

--- a/relay/call.go
+++ b/relay/call.go
@@ -49,15 +49,17 @@
 	viewAge time.Duration
 
 	// What has happened so far, for the decisions that follow and the log.
-	verdict   celerylanding.Verdict
-	sends     int
-	excluded  []celerylanding.TargetID
-	refusals  []celerylanding.Endpoint
-	last      celerylanding.TargetID
-	status    int
-	waited    time.Duration
-	firstByte time.Duration
-	cause     string
+	verdict  celerylanding.Verdict
+	sends    int
+	excluded []celerylanding.TargetID
+	refusals []celerylanding.Endpoint
+	last     celerylanding.TargetID
+	status   int
+	waited   time.Duration
+	// unanswered counts the questions that the leader did not answer.
+	unanswered int
+	firstByte  time.Duration
+	cause      string
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	// isCut is set when the answer broke off after a part of it was passed on.
@@ -105,6 +107,10 @@
 		return call, &refusal{status: http.StatusNotFound, verdict: celerylanding.NotRun, reason: celerylanding.ReasonUnknownService,
 			cause: "no route matches"}
 	}
+	if limit := table.Routes().Limits().HeaderBytes; limit > 0 && headerSize(request) > limit {
+		return call, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, verdict: celerylanding.NotRun,
+			reason: celerylanding.ReasonBadRequest, cause: "header exceeds the limit"}
+	}
 	call.route = route
 	call.version, call.viewAge = table.Routes().Version(), relay.state.age(now)
 	if refusal := call.read(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
@@ -125,6 +131,20 @@
 	return call, nil
 }
 
+// lineOverhead is the bytes of a header line beside its name and its value.
+const lineOverhead = len(": \r\n")
+
+// headerSize returns the bytes of the request line and the header, as far as a parsed request tells.
+func headerSize(request *http.Request) int {
+	size := len(request.Method) + len(request.RequestURI) + len(request.Proto) + lineOverhead
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + lineOverhead
+		}
+	}
+	return size
+}
+
 // awaitRoutes waits for the first configuration while this node has just started, and returns the table then in force.
 func (relay *Relay) awaitRoutes(ctx context.Context, call *call) *dispatch.Table {
 	until := relay.options.Started.Add(startTime)
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -72,6 +72,9 @@
 	if call.cause != "" {
 		event = event.Str("cause", call.cause)
 	}
+	if call.unanswered > 0 {
+		event = event.Int("unanswered", call.unanswered)
+	}
 	event.Int("answered", call.status).Msg(outcome)
 	relay.measure(call, outcome)
 }
@@ -95,6 +98,17 @@
 	}
 }
 
+// logUnanswered tells once for a request that the leader did not answer its question; the request goes on waiting, and its last line
+// counts the questions.
+func (relay *Relay) logUnanswered(call *call, err error) {
+	relay.options.Metrics.Counter("wakes_unanswered").Inc(1)
+	if call.unanswered++; call.unanswered > 1 {
+		return
+	}
+	relay.options.Log.Warn().Str("request", call.said.ID).Str("unit", call.unit.String()).Err(err).
+		Dur("view_age", relay.state.age(relay.options.Clock())).Msg("leader did not answer a wake")
+}
+
 // logTry writes the line of a try that did not end with an answer for the caller.
 func (relay *Relay) logTry(call *call, target *feed.Target, again bool) {
 	relay.options.Log.Warn().Str("request", call.said.ID).Str("target", string(target.ID)).Str("unit", call.unit.String()).
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -101,10 +101,13 @@
 	patience := call.deadline.Sub(now)
 	reply, err := relay.waker.ask(ctx, now, call.service, call.unit, patience, call.slack(now), call.refusals, unreachable)
 	call.refusals = nil
+	if err != nil {
+		relay.logUnanswered(call, err)
+	}
 	if err == nil && reply.Hopeless {
 		return refuseNotRunOr(call, celerylanding.ReasonWaitTooLong, reply.Expected, reply.Cause)
 	}
-	if reply.Expected == 0 {
+	if err == nil && reply.Expected == 0 {
 		// The leader believes that the unit is there; give its word or its target's return a moment.
 		call.excluded = nil
 	}
