A leader that is asked to stop hands its lead over

Cause: a controller that got SIGTERM ended while it led; another one was elected 0.5 to 1.2 s later, and where the former leader still answered, the new one waited a lease for its last order.

Change: the leader tells the voters that it leads no more; they need not wait for its lease and ask for votes within a heartbeat. A member that stops says so when a new leader asks for its last order; where engines check fences nothing is waited for. HandOver returns when another node leads, after 0.5 s at most.

TestStoppingLeaderHandsOver, TestReleasedVotersElectAnotherLeaderAtOnce failed before; TestLogUnderFaults releases leaders as well.

--- a/control/control.go
+++ b/control/control.go
@@ -84,7 +84,9 @@
 	// leadSince is when this node began to lead; zero while it does not.
 	leadSince time.Time
 	handover  handover
-	recall    recall
+	// stops is set when this node has given up its lead in order to stop.
+	stops  bool
+	recall recall
 	// lastOrder is when this start of the process last gave an order; zero if never.
 	lastOrder time.Time
 	expireDue time.Time
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -440,3 +440,34 @@
 		assert.Equal(t, target.Silent, target.ID == "dead", "%+v", target)
 	}
 }
+
+// TestStoppingLeaderHandsOver gives orders, hands the lead over and expects the next ones well within the lease.
+func TestStoppingLeaderHandsOver(t *testing.T) {
+	place := newSite(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := place.members[0].node.Submit(ctx, withEngine(1))
+	assert.NilError(t, err)
+	for round := range 2 {
+		target := announcement(fmt.Sprintf("t%d", round), 1, false)
+		target.Announcement.Cached = []celerylanding.CachedCheckpoint{{Model: "m", Tier: celerylanding.TierDisk}}
+		place.announceUntilTaken(ctx, target)
+		began := time.Now()
+		place.awaitOrders(round + 1)
+		if round == 1 {
+			// The lease is 1 s, and the former leader still answers.
+			assert.Assert(t, time.Since(began) < 900*time.Millisecond, "%s", time.Since(began))
+			return
+		}
+		for _, mem := range place.members {
+			if mem.addr == place.members[0].node.Leader() {
+				began := time.Now()
+				mem.node.HandOver(ctx)
+				assert.Assert(t, mem.node.Leader() != mem.addr && mem.node.Leader() != "", "led by %q", mem.node.Leader())
+				// An election timeout is 600 ms at least.
+				assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%s", time.Since(began))
+				break
+			}
+		}
+	}
+}
--- a/control/handover.go
+++ b/control/handover.go
@@ -29,6 +29,8 @@
 	Ago time.Duration `cbor:"2,keyasint"`
 	// Leads is set when the node believes that it still leads.
 	Leads bool `cbor:"3,keyasint"`
+	// Stops is set when the node has given up its lead in order to stop.
+	Stops bool `cbor:"5,keyasint,omitempty"`
 	// Targets are those that the node knows, where they were asked for.
 	Targets []feed.Target `cbor:"4,keyasint,omitempty"`
 }
@@ -80,6 +82,8 @@
 	switch {
 	case err != nil && !ctl.options.Fencing, err == nil && reply.Leads:
 		ctl.handover.earliest = later(ctl.handover.earliest, ctl.handover.from)
+	case err == nil && reply.Stops && ctl.options.Fencing:
+		// It gives no more orders, and engines refuse those that are still on their way.
 	case err == nil && !reply.Never:
 		ctl.handover.earliest = later(ctl.handover.earliest, now.Add(ctl.options.LeaseTime+maxDrift-reply.Ago))
 	}
@@ -97,6 +101,42 @@
 	return b
 }
 
+const (
+	// stopTime bounds the wait of a leader that stops for its successor: two rounds of votes between failure domains, and the
+	// durable writes between them.
+	stopTime = 500 * time.Millisecond
+	// stopPoll is the time between two looks for the successor.
+	stopPoll = 10 * time.Millisecond
+)
+
+// HandOver makes a node that is about to stop lead no more, and returns once another one leads or too much time has passed.
+func (ctl *Control) HandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTime)
+	defer cancel()
+	led := false
+	err := ctl.ask(ctx, func(now time.Time) {
+		ctl.stops = true
+		led = ctl.core.Role() == quorum.Leader
+		ctl.effects.Merge(ctl.core.Release(now))
+	})
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for err == nil && led {
+		if leader := ctl.Leader(); leader != "" && leader != ctl.member.Address {
+			ctl.options.Log.Info().Str("leader", leader).Msg("lead handed over")
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	if err != nil {
+		ctl.options.Log.Warn().Err(err).Bool("led", led).Msg("no other node leads yet")
+	}
+}
+
 // inherit takes the targets that a member has learned from the former leader.
 func (ctl *Control) inherit(now time.Time, targets []feed.Target) {
 	if len(targets) == 0 {
@@ -110,7 +150,7 @@
 
 // tellLastOrder answers a new leader.
 func (ctl *Control) tellLastOrder(now time.Time, args *LastOrderArgs) LastOrderReply {
-	reply := LastOrderReply{Never: ctl.lastOrder.IsZero()}
+	reply := LastOrderReply{Never: ctl.lastOrder.IsZero(), Stops: ctl.stops}
 	if !reply.Never {
 		reply.Ago, reply.Leads = now.Sub(ctl.lastOrder), ctl.core.Role() == quorum.Leader
 	}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -83,8 +83,10 @@
 	heartbeatDue  time.Time
 	quorumDue     time.Time
 	leaderContact time.Time
-	votes         map[MemberID]bool
-	peers         map[MemberID]*progress
+	// released is set when the leader of the term has told that it leads no more.
+	released bool
+	votes    map[MemberID]bool
+	peers    map[MemberID]*progress
 
 	effects Effects
 }
@@ -159,6 +161,8 @@
 		core.onAppendReply(now, message)
 	case MessageSnapshot:
 		core.onSnapshot(now, message)
+	case MessageRelease:
+		core.onRelease(now, message)
 	}
 	return core.take(), nil
 }
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -286,3 +286,37 @@
 		assert.Assert(t, !grants(receive(t, voted, now, vote)), "a vote for b does not say that b has led the term")
 	}
 }
+
+func TestReleasedVotersElectAnotherLeaderAtOnce(t *testing.T) {
+	core := newMember("a/1", 1)
+	now := elect(t, core, begin)
+	voter, other := newMember("b/1", core.Term()), newMember("c/1", core.Term())
+	for _, follower := range []*quorum.Core{voter, other} {
+		id := quorum.MemberID("b/1")
+		if follower == other {
+			id = "c/1"
+		}
+		receive(t, follower, now, quorum.Message{Kind: quorum.MessageAppend, From: "a/1", To: id, Term: core.Term(), LastIndex: 1, LastTerm: 1})
+	}
+	released := core.Release(now).Messages
+	assert.Assert(t, core.Role() != quorum.Leader && !core.HasLeadership(now))
+	receive(t, voter, now, messageTo(t, released, "b/1"))
+	asked := voter.Tick(now.Add(electionTimeout / 10)).Messages
+	assert.Assert(t, !grants(receive(t, other, now.Add(electionTimeout/10), messageTo(t, asked, "c/1"))), "c has not heard of it yet")
+	receive(t, other, now, messageTo(t, released, "c/1"))
+	assert.Assert(t, grants(receive(t, other, now.Add(electionTimeout/10), messageTo(t, asked, "c/1"))))
+}
+
+func TestOnlyTheLeaderOfTheTermReleases(t *testing.T) {
+	voter := newMember("b/1", 2)
+	now := begin.Add(3 * electionTimeout)
+	receive(t, voter, now, quorum.Message{Kind: quorum.MessageAppend, From: "a/1", To: "b/1", Term: 2, LastIndex: 1, LastTerm: 1})
+	for _, release := range []quorum.Message{
+		{Kind: quorum.MessageRelease, From: "c/1", To: "b/1", Term: 2},
+		{Kind: quorum.MessageRelease, From: "a/1", To: "b/1", Term: 1},
+	} {
+		receive(t, voter, now, release)
+		vote := quorum.Message{Kind: quorum.MessageVote, From: "c/1", To: "b/1", Term: 3, LastIndex: 9, LastTerm: 2}
+		assert.Assert(t, !grants(receive(t, voter, now.Add(electionTimeout/2), vote)), "%+v", release)
+	}
+}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -24,7 +24,7 @@
 	if core.role == Leader {
 		return true
 	}
-	if core.hard.Leader == candidate {
+	if core.hard.Leader == candidate || core.released {
 		return false
 	}
 	if now.Sub(core.started) < core.settings.ElectionTimeout {
@@ -40,11 +40,37 @@
 	}
 	core.role = Follower
 	core.leader = leader
+	core.released = false
 	core.peers = nil
 	core.votes = nil
 	core.resetElection(now)
 }
 
+// Release makes a leader lead no more, so that another voter is elected without waiting for its lease to lapse; it is for a member
+// that is about to stop.
+func (core *Core) Release(now time.Time) Effects {
+	if core.role != Leader {
+		return Effects{}
+	}
+	for _, member := range core.members {
+		if !member.Learner && member.ID != core.settings.ID {
+			core.send(Message{Kind: MessageRelease, To: member.ID})
+		}
+	}
+	core.becomeFollower(now, core.hard.Term, "")
+	return core.take()
+}
+
+// onRelease asks for votes soon, if the sender is the only leader that this member has answered in its term.
+func (core *Core) onRelease(now time.Time, message Message) {
+	if message.Term != core.hard.Term || message.From != core.hard.Leader || core.role == Leader {
+		return
+	}
+	core.leader = ""
+	core.released = true
+	core.electionDue = now.Add(time.Duration(core.settings.Random.Int64N(int64(core.settings.Heartbeat))))
+}
+
 func (core *Core) startPreVote(now time.Time) {
 	core.resetElection(now)
 	if !core.isVoter(core.settings.ID) {
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -68,6 +68,8 @@
 	MessageAppend
 	MessageAppendReply
 	MessageSnapshot
+	// MessageRelease tells a voter that the sender leads its term no more, so that it need not wait for the sender's lease to lapse.
+	MessageRelease
 	messageKindEnd
 )
 
--- a/quorum/property_test.go
+++ b/quorum/property_test.go
@@ -365,6 +365,11 @@
 				}
 			},
 			"restart": func(*rapid.T) { world.restartAll() },
+			"release": func(*rapid.T) {
+				for _, replica := range world.live() {
+					world.carry(replica, replica.core.Release(world.clock(replica)), "")
+				}
+			},
 			"compact": func(*rapid.T) {
 				for _, replica := range world.live() {
 					world.carry(replica, replica.core.Compact(replica.core.CommitIndex(), []byte("state")), "")
