Routers learn how long targets remember idle connections

Ruled out: looking at the connection before use (nothing has arrived on it), treating the reset as not run (the target may have died while it ran the request).

A target that fails on new connections as well teaches nothing.

TestForgottenConnectionsAreNotUsedAgain failed before; TestFailingTargetTeachesNothingOfRest failed without the check.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -55,7 +55,7 @@
 	if request.Fresh {
 		pool.Drop(address)
 	}
-	link, _, err := pool.get(ctx, now, address)
+	link, isNew, err := pool.get(ctx, now, address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, ErrRefused.Wrap(err, "%s", address)
 	}
@@ -64,9 +64,15 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = link.SetDeadline(time.Unix(1, 0)) })
 	response, err := link.exchange(request)
+	if isNew {
+		pool.rest.fresh(now, address, err == nil)
+	}
 	if err != nil {
 		stop()
 		_ = link.Close()
+		if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+			pool.rest.reset(address, now.Sub(link.rests))
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() == nil {
 			pool.Drop(address)
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,7 +47,8 @@
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
-	// expires is when an idle connection is no longer used.
+	// rests is since when the connection is idle, and expires when it is no longer used.
+	rests   time.Time
 	expires time.Time
 }
 
@@ -59,6 +60,7 @@
 	idle     map[string][]*conn
 	opened   uint64
 	reused   uint64
+	rest     restLimit
 }
 
 // New returns a pool without connections.
@@ -87,6 +89,9 @@
 	return pool.opened, pool.reused
 }
 
+// RestLimit returns how long idle connections are used again, and whether targets have made that shorter than they say.
+func (pool *Pool) RestLimit(now time.Time) (time.Duration, bool) { return pool.rest.at(now) }
+
 // get returns an idle connection that is still good, or a new one.
 func (pool *Pool) get(ctx context.Context, now time.Time, address string) (link *conn, isNew bool, err error) {
 	for {
@@ -94,7 +99,8 @@
 		if link == nil {
 			break
 		}
-		if now.Before(link.expires) && link.isQuiet() {
+		limit, isLimited := pool.rest.at(now)
+		if now.Before(link.expires) && (!isLimited || now.Sub(link.rests) < limit) && link.isQuiet() {
 			return link, false, nil
 		}
 		_ = link.Close()
@@ -140,7 +146,7 @@
 		_ = link.Close()
 		return
 	}
-	link.expires = now.Add(keep)
+	link.rests, link.expires = now, now.Add(keep)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.idle[address] = append(pool.idle[address], link)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -216,3 +216,81 @@
 		}
 	}
 }
+
+// TestForgottenConnectionsAreNotUsedAgain resets whatever is sent on a connection that has rested for a tenth of a second.
+func TestForgottenConnectionsAreNotUsedAgain(t *testing.T) {
+	const forgets = 100 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(conn)
+				for answered := time.Now(); ; answered = time.Now() {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						_ = conn.Close()
+						return
+					}
+					if time.Since(answered) > forgets && request.Header.Get("Again") != "" {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+						_ = conn.Close()
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	pool := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: 10 * time.Second})
+	failed := 0
+	for i := range 6 {
+		header := http.Header{}
+		if _, reused := pool.Counts(); i > 0 && reused == 0 {
+			header.Set("Again", "1")
+		}
+		response, err := pool.Do(t.Context(), time.Now(), listener.Addr().String(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: header})
+		if err != nil {
+			failed++
+		} else {
+			_, err = io.ReadAll(response)
+			assert.NilError(t, err)
+			response.Close(time.Now())
+		}
+		time.Sleep(2 * forgets)
+	}
+	assert.Equal(t, failed, 1, "one request is lost for the lesson")
+	limit, isLimited := pool.RestLimit(time.Now())
+	assert.Assert(t, isLimited && limit < 2*forgets, "%s", limit)
+	_, isLimited = pool.RestLimit(time.Now().Add(time.Minute))
+	assert.Assert(t, !isLimited, "targets that keep connections again are trusted again")
+}
+
+// TestFailingTargetTeachesNothingOfRest resets all that is sent to it once it has answered the first request.
+func TestFailingTargetTeachesNothingOfRest(t *testing.T) {
+	stand := newStandIn(t, func(number int64, _ *http.Request, conn net.Conn) bool {
+		if number > 1 {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	pool := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: 10 * time.Second})
+	for range 3 {
+		response, err := pool.Do(t.Context(), time.Now(), stand.listener.Addr().String(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+		if err == nil {
+			_, err = io.ReadAll(response)
+			assert.NilError(t, err)
+			response.Close(time.Now())
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	_, isLimited := pool.RestLimit(time.Now())
+	assert.Assert(t, !isLimited)
+}
