Targets that fail all they get are found by several routers; followers absorb heartbeats without news

Two changes that meet in control/.

Ruled out: the cost of failures in each router's choice (it is there; a router sends such a target one request in some seconds). Change: routers report outcomes of targets that have failed some; when two of them see three in four requests fail for 0.8 s, the target gets no work for 4 s: routers leave it out unless they are answered themselves, and the leader loads its models elsewhere.

Change: beyond 200 targets heartbeats stay with the controller that gets them; it passes on what is new and tells the leader every 0.2 s which targets are alive, with a digest of what they said. Rounds of decisions are rarer on larger sites.

--- a/control/control.go
+++ b/control/control.go
@@ -77,6 +77,7 @@
 
 	directory *membership.Directory
 	planner   *waking.Planner
+	ailing    *membership.Ailing
 	feed      feedState
 	// quarantine counts the targets that requests have crashed, and quarantined are the requests that routers refuse.
 	quarantine  *router.Quarantine
@@ -85,8 +86,9 @@
 	leadSince time.Time
 	handover  handover
 	// stops is set when this node has given up its lead in order to stop.
-	stops  bool
-	recall recall
+	stops    bool
+	recall   recall
+	absorbed absorbed
 	// lastOrder is when this start of the process last gave an order; zero if never.
 	lastOrder time.Time
 	expireDue time.Time
@@ -94,8 +96,10 @@
 	// summaryDue is when the next line on the state of the engines is written.
 	summaryDue time.Time
 
-	mutex  sync.Mutex
-	leader string
+	// mutex guards what other goroutines read: the leader's address and the number of known targets.
+	mutex   sync.Mutex
+	leader  string
+	targets int
 }
 
 // New recovers a control node's state; Run starts it.
@@ -115,9 +119,11 @@
 		addresses:  make(map[quorum.MemberID]string),
 		directory:  directory,
 		planner:    waking.New(time.Time{}),
+		ailing:     membership.NewAiling(),
 		quarantine: router.NewQuarantine(),
 	}
 	ctl.feed = newFeedState()
+	ctl.absorbed = newAbsorbed()
 	if err := ctl.recover(now); err != nil {
 		stop()
 		return nil, err
--- a/control/duties.go
+++ b/control/duties.go
@@ -18,6 +18,8 @@
 	settleShare = 0.4
 	// planInterval is the shortest time between two rounds of decisions; one takes up to a millisecond on a large site.
 	planInterval = 15 * time.Millisecond
+	// planCost is added to that for each target, so that a round takes no more than a tenth of the time.
+	planCost = 5 * time.Microsecond
 	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
 	orderTimeout = 150 * time.Millisecond
 	// summaryInterval is the time between two lines on the state of the engines; short against the time of a load from the store.
@@ -36,6 +38,7 @@
 	ctl.noteRole(now)
 	ctl.tendMembership(now)
 	ctl.saveRecall(now)
+	ctl.passAlive(now)
 	if ctl.leadSince.IsZero() || !ctl.core.HasLeadership(now) {
 		return
 	}
@@ -49,7 +52,7 @@
 		ctl.expireQuarantine(now)
 	}
 	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
-		ctl.planDue = now.Add(planInterval)
+		ctl.planDue = now.Add(planInterval + time.Duration(ctl.directory.Len())*planCost)
 		ctl.carryOut(ctl.planner.Step(now))
 	}
 	if !now.Before(ctl.summaryDue) {
@@ -86,6 +89,7 @@
 	ctl.lastRole, ctl.lastHeard = role, leader
 	ctl.mutex.Lock()
 	ctl.leader = ctl.leaderAddress()
+	ctl.targets = ctl.directory.Len()
 	ctl.mutex.Unlock()
 	switch {
 	case role != quorum.Leader && !ctl.leadSince.IsZero():
@@ -119,7 +123,8 @@
 	}
 	announcement := target.Announcement()
 	if spec := ctl.engineSpec(celerylanding.ServiceID(announcement.Group)); spec != nil {
-		ctl.planner.Observe(now, announcement, spec, target.IsRoutable())
+		isAiling := ctl.ailing.IsAiling(now, id, announcement.Incarnation)
+		ctl.planner.Observe(now, announcement, spec, target.IsRoutable() && !isAiling)
 	}
 	ctl.publish(now, target)
 }
@@ -129,6 +134,10 @@
 		ctl.options.Log.Warn().Str("target", string(id)).Msg("target is silent")
 		ctl.observeTarget(now, id)
 	}
+	for _, id := range ctl.ailing.Recovered(now) {
+		ctl.options.Log.Info().Str("target", string(id)).Msg("target is tried again")
+		ctl.observeTarget(now, id)
+	}
 	for id, seen := range ctl.feed.routers {
 		if now.Sub(seen) > routerSilence {
 			delete(ctl.feed.routers, id)
--- a/control/feed.go
+++ b/control/feed.go
@@ -63,6 +63,13 @@
 	for _, crash := range args.Crashes {
 		ctl.noteCrash(now, crash)
 	}
+	for _, outcome := range args.Outcomes {
+		if ctl.ailing.Report(now, args.Node, outcome.Target, outcome.Incarnation, outcome.Answered, outcome.Failed) {
+			ctl.options.Log.Warn().Str("target", string(outcome.Target)).Str("router", string(args.Node)).Msg("target fails what it gets")
+			ctl.options.Metrics.Counter("targets_ailing").Inc(1)
+			ctl.observeTarget(now, outcome.Target)
+		}
+	}
 	for _, usage := range args.Usage {
 		ctl.planner.Use(now, args.Node, ctl.serviceOf(usage.Unit.Model), usage)
 	}
@@ -199,7 +206,7 @@
 	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving &&
 		a.Silent == b.Silent && a.Slots == b.Slots && slices.EqualFunc(a.Held, b.Held, func(x, y feed.Held) bool {
 		return x.Model == y.Model && x.Closing == y.Closing && slices.Equal(x.Adapters, y.Adapters)
-	}) && len(a.OnDisk) == len(b.OnDisk) && len(a.InMemory) == len(b.InMemory) && a.Fetching == b.Fetching
+	}) && len(a.OnDisk) == len(b.OnDisk) && len(a.InMemory) == len(b.InMemory) && a.Fetching == b.Fetching && a.Ailing == b.Ailing
 }
 
 func (ctl *Control) viewOf(now time.Time, target *membership.Target) feed.Target {
@@ -214,6 +221,7 @@
 		Leaving:     announcement.Leaving,
 		Silent:      !target.IsRoutable(),
 		Sequence:    announcement.Sequence,
+		Ailing:      ctl.ailing.IsAiling(now, announcement.Target, announcement.Incarnation),
 	}
 	switch {
 	case ctl.engineSpec(view.Service) == nil:
--- a/control/messages.go
+++ b/control/messages.go
@@ -120,6 +120,11 @@
 	return service.ask(func(now time.Time) { reply.Leads = service.control.announce(now, args) })
 }
 
+// Alive takes heartbeats without news from another node, if this node leads.
+func (service *PeerService) Alive(args *AliveArgs, reply *AliveReply) error {
+	return service.ask(func(now time.Time) { *reply = service.control.takeAlive(now, args) })
+}
+
 // LastOrder tells a new leader when this node last gave an order, and which targets it knows.
 func (service *PeerService) LastOrder(args *LastOrderArgs, reply *LastOrderReply) error {
 	return service.ask(func(now time.Time) { *reply = service.control.tellLastOrder(now, args) })
--- a/control/operate.go
+++ b/control/operate.go
@@ -98,7 +98,7 @@
 // Announce passes on what a target says of itself; it returns nil once the leader has taken it.
 func (ctl *Control) Announce(ctx context.Context, args *AnnounceArgs) error {
 	taken := false
-	if err := ctl.ask(ctx, func(now time.Time) { taken = ctl.announce(now, args) }); err != nil {
+	if err := ctl.ask(ctx, func(now time.Time) { taken = ctl.announce(now, args) || ctl.absorb(now, args.Announcement) }); err != nil {
 		return ErrNoQuorum.Wrap(err, "control state is busy")
 	}
 	if taken {
@@ -115,5 +115,6 @@
 	if !reply.Leads {
 		return ErrNoQuorum.New("%s does not lead", leader)
 	}
+	ctl.post(ctx, func(now time.Time) { ctl.passedOn(now, args.Announcement) })
 	return nil
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -150,3 +150,33 @@
 		assert.Assert(t, float64(repeats) <= settings.Ratio*float64(requests)+settings.Slack, "%d repeats of %d requests", repeats, requests)
 	}
 }
+
+// TestAilingTargets keeps requests off a target that several routers have found ailing, but for a router that has seen better and for
+// plain services without another target.
+func TestAilingTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := func(others ...feed.Target) *dispatch.Table {
+		targets := append([]feed.Target{{ID: "ill", Incarnation: 1, Service: "s", Slots: 4, Ailing: true, Held: []feed.Held{{Model: "m"}}}}, others...)
+		return dispatch.NewRoster().Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 1, Routers: 2, Targets: targets})
+	}
+	well := feed.Target{ID: "well", Incarnation: 1, Service: "s", Slots: 4, Held: []feed.Held{{Model: "m"}}}
+	unit := dispatch.Ask{Service: "s", Unit: feed.Unit{Model: "m"}}
+
+	picker := dispatch.NewPicker("d")
+	for range 8 {
+		target, _ := picker.Pick(now, table(well), unit)
+		assert.Equal(t, target.ID, well.ID)
+	}
+	target, unreachable := picker.Pick(now, table(), unit)
+	assert.Assert(t, target == nil, "the model is loaded elsewhere")
+	assert.Equal(t, len(unreachable), 1)
+	target, _ = picker.Pick(now, table(), dispatch.Ask{Service: "s"})
+	assert.Assert(t, target != nil, "a plain service has no other target")
+
+	picker.Done(now, target, dispatch.ResultAnswered)
+	target, _ = picker.Pick(now, table(), unit)
+	assert.Assert(t, target != nil, "this router is answered")
+	picker.Done(now.Add(time.Second), target, dispatch.ResultFailed)
+	assert.DeepEqual(t, picker.Outcomes(now.Add(time.Second)), []feed.Outcome{{Target: "ill", Incarnation: 1, Answered: 1, Failed: 1}})
+	assert.Equal(t, len(picker.Outcomes(now.Add(time.Second))), 0)
+}
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -54,7 +54,10 @@
 	slots       int
 	loadAt      time.Time
 	// sinceLoad counts the requests sent since the target last told its load.
-	sinceLoad  int
+	sinceLoad int
+	// answered and failed count outcomes since they were last reported.
+	answered   int
+	failed     int
 	failures   float64
 	failedAt   time.Time
 	pause      time.Duration
@@ -83,12 +86,28 @@
 	}
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
+	target, unreachable = picker.choose(now, table, candidates, ask, false)
+	if target == nil && ask.Unit.Model == "" {
+		// Nothing else can take the request, so that an ailing target may as well try.
+		target, _ = picker.choose(now, table, candidates, ask, true)
+	}
+	if target == nil {
+		return nil, unreachable
+	}
+	known := picker.standing(target)
+	known.inFlight++
+	known.sinceLoad++
+	return target, nil
+}
+
+// choose returns the candidate with the lowest cost, and those that can't be reached.
+func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, ask Ask, takesAiling bool) (best *feed.Target,
+	unreachable []celerylanding.Endpoint) {
 	home := homeOf(picker.near(candidates), ask)
-	var best *feed.Target
 	lowest := math.Inf(1)
 	for _, candidate := range candidates {
 		known := picker.standing(candidate)
-		if !known.isUsable(now, candidate) {
+		if !known.isUsable(now, candidate) || (!takesAiling && known.isAiling(candidate)) {
 			unreachable = append(unreachable, candidate.Endpoint())
 			continue
 		}
@@ -103,13 +122,7 @@
 			best, lowest = candidate, cost
 		}
 	}
-	if best == nil {
-		return nil, unreachable
-	}
-	known := picker.standing(best)
-	known.inFlight++
-	known.sinceLoad++
-	return best, nil
+	return best, unreachable
 }
 
 // near returns the candidates in the own failure domain, or all if there are none.
@@ -164,6 +177,28 @@
 	return !target.Silent || now.Sub(known.answeredAt) < silentTrust
 }
 
+// isAiling reports whether the target fails what it gets, by the word of several routers unless this one has seen better.
+func (known *standing) isAiling(target *feed.Target) bool {
+	return target.Ailing && !known.answeredAt.After(known.failedAt)
+}
+
+// outcomeTime is how long after a failure a target's outcomes are reported.
+const outcomeTime = 3 * time.Second
+
+// Outcomes returns what became of the requests to the targets that have failed some lately, since the last call.
+func (picker *Picker) Outcomes(now time.Time) []feed.Outcome {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	var list []feed.Outcome
+	for id, known := range picker.known {
+		if now.Sub(known.failedAt) <= outcomeTime && known.answered+known.failed > 0 {
+			list = append(list, feed.Outcome{Target: id, Incarnation: known.incarnation, Answered: known.answered, Failed: known.failed})
+		}
+		known.answered, known.failed = 0, 0
+	}
+	return list
+}
+
 // cost returns the expected load of the target in shares of its slots, with its failures and distance.
 func (picker *Picker) cost(now time.Time, table *Table, target *feed.Target, known *standing) float64 {
 	slots := float64(max(1, target.Slots))
@@ -209,12 +244,14 @@
 	switch result {
 	case ResultAnswered:
 		known.answeredAt = now
+		known.answered++
 		known.pause = 0
 	case ResultUnreachable:
 		known.pause = min(max(firstPause, 2*known.pause), longestPause)
 		known.pauseUntil = now.Add(known.pause)
 	case ResultFailed:
 		known.failures = known.decayed(now) + 1
+		known.failed++
 		known.failedAt = now
 	case ResultRefused, ResultAbandoned:
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -50,6 +50,8 @@
 	InMemory []celerylanding.ModelID `cbor:"12,keyasint,omitempty"`
 	// Fetching is the model that the engine loads from the store; routers do not get it.
 	Fetching celerylanding.ModelID `cbor:"13,keyasint,omitempty"`
+	// Ailing is set while several routers agree that the target fails nearly all it gets.
+	Ailing bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Endpoint returns where the incarnation is reached.
@@ -99,6 +101,16 @@
 	Usage  []Usage `cbor:"6,keyasint,omitempty"`
 	// Crashes are the targets that have died while they ran a request, since the last question.
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	// Outcomes count what became of requests to the targets that have failed some lately.
+	Outcomes []Outcome `cbor:"8,keyasint,omitempty"`
+}
+
+// Outcome counts the requests of one router to one incarnation of a target since its last report.
+type Outcome struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+	Answered    int                       `cbor:"3,keyasint,omitempty"`
+	Failed      int                       `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash says that a request was running on an incarnation of a target when that died.
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -158,6 +158,9 @@
 	return target, ok
 }
 
+// Len returns the number of targets.
+func (directory *Directory) Len() int { return len(directory.targets) }
+
 // Targets returns all targets, ordered by their identifiers.
 func (directory *Directory) Targets() []*Target {
 	targets := make([]*Target, 0, len(directory.targets))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -86,6 +86,9 @@
 // Crashes returns the targets that have died while they ran a request, since the last call.
 func (relay *Relay) Crashes() []feed.Crash { return relay.crashes.take() }
 
+// Outcomes returns what became of requests to the targets that have failed some lately, since the last call.
+func (relay *Relay) Outcomes(now time.Time) []feed.Outcome { return relay.picker.Outcomes(now) }
+
 // Quarantine refuses the requests with these fingerprints from now on.
 func (relay *Relay) Quarantine(now time.Time, fingerprints []uint64) {
 	relay.crashes.refuse(now, fingerprints)
--- a/waking/planner.go
+++ b/waking/planner.go
@@ -121,8 +121,9 @@
 	// returns is how long each model would take to come back, as of returnsAt.
 	returns   map[demandKey]time.Duration
 	returnsAt time.Time
-	// placed is what engines hold or are about to, counted when it is first asked for in a step.
-	placed map[demandKey]bool
+	// placed is what engines hold or are about to, as counted at placedAt.
+	placed   map[demandKey]bool
+	placedAt time.Time
 }
 
 type wantKey struct {
@@ -319,6 +320,12 @@
 	return list
 }
 
+// IsSuspect reports whether the engine gets no orders until it is heard of again.
+func (planner *Planner) IsSuspect(id celerylanding.TargetID) bool {
+	eng := planner.engines[id]
+	return eng != nil && eng.suspect
+}
+
 // Fetching returns the model that the engine loads from the store, or "".
 func (planner *Planner) Fetching(id celerylanding.TargetID) celerylanding.ModelID {
 	eng := planner.engines[id]
--- a/waking/prepare.go
+++ b/waking/prepare.go
@@ -9,6 +9,10 @@
 	"celerylanding.example/celerylanding/feed"
 )
 
+// censusAge is how long a count of what is placed is used, which only decides about what nobody waits for; a count of 3,000 engines takes
+// three milliseconds.
+const censusAge = 150 * time.Millisecond
+
 // prepareInterval is the time between two looks at an engine that had nothing to prepare.
 const prepareInterval = 500 * time.Millisecond
 
@@ -44,7 +48,7 @@
 		for _, adapter := range model.Adapters {
 			unit := feed.Unit{Model: id, Adapter: adapter}
 			rate := planner.demand[demandKey{eng.service, unit}].rate(now)
-			if rate > highest && !planner.isPlaced(eng.service, unit) {
+			if rate > highest && !planner.isPlaced(now, eng.service, unit) {
 				best, highest = unit, rate
 			}
 		}
@@ -63,7 +67,7 @@
 			continue
 		}
 		rate := planner.modelRate(now, eng.service, model.ID)
-		if rate > highest && !planner.isPlaced(eng.service, feed.Unit{Model: model.ID}) {
+		if rate > highest && !planner.isPlaced(now, eng.service, feed.Unit{Model: model.ID}) {
 			best, highest = model.ID, rate
 		}
 	}
@@ -71,9 +75,9 @@
 }
 
 // isPlaced reports whether some engine holds the unit or is about to.
-func (planner *Planner) isPlaced(service celerylanding.ServiceID, unit feed.Unit) bool {
+func (planner *Planner) isPlaced(now time.Time, service celerylanding.ServiceID, unit feed.Unit) bool {
 	if planner.placed == nil {
-		planner.placed = planner.census()
+		planner.placed, planner.placedAt = planner.census(), now
 	}
 	return planner.placed[demandKey{service, unit}]
 }
--- a/waking/step.go
+++ b/waking/step.go
@@ -35,7 +35,9 @@
 	if planner.isBlind(now) {
 		return Actions{}
 	}
-	planner.placed = nil
+	if now.Sub(planner.placedAt) > censusAge {
+		planner.placed = nil
+	}
 	planner.expire(now)
 	planner.spread(now)
 	var actions Actions
--- a/waking/store.go
+++ b/waking/store.go
@@ -110,15 +110,7 @@
 
 // background wants a copy of the model that is asked for most among those with too few copies, where it costs least.
 func (planner *Planner) background(now time.Time) {
-	pending, ahead := planner.fetches(), 0
-	for _, wanted := range planner.wants {
-		if wanted.engine != nil && wanted.engine.tier(wanted.unit.Model) == celerylanding.TierRemote {
-			pending++
-		}
-		if wanted.replica == backgroundReplica {
-			ahead++
-		}
-	}
+	pending, ahead := planner.storeQueue()
 	if ahead >= maxBackground || now.Before(planner.settled) {
 		return
 	}
@@ -144,6 +136,20 @@
 	planner.wants[wantKey{key.service, key.unit, backgroundReplica}] = wanted
 }
 
+// storeQueue counts the loads from the store that are under way or wanted, and those of them that nobody waits for.
+func (planner *Planner) storeQueue() (pending, background int) {
+	pending = planner.fetches()
+	for _, wanted := range planner.wants {
+		if wanted.engine != nil && wanted.engine.tier(wanted.unit.Model) == celerylanding.TierRemote {
+			pending++
+		}
+		if wanted.replica == backgroundReplica {
+			background++
+		}
+	}
+	return pending, background
+}
+
 // backgroundReplica numbers the want of a copy that no request waits for.
 const backgroundReplica = -1
 
--- a/waking/summary.go
+++ b/waking/summary.go
@@ -5,6 +5,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
 )
 
 // Summary counts what a planner knows at one moment.
@@ -21,9 +22,8 @@
 // Summary counts engines, models and loads.
 func (planner *Planner) Summary(now time.Time) Summary {
 	summary := Summary{Engines: len(planner.engines), Fetching: planner.fetches(), MostFetches: planner.maxFetches}
-	copies := planner.copies()
 	loaded := make(map[demandKey]bool)
-	services := make(map[celerylanding.ServiceID]bool)
+	services := make(map[celerylanding.ServiceID]*routing.Engine)
 	for _, eng := range planner.engines {
 		if eng.suspect {
 			summary.Suspect++
@@ -36,13 +36,24 @@
 		for id := range eng.held {
 			loaded[demandKey{eng.service, feed.Unit{Model: id}}] = true
 		}
-		if services[eng.service] {
-			continue
+		services[eng.service] = eng.spec
+	}
+	summary.Loaded = len(loaded)
+	summary.countCopies(planner.copies(), services)
+	for _, wanted := range planner.wants {
+		if wanted.replica == 0 && !planner.isHeld(now, wanted) {
+			summary.Waiting++
 		}
-		services[eng.service] = true
-		for _, model := range eng.spec.Models {
+	}
+	return summary
+}
+
+// countCopies counts the models that the services' engines may hold by the number of copies of their weights.
+func (summary *Summary) countCopies(copies map[demandKey]int, services map[celerylanding.ServiceID]*routing.Engine) {
+	for service, spec := range services {
+		for _, model := range spec.Models {
 			summary.Models++
-			switch copies[demandKey{eng.service, feed.Unit{Model: model.ID}}] {
+			switch copies[demandKey{service, feed.Unit{Model: model.ID}}] {
 			case 0:
 				summary.Lost++
 			case 1:
@@ -50,11 +61,4 @@
 			}
 		}
 	}
-	summary.Loaded = len(loaded)
-	for _, wanted := range planner.wants {
-		if wanted.replica == 0 && !planner.isHeld(now, wanted) {
-			summary.Waiting++
-		}
-	}
-	return summary
 }
