--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -194,6 +194,8 @@
 	changed.Announcement.Address = "127.0.0.1:2"
 	assert.NilError(t, follower.node.Announce(ctx, changed))
 	assert.Equal(t, place.awaitTargets(ctx)[0].Address, "127.0.0.1:2")
-	assert.NilError(t, follower.node.Announce(ctx, announcement("t1", sequence+2, true)))
+	leaving := announcement("t1", sequence+2, true)
+	leaving.Announcement.Address = changed.Announcement.Address
+	assert.NilError(t, follower.node.Announce(ctx, leaving))
 	assert.Assert(t, place.awaitTargets(ctx)[0].Leaving, "leaving is never absorbed")
 }
