The leader sends a whole configuration to sixteen nodes in a round

The leader encoded it for 270 routers in one round, which took longer than the half second after which they give a question up, so that most of them asked again for the same.

Change: sixteen answers of a round carry the configuration; the others are answered in their time without it and ask again.

--- a/control/feed.go
+++ b/control/feed.go
@@ -19,6 +19,9 @@
 	pushInterval = 8 * time.Millisecond
 	// pushCost is the time added to that for each router; an answer takes about a tenth of it on a small VM's processor.
 	pushCost = time.Millisecond
+	// maxConfigurations is the number of answers with a whole configuration in one round; one takes a millisecond or two, and questions
+	// are given up after half a second, so that all at once would reach nobody on a large site.
+	maxConfigurations = 16
 	// routerSilence is the time after which a router that asks no more is not counted.
 	routerSilence = 3 * time.Second
 )
@@ -134,14 +137,20 @@
 	leads := ctl.leads(now)
 	isPushDue := now.Sub(ctl.feed.lastPush) >= pushInterval+time.Duration(len(ctl.feed.routers))*pushCost
 	pushed := false
+	configurations := 0
 	waiting := ctl.feed.watchers[:0]
 	for _, watcher := range ctl.feed.watchers {
+		lacksConfiguration := watcher.args.Version < ctl.version()
+		mayConfigure := lacksConfiguration && configurations < maxConfigurations
 		switch {
 		case !leads:
 			watcher.answer <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
-		case ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
-			watcher.answer <- ctl.reply(&watcher.args)
+		case mayConfigure || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
+			watcher.answer <- ctl.reply(&watcher.args, mayConfigure)
 			pushed = true
+			if mayConfigure {
+				configurations++
+			}
 		default:
 			waiting = append(waiting, watcher)
 		}
@@ -155,17 +164,17 @@
 // isUrgent reports whether a question is answered before its time: a router's when there is news, and that of a node that is new
 // to this leader.
 func (ctl *Control) isUrgent(args *feed.WatchArgs, isPushDue bool) bool {
-	if args.Term != ctl.core.Term() || args.Version < ctl.version() {
+	if args.Term != ctl.core.Term() {
 		return true
 	}
 	return isPushDue && args.Router && args.Revision < ctl.feed.revision
 }
 
-func (ctl *Control) reply(args *feed.WatchArgs) feed.WatchReply {
+func (ctl *Control) reply(args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leads: true, Leader: ctl.member.Address, Members: ctl.memberAddresses(), Term: ctl.core.Term(),
 		Revision: ctl.feed.revision, Routers: len(ctl.feed.routers)}
 	reply.Quarantined = ctl.quarantined
-	if args.Version < ctl.version() {
+	if withConfiguration {
 		configuration := *ctl.configuration
 		if args.Router {
 			configuration.Source = nil
