--- a/control/absorb.go
+++ b/control/absorb.go
@@ -17,6 +17,8 @@
 	// absorbTrust is how long after an answer of the leader a follower takes heartbeats for it; later ones are passed on one by one, so
 	// that targets look for another node when the leader is out of reach.
 	absorbTrust = time.Second
+	// maxAbsorbed is the number of targets, beside twice the known ones, that a follower remembers before it starts anew.
+	maxAbsorbed = 256
 	// spreadTargets is the number of targets from which heartbeats stay with the nodes that get them; below it the leader takes all
 	// of them, which costs it 3 in 100 of a processor for each hundred targets.
 	spreadTargets = 200
@@ -102,9 +104,14 @@
 // passedOn notes a heartbeat that the leader has taken from this node.
 func (ctl *Control) passedOn(now time.Time, announcement *celerylanding.Announcement) {
 	ctl.absorbed.answered = now
-	if announcement != nil && !announcement.Leaving {
-		ctl.absorbed.known[announcement.Target] = aliveOf(announcement)
+	if announcement == nil || announcement.Leaving {
+		return
+	}
+	if len(ctl.absorbed.known) > maxAbsorbed+2*ctl.directory.Len() {
+		// Most of these targets are gone; the others are told whole once more.
+		clear(ctl.absorbed.known)
 	}
+	ctl.absorbed.known[announcement.Target] = aliveOf(announcement)
 }
 
 // passAlive tells the leader of the heartbeats without news when it is due.
--- a/control/duties.go
+++ b/control/duties.go
@@ -18,7 +18,7 @@
 	settleShare = 0.4
 	// planInterval is the shortest time between two rounds of decisions; one takes up to a millisecond on a large site.
 	planInterval = 15 * time.Millisecond
-	// planCost is added to that for each target, so that a round takes no more than a tenth of the time.
+	// planCost is added to that for each target, since a round on a large site takes longer.
 	planCost = 5 * time.Microsecond
 	// orderTimeout bounds the wait for an engine's answer to an order, which engines give at once; a repeated order does no harm.
 	orderTimeout = 150 * time.Millisecond
