--- a/control/control_test.go
+++ b/control/control_test.go
@@ -268,10 +268,7 @@
 	_, err := place.members[0].node.Submit(ctx, withEngine(1))
 	assert.NilError(t, err)
 	for round := range 2 {
-		target := announcement(fmt.Sprintf("t%d", round), 1, false)
-		// The weights lie on the engine's disk and its memory is free, so that the leader has the model loaded.
-		target.Announcement.Cached = []celerylanding.CachedCheckpoint{{Model: "m", Tier: celerylanding.TierDisk}}
-		place.announceUntilTaken(ctx, target)
+		place.announceIdleEngine(ctx, round)
 		place.awaitOrders(round + 1)
 		if round == 0 {
 			place.stopLeader()
@@ -281,6 +278,14 @@
 	assert.Assert(t, place.engines.fences[0] < place.engines.fences[len(place.engines.fences)-1], "fences %v", place.engines.fences)
 }
 
+// announceIdleEngine announces an engine whose memory is free and on whose disk the weights lie, so that the leader has the model loaded.
+func (place *site) announceIdleEngine(ctx context.Context, number int) {
+	place.t.Helper()
+	target := announcement(fmt.Sprintf("t%d", number), 1, false)
+	target.Announcement.Cached = []celerylanding.CachedCheckpoint{{Model: "m", Tier: celerylanding.TierDisk}}
+	place.announceUntilTaken(ctx, target)
+}
+
 func (place *site) announceUntilTaken(ctx context.Context, args *control.AnnounceArgs) {
 	place.t.Helper()
 	for ctx.Err() == nil {
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -145,9 +144,7 @@
 	_, err := place.members[0].node.Submit(ctx, withEngine(1))
 	assert.NilError(t, err)
 	for round := range 2 {
-		target := announcement(fmt.Sprintf("t%d", round), 1, false)
-		target.Announcement.Cached = []celerylanding.CachedCheckpoint{{Model: "m", Tier: celerylanding.TierDisk}}
-		place.announceUntilTaken(ctx, target)
+		place.announceIdleEngine(ctx, round)
 		began := time.Now()
 		place.awaitOrders(round + 1)
 		if round == 1 {
