Planning rounds cost what changed, not engines times models

Cause: at the size of the large deployment (256 engines, 917 models) one planning round took 9.0 ms on the control goroutine: each wake priced each resident of each engine, and each price counted the replicas of its model over all engines. Profiles put 81% of a round there; map growth and sorting were ruled out (under 5%).

Change: an index from each model to the engines that hold it or a copy of it; replicas, reload times, copies and the engines of a wake are looked up there. Engines that would read from the store are skipped once a cheaper engine is known. Running requests are summed as they are reported, loads that wait for the store are sorted once a round, and preloads visit an engine's copies instead of all models. Pending loads choose their engines in a fixed order. Requests that a router ran when it was lost no longer protect a model from eviction.

--- a/control/leader.go
+++ b/control/leader.go
@@ -141,6 +141,7 @@
 	for id, seen := range ctl.feed.routers {
 		if now.Sub(seen) > routerTimeout {
 			delete(ctl.feed.routers, id)
+			ctl.planner.ForgetRouter(id)
 		}
 	}
 	for _, target := range ctl.directory.Targets() {
--- a/loadplan/cost.go
+++ b/loadplan/cost.go
@@ -6,7 +6,6 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
-	"celerylanding.example/celerylanding/feed"
 )
 
 const (
@@ -38,8 +37,8 @@
 }
 
 // cost returns the cost of the load on the engine in request-seconds: the delay of the waiting requests, the evictions and the use of the
-// store. The second result is false if the engine can't load the unit.
-func (planner *Planner) cost(now time.Time, eng *engine, load *pendingLoad) (float64, bool) {
+// store. The second result is false if the engine can't load the unit, or if the cost exceeds the limit.
+func (planner *Planner) cost(now time.Time, eng *engine, load *pendingLoad, limit float64) (float64, bool) {
 	id := load.unit.Model
 	if load.replica != 0 && (eng.residents[id] != nil || planner.isQueued(eng, id)) {
 		return 0, false
@@ -51,17 +50,21 @@
 		// All units of a model share its load.
 		return planner.backlog(now, eng, nil).Seconds()*float64(max(1, load.count())) + adapterSlotCost, true
 	}
-	wait := planner.backlog(now, eng, nil) + planner.setupTime(eng, load.unit)
-	cost := wait.Seconds() * float64(max(1, load.count()))
-	if _, ok := eng.spec.Model(id); !ok {
-		return 0, false
-	}
+	cost := 0.0
 	if eng.tier(id) == celerylanding.TierRemote {
 		if load.replica != 0 {
 			return 0, false
 		}
 		cost += storeLoadCost
 	}
+	wait := planner.backlog(now, eng, nil) + planner.setupTime(eng, load.unit)
+	cost += wait.Seconds() * float64(max(1, load.count()))
+	if cost > limit {
+		return 0, false
+	}
+	if _, ok := eng.spec.Model(id); !ok {
+		return 0, false
+	}
 	victims, ok := planner.victims(now, eng, id)
 	if !ok {
 		return 0, false
@@ -136,46 +139,60 @@
 	return cost + reloadWeight*urgency*planner.reloadTime(now, eng, id).Seconds() + 0.05
 }
 
+// cacheTTL is how long reload times and replica needs are cached; it covers a few rounds.
+const cacheTTL = 50 * time.Millisecond
+
+// cachedDuration and cachedCount are values that were computed at a time.
+type cachedDuration struct {
+	value time.Duration
+	at    time.Time
+}
+
+type cachedCount struct {
+	value int
+	at    time.Time
+}
+
+// isFreshAt reports whether a value computed at a time is still used.
+func isFreshAt(now, computed time.Time) bool {
+	age := now.Sub(computed)
+	return age >= 0 && age <= cacheTTL
+}
+
 // reloadTime returns the shortest expected time to reload the model on any available engine with a local copy of its weights, or the load
-// time on the given engine if no engine has a copy. The times are cached for reloadTimesTTL.
+// time on the given engine if no engine has a copy. The times are cached for cacheTTL.
 func (planner *Planner) reloadTime(now time.Time, eng *engine, id celerylanding.ModelID) time.Duration {
-	if planner.reloadTimes == nil || now.Sub(planner.reloadTimesAt) > reloadTimesTTL {
-		planner.reloadTimes, planner.reloadTimesAt = planner.computeReloadTimes(now), now
+	key := modelKey{eng.service, id}
+	cached, ok := planner.reloadTimes[key]
+	if !ok || !isFreshAt(now, cached.at) {
+		cached = cachedDuration{value: planner.localReloadTime(now, key), at: now}
+		planner.reloadTimes[key] = cached
 	}
-	if soonest, ok := planner.reloadTimes[demandKey{eng.service, feed.Unit{Model: id}}]; ok {
-		return soonest
+	if cached.value < 0 {
+		return eng.loadTime(id)
 	}
-	return eng.loadTime(id)
+	return cached.value
 }
 
-// reloadTimesTTL is how long the reload times are cached; it covers a few steps.
-const reloadTimesTTL = 50 * time.Millisecond
-
-func (planner *Planner) computeReloadTimes(now time.Time) map[demandKey]time.Duration {
-	times := make(map[demandKey]time.Duration, len(planner.reloadTimes))
-	for _, eng := range planner.engines {
+// localReloadTime returns the shortest expected time to load the model from a local copy, or -1 if no available engine has one.
+func (planner *Planner) localReloadTime(now time.Time, key modelKey) time.Duration {
+	shortest := time.Duration(-1)
+	for _, eng := range planner.index.copies(key.service, key.model) {
 		if !eng.isAvailable() || eng.spec == nil {
 			continue
 		}
-		wait := planner.backlog(now, eng, nil)
-		for _, copies := range []map[celerylanding.ModelID]bool{eng.onDisk, eng.inMemory} {
-			for id := range copies {
-				key := demandKey{eng.service, feed.Unit{Model: id}}
-				reload := wait + eng.loadTime(id)
-				if soonest, ok := times[key]; !ok || reload < soonest {
-					times[key] = reload
-				}
-			}
+		if reload := planner.backlog(now, eng, nil) + eng.loadTime(key.model); shortest < 0 || reload < shortest {
+			shortest = reload
 		}
 	}
-	return times
+	return shortest
 }
 
 // replicas counts the available engines on which the model is loaded and not draining.
 func (planner *Planner) replicas(service celerylanding.ServiceID, id celerylanding.ModelID) int {
 	count := 0
-	for _, eng := range planner.engines {
-		if resident := eng.residents[id]; eng.isAvailable() && eng.service == service && resident != nil && !resident.draining {
+	for _, eng := range planner.index.holders(service, id) {
+		if eng.isAvailable() && !eng.residents[id].draining {
 			count++
 		}
 	}
--- a/loadplan/demand.go
+++ b/loadplan/demand.go
@@ -42,6 +42,8 @@
 	// since is when the planner began to count arrivals of all units.
 	since    time.Time
 	inFlight map[usageSource]int
+	// total is the sum over inFlight.
+	total int
 }
 
 // decay returns the factor by which the counts have decayed since the last update.
@@ -80,13 +82,20 @@
 }
 
 func (dem *demand) running() int {
-	sum := 0
-	if dem != nil {
-		for _, count := range dem.inFlight {
-			sum += count
-		}
+	if dem == nil {
+		return 0
+	}
+	return dem.total
+}
+
+// setInFlight replaces the number of running requests that a source reports.
+func (dem *demand) setInFlight(source usageSource, count int) {
+	dem.total += count - dem.inFlight[source]
+	if count == 0 {
+		delete(dem.inFlight, source)
+	} else {
+		dem.inFlight[source] = count
 	}
-	return sum
 }
 
 // RecordUsage adds one router's usage of a unit; usage of an adapter also counts for its model.
@@ -111,7 +120,18 @@
 	dem.arrivals = dem.arrivals*decay + float64(usage.Arrivals)
 	dem.urgency = dem.urgency*decay + usage.Urgency
 	dem.updated = now
-	dem.inFlight[source] = usage.InFlight
+	dem.setInFlight(source, usage.InFlight)
+}
+
+// ForgetRouter drops the running requests that a router has reported; the router no longer runs or can't be reached.
+func (planner *Planner) ForgetRouter(node celerylanding.NodeID) {
+	for _, dem := range planner.demand {
+		for source := range dem.inFlight {
+			if source.node == node {
+				dem.setInFlight(source, 0)
+			}
+		}
+	}
 }
 
 // modelRate returns the arrivals per second for a model and all its adapters.
@@ -124,8 +144,19 @@
 	return planner.demand[demandKey{service, feed.Unit{Model: id}}].urgencyRate(now)
 }
 
-// desiredReplicas returns the number of replicas that a model needs for its arrivals, running requests and active adapters.
+// desiredReplicas returns the number of replicas that a model needs for its arrivals, running requests and active adapters. The number is
+// cached for cacheTTL.
 func (planner *Planner) desiredReplicas(now time.Time, spec *routing.Engine, service celerylanding.ServiceID, id celerylanding.ModelID) int {
+	key := modelKey{service, id}
+	cached, ok := planner.replicaNeeds[key]
+	if !ok || !isFreshAt(now, cached.at) {
+		cached = cachedCount{value: planner.countDesiredReplicas(now, spec, service, id), at: now}
+		planner.replicaNeeds[key] = cached
+	}
+	return cached.value
+}
+
+func (planner *Planner) countDesiredReplicas(now time.Time, spec *routing.Engine, service celerylanding.ServiceID, id celerylanding.ModelID) int {
 	byRate := planner.modelRate(now, service, id) / replicaRate
 	running := planner.demand[demandKey{service, feed.Unit{Model: id}}].running()
 	byRunning := float64(running) / (maxModelShare * float64(max(1, spec.Slots)))
--- a/loadplan/engine.go
+++ b/loadplan/engine.go
@@ -22,6 +22,11 @@
 	drainingSince time.Time
 }
 
+// copyTiers names the local tiers that hold a copy of a model's weights.
+type copyTiers struct {
+	disk, memory bool
+}
+
 // engine is the planner's state of one incarnation of a model engine.
 type engine struct {
 	endpoint celerylanding.Endpoint
@@ -33,8 +38,8 @@
 	// suspect is set when the engine does not answer orders or another target answers at its address, until its next announcement.
 	suspect   bool
 	residents map[celerylanding.ModelID]*resident
-	onDisk    map[celerylanding.ModelID]bool
-	inMemory  map[celerylanding.ModelID]bool
+	// cached holds the models whose weights the engine has a local copy of.
+	cached map[celerylanding.ModelID]copyTiers
 
 	// accepted is the number of orders that the engine has accepted; it is valid only while isAcceptedKnown is set.
 	accepted        uint64
@@ -90,10 +95,10 @@
 
 // tier returns the tier that a load would read the weights from.
 func (eng *engine) tier(id celerylanding.ModelID) celerylanding.Tier {
-	switch {
-	case eng.inMemory[id]:
+	switch tiers := eng.cached[id]; {
+	case tiers.memory:
 		return celerylanding.TierMemory
-	case eng.onDisk[id]:
+	case tiers.disk:
 		return celerylanding.TierDisk
 	}
 	return celerylanding.TierRemote
--- a/loadplan/outcome.go
+++ b/loadplan/outcome.go
@@ -16,6 +16,7 @@
 	if eng == nil {
 		return
 	}
+	planner.store.isValid = false
 	switch {
 	case eng.order != nil && eng.order.Number == order.Number:
 		planner.modelOutcome(now, eng, outcome)
@@ -66,9 +67,9 @@
 func (planner *Planner) applyNoChange(now time.Time, eng *engine) {
 	id := eng.order.Unit.Model
 	if eng.order.Kind == celerylanding.OrderUnload {
-		delete(eng.residents, id)
+		planner.removeResident(eng, id)
 	} else if eng.residents[id] == nil {
-		eng.residents[id] = &resident{loadedAt: now, adapters: make(map[string]time.Time)}
+		planner.addResident(eng, id, &resident{loadedAt: now, adapters: make(map[string]time.Time)})
 	}
 }
 
@@ -112,6 +113,7 @@
 	if eng == nil || eng.endpoint.Incarnation != endpoint.Incarnation {
 		return
 	}
+	planner.store.isValid = false
 	eng.inspecting = false
 	eng.inspectDue = now.Add(inspectInterval)
 	if report == nil || report.Busy {
--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -78,6 +78,9 @@
 	// unreachable holds the engines that a waiting router can't reach.
 	unreachable map[incarnationKey]bool
 	engine      *engine
+	// storeSeconds is the time of a load from the store under the settings storeCostSpec.
+	storeSeconds  float64
+	storeCostSpec *routing.Engine
 }
 
 // incarnationKey identifies an incarnation of an engine regardless of its address.
@@ -90,6 +93,11 @@
 	return incarnationKey{endpoint.Target, endpoint.Incarnation}
 }
 
+// excludes reports whether a waiting router can't reach the engine.
+func (load *pendingLoad) excludes(eng *engine) bool {
+	return len(load.unreachable) > 0 && load.unreachable[incarnationKeyOf(eng.endpoint)]
+}
+
 func (load *pendingLoad) count() int {
 	sum := 0
 	for _, waiting := range load.waiting {
@@ -101,9 +109,13 @@
 // Planner plans the loads and unloads of all engines; it is not safe for concurrent use.
 type Planner struct {
 	engines map[celerylanding.TargetID]*engine
+	// ordered holds the engines sorted by target ID.
+	ordered []*engine
+	index   modelIndex
 	pending map[pendingKey]*pendingLoad
 	demand  map[demandKey]*demand
 	changed map[celerylanding.TargetID]bool
+	store   storeState
 	// storeLoads are the start times of recent loads from the store, oldest first.
 	storeLoads []time.Time
 	// fetchLimit limits the concurrent loads from the store.
@@ -118,9 +130,9 @@
 	isDiscoveryComplete bool
 	// countedSince is when the first arrival was counted.
 	countedSince time.Time
-	// reloadTimes is the expected reload time of each model, as of reloadTimesAt.
-	reloadTimes   map[demandKey]time.Duration
-	reloadTimesAt time.Time
+	// reloadTimes and replicaNeeds cache values that change little from one round to the next.
+	reloadTimes  map[modelKey]cachedDuration
+	replicaNeeds map[modelKey]cachedCount
 	// placed holds the units that are loaded or being loaded, as of placedAt.
 	placed   map[demandKey]bool
 	placedAt time.Time
@@ -139,6 +151,9 @@
 		discoveryEnd: discoveryEnd,
 		fetchLimit:   initialFetchLimit,
 		engines:      make(map[celerylanding.TargetID]*engine),
+		index:        make(modelIndex),
+		reloadTimes:  make(map[modelKey]cachedDuration),
+		replicaNeeds: make(map[modelKey]cachedCount),
 		pending:      make(map[pendingKey]*pendingLoad),
 		demand:       make(map[demandKey]*demand),
 		changed:      make(map[celerylanding.TargetID]bool),
@@ -148,28 +163,22 @@
 // Observe applies an engine's announcement; usable is false if the engine must get no new work, for instance because it is leaving or silent.
 func (planner *Planner) Observe(now time.Time, announcement celerylanding.Announcement, spec *routing.Engine, usable bool) {
 	eng := planner.engines[announcement.Target]
-	if eng == nil || eng.endpoint.Incarnation != announcement.Incarnation {
-		planner.dropQueue(eng)
+	service := celerylanding.ServiceID(announcement.Group)
+	if eng == nil || eng.endpoint.Incarnation != announcement.Incarnation || eng.service != service {
+		planner.dropEngine(announcement.Target)
 		planner.lastDiscovery = now
-		eng = &engine{residents: make(map[celerylanding.ModelID]*resident), inheritedFetch: announcement.Fetching}
-		planner.engines[announcement.Target] = eng
+		eng = &engine{service: service, residents: make(map[celerylanding.ModelID]*resident), inheritedFetch: announcement.Fetching}
+		eng.endpoint.Target = announcement.Target
+		planner.addEngine(announcement.Target, eng)
 	}
+	planner.store.isValid = false
 	eng.endpoint = celerylanding.Endpoint{Target: announcement.Target, Incarnation: announcement.Incarnation, Address: announcement.Address}
-	eng.service = celerylanding.ServiceID(announcement.Group)
 	eng.spec = spec
 	eng.suspect = false
 	if eng.usable = usable; !usable {
 		planner.clearQueue(eng)
 	}
-	eng.onDisk = make(map[celerylanding.ModelID]bool)
-	eng.inMemory = make(map[celerylanding.ModelID]bool)
-	for _, cached := range announcement.Cached {
-		if cached.Tier == celerylanding.TierMemory {
-			eng.inMemory[cached.Model] = true
-		} else {
-			eng.onDisk[cached.Model] = true
-		}
-	}
+	planner.setCached(eng, announcement.Cached)
 	if announcement.Sequence > eng.sequence || eng.sequence == 0 {
 		eng.sequence = announcement.Sequence
 		planner.applyInventory(now, eng, announcement.Inventory)
@@ -193,15 +202,8 @@
 
 // Remove removes an engine that has stopped.
 func (planner *Planner) Remove(id celerylanding.TargetID) {
-	planner.dropQueue(planner.engines[id])
-	delete(planner.engines, id)
-}
-
-// dropQueue clears the queue of an engine, which may be nil.
-func (planner *Planner) dropQueue(eng *engine) {
-	if eng != nil {
-		planner.clearQueue(eng)
-	}
+	planner.store.isValid = false
+	planner.dropEngine(id)
 }
 
 // clearQueue removes all pending loads from the engine's queue; the next step assigns them again.
@@ -226,7 +228,7 @@
 	}
 	for id, resident := range eng.residents {
 		if found[id] == nil && planner.isGone(now, eng, id, resident) {
-			delete(eng.residents, id)
+			planner.removeResident(eng, id)
 			planner.changed[eng.endpoint.Target] = true
 		}
 	}
@@ -264,7 +266,7 @@
 	current := eng.residents[id]
 	if current == nil {
 		current = &resident{loadedAt: now, adapters: make(map[string]time.Time)}
-		eng.residents[id] = current
+		planner.addResident(eng, id, current)
 		changed = true
 	}
 	if !current.missingSince.IsZero() {
@@ -305,6 +307,7 @@
 		planner.adjustFetchLimit(now.Sub(order.acceptedAt), model.StoreLoadTime, planner.fetches())
 	}
 	eng.order = nil
+	planner.store.isValid = false
 	planner.changed[eng.endpoint.Target] = true
 	if order.Kind != celerylanding.OrderLoad {
 		return
--- a/loadplan/preload.go
+++ b/loadplan/preload.go
@@ -63,13 +63,14 @@
 	free := eng.spec.Memory - eng.used()
 	var best celerylanding.ModelID
 	highest := -1.0
-	for _, model := range eng.spec.Models {
-		if model.Weights > free || eng.residents[model.ID] != nil || eng.tier(model.ID) == celerylanding.TierRemote {
+	for id := range eng.cached {
+		model, ok := eng.spec.Model(id)
+		if !ok || model.Weights > free || eng.residents[id] != nil {
 			continue
 		}
 		rate := planner.modelRate(now, eng.service, model.ID)
-		if rate > highest && !planner.isPlaced(now, eng.service, feed.Unit{Model: model.ID}) {
-			best, highest = model.ID, rate
+		if (rate > highest || (rate == highest && id < best)) && !planner.isPlaced(now, eng.service, feed.Unit{Model: id}) {
+			best, highest = id, rate
 		}
 	}
 	return best, highest >= 0
--- a/loadplan/step.go
+++ b/loadplan/step.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -41,8 +42,7 @@
 	planner.expire(now)
 	planner.scaleOut(now)
 	var actions Actions
-	for _, id := range slices.Sorted(maps.Keys(planner.engines)) {
-		eng := planner.engines[id]
+	for _, eng := range planner.ordered {
 		if eng.spec != nil {
 			planner.stepEngine(now, eng, &actions)
 		}
@@ -52,6 +52,7 @@
 
 // expire removes pending loads that are done or past their expiry, and assigns those without an engine.
 func (planner *Planner) expire(now time.Time) {
+	var unassigned []*pendingLoad
 	for key, load := range planner.pending {
 		isDone := load.engine != nil && load.engine.canServe(now, load.unit)
 		if !isDone && load.replica == 0 {
@@ -63,9 +64,20 @@
 			continue
 		}
 		if load.engine == nil {
-			planner.assign(now, load)
+			unassigned = append(unassigned, load)
 		}
 	}
+	// The order in which loads choose their engines is the same in each run.
+	slices.SortFunc(unassigned, comparePending)
+	for _, load := range unassigned {
+		planner.assign(now, load)
+	}
+}
+
+// comparePending orders pending loads by the time at which they expire, then by their unit.
+func comparePending(a, b *pendingLoad) int {
+	return cmp.Or(a.expiry.Compare(b.expiry), cmp.Compare(a.service, b.service), cmp.Compare(a.unit.Model, b.unit.Model),
+		cmp.Compare(a.unit.Adapter, b.unit.Adapter), cmp.Compare(a.replica, b.replica))
 }
 
 func (planner *Planner) stepEngine(now time.Time, eng *engine, actions *Actions) {
@@ -85,6 +97,7 @@
 		return
 	}
 	planner.lastOrderNumber++
+	planner.store.isValid = false
 	order.Number, order.Endpoint, order.Accepted, order.sentAt = planner.lastOrderNumber, eng.endpoint, eng.accepted, now
 	if order.Unit.Adapter != "" {
 		eng.adapterOrder = order
@@ -244,12 +257,19 @@
 	actions.Inspections = append(actions.Inspections, eng.endpoint)
 }
 
+// shortage is a model with fewer replicas than it needs.
+type shortage struct {
+	key               demandKey
+	replicas, desired int
+}
+
 // scaleOut drops outdated demand, queues additional replicas and copies of models that have too few, and moves pending loads to faster engines.
 func (planner *Planner) scaleOut(now time.Time) {
 	if now.Before(planner.scaleOutDue) {
 		return
 	}
 	planner.scaleOutDue = now.Add(scaleOutInterval)
+	var short []shortage
 	for key, dem := range planner.demand {
 		if dem.recent(now) < minDemand && dem.running() == 0 {
 			delete(planner.demand, key)
@@ -262,9 +282,17 @@
 		if serving == nil {
 			continue
 		}
-		desired := planner.desiredReplicas(now, serving.spec, key.service, key.unit.Model)
-		for replica := planner.replicas(key.service, key.unit.Model); replica < desired; replica++ {
-			planner.queueReplica(now, key, replica)
+		replicas := planner.replicas(key.service, key.unit.Model)
+		if desired := planner.desiredReplicas(now, serving.spec, key.service, key.unit.Model); replicas < desired {
+			short = append(short, shortage{key, replicas, desired})
+		}
+	}
+	slices.SortFunc(short, func(a, b shortage) int {
+		return cmp.Or(cmp.Compare(a.key.service, b.key.service), cmp.Compare(a.key.unit.Model, b.key.unit.Model))
+	})
+	for _, need := range short {
+		for replica := need.replicas; replica < need.desired; replica++ {
+			planner.queueReplica(now, need.key, replica)
 		}
 	}
 	planner.prefetch(now)
@@ -273,7 +301,7 @@
 
 // rebalance moves pending loads to engines that can finish them much sooner, such as one that has restarted with a local copy.
 func (planner *Planner) rebalance(now time.Time) {
-	for _, load := range planner.pending {
+	for _, load := range slices.SortedFunc(maps.Values(planner.pending), comparePending) {
 		if load.replica != 0 || load.engine == nil {
 			continue
 		}
@@ -291,13 +319,12 @@
 
 // hasFasterEngine reports whether another engine with a local copy is expected to load the unit in less than the given time.
 func (planner *Planner) hasFasterEngine(now time.Time, load *pendingLoad, within time.Duration) bool {
-	for _, eng := range planner.engines {
-		if eng == load.engine || load.unreachable[incarnationKeyOf(eng.endpoint)] || !eng.isAvailable() || eng.service != load.service ||
-			eng.spec == nil || eng.residents[load.unit.Model] != nil || eng.tier(load.unit.Model) == celerylanding.TierRemote {
+	for _, eng := range planner.index.copies(load.service, load.unit.Model) {
+		if eng == load.engine || load.excludes(eng) || !eng.isAvailable() || eng.spec == nil || eng.residents[load.unit.Model] != nil {
 			continue
 		}
 		if planner.backlog(now, eng, nil)+planner.setupTime(eng, load.unit) < within {
-			if _, ok := planner.cost(now, eng, load); ok {
+			if _, ok := planner.cost(now, eng, load, math.Inf(1)); ok {
 				return true
 			}
 		}
@@ -318,8 +345,8 @@
 
 // servingEngine returns an available engine on which the model is loaded and not draining, or nil.
 func (planner *Planner) servingEngine(service celerylanding.ServiceID, id celerylanding.ModelID) *engine {
-	for _, eng := range planner.engines {
-		if resident := eng.residents[id]; eng.isAvailable() && eng.service == service && resident != nil && !resident.draining {
+	for _, eng := range planner.index.holders(service, id) {
+		if eng.isAvailable() && !eng.residents[id].draining {
 			return eng
 		}
 	}
--- a/loadplan/store.go
+++ b/loadplan/store.go
@@ -1,12 +1,11 @@
 package loadplan
 
 import (
-	"maps"
 	"slices"
+	"sort"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
-	"celerylanding.example/celerylanding/feed"
 )
 
 const (
@@ -44,15 +43,55 @@
 	return order != nil && order.Kind == celerylanding.OrderLoad && order.Unit.Adapter == "" && order.Tier == celerylanding.TierRemote
 }
 
+// storeState caches what the decisions on loads from the store need to know about all engines and pending loads.
+type storeState struct {
+	// isValid is false after any change to an engine's order or availability.
+	isValid bool
+	// fetches is the number of loads from the store in progress.
+	fetches int
+	// waiting holds the urgencies of the pending loads from the store that have not started, ascending, as of waitingAt.
+	waiting   []float64
+	waitingAt time.Time
+}
+
+// waitingTTL is how long the urgencies of the loads that wait for the store are cached; it covers one round.
+const waitingTTL = 15 * time.Millisecond
+
 // fetches counts the loads from the store in progress; those of unavailable engines are taken to have ended.
 func (planner *Planner) fetches() int {
-	count := 0
-	for _, eng := range planner.engines {
+	planner.refreshStoreState()
+	return planner.store.fetches
+}
+
+func (planner *Planner) refreshStoreState() {
+	if planner.store.isValid {
+		return
+	}
+	planner.store = storeState{isValid: true}
+	for _, eng := range planner.ordered {
 		if eng.isFetching() {
-			count++
+			planner.store.fetches++
 		}
 	}
-	return count
+}
+
+// waitingFetches returns the urgencies of the pending loads from the store that have not started, ascending.
+func (planner *Planner) waitingFetches(now time.Time) []float64 {
+	planner.refreshStoreState()
+	if age := now.Sub(planner.store.waitingAt); age >= 0 && age <= waitingTTL {
+		return planner.store.waiting
+	}
+	waiting := planner.store.waiting[:0]
+	for _, load := range planner.pending {
+		if load.engine == nil || load.engine.residents[load.unit.Model] != nil || isFetch(load.engine.order) ||
+			load.engine.tier(load.unit.Model) != celerylanding.TierRemote {
+			continue
+		}
+		waiting = append(waiting, planner.modelUrgency(now, load.service, load.unit.Model))
+	}
+	slices.Sort(waiting)
+	planner.store.waiting, planner.store.waitingAt = waiting, now
+	return waiting
 }
 
 // adjustFetchLimit adapts the limit of concurrent loads from the store to the time that one took, compared with the time that it takes
@@ -88,18 +127,11 @@
 
 // fetchesAhead counts the pending loads from the store with a higher urgency.
 func (planner *Planner) fetchesAhead(now time.Time, load *pendingLoad) int {
-	urgency := planner.modelUrgency(now, load.service, load.unit.Model)
-	ahead := 0
-	for _, other := range planner.pending {
-		if other == load || other.engine == nil || other.engine.residents[other.unit.Model] != nil || isFetch(other.engine.order) ||
-			other.engine.tier(other.unit.Model) != celerylanding.TierRemote {
-			continue
-		}
-		if planner.modelUrgency(now, other.service, other.unit.Model) > urgency {
-			ahead++
-		}
-	}
-	return ahead
+	waiting := planner.waitingFetches(now)
+	// All urgencies are taken at the same time, since they decay.
+	urgency := planner.modelUrgency(planner.store.waitingAt, load.service, load.unit.Model)
+	at := sort.Search(len(waiting), func(i int) bool { return waiting[i] > urgency })
+	return len(waiting) - at
 }
 
 // fetchWait returns the expected queueing time of the pending load at the store.
@@ -126,8 +158,7 @@
 	}
 	var best *engine
 	lowest := maxPrefetchCost
-	for _, id := range slices.Sorted(maps.Keys(planner.engines)) {
-		eng := planner.engines[id]
+	for _, eng := range planner.ordered {
 		if cost, ok := planner.prefetchCost(now, eng, key); ok && cost < lowest {
 			best, lowest = eng, cost
 		}
@@ -160,18 +191,21 @@
 // prefetchCandidate returns the most urgent model with too few copies. On a small site, where one load occupies a large share of the
 // engines, it considers only busy models and those without any copy.
 func (planner *Planner) prefetchCandidate(now time.Time, isLargeSite bool) (demandKey, bool) {
-	copies := planner.copies()
 	var best demandKey
 	highest := 0.0
 	for key, dem := range planner.demand {
-		if key.unit.Adapter != "" || dem.recent(now) < minCopyDemand || copies[key] >= planner.desiredCopies(now, key) ||
+		if key.unit.Adapter != "" || dem.recent(now) < minCopyDemand {
+			continue
+		}
+		copies := planner.diskCopies(key.service, key.unit.Model)
+		if copies >= planner.desiredCopies(now, key) ||
 			planner.pending[pendingKey{key.service, key.unit, prefetchReplica}] != nil {
 			continue
 		}
-		if !isLargeSite && copies[key] > 0 && dem.urgencyRate(now) < busyUrgencyRate {
+		if !isLargeSite && copies > 0 && dem.urgencyRate(now) < busyUrgencyRate {
 			continue
 		}
-		need := dem.urgencyRate(now) / float64(1+copies[key]*copies[key]*4)
+		need := dem.urgencyRate(now) / float64(1+copies*copies*4)
 		if need > highest || (need == highest && key.unit.Model < best.unit.Model) {
 			best, highest = key, need
 		}
@@ -188,18 +222,15 @@
 	return max(minCopies, planner.desiredReplicas(now, serving.spec, key.service, key.unit.Model))
 }
 
-// copies returns the number of available engines with a copy of each model's weights on disk.
-func (planner *Planner) copies() map[demandKey]int {
-	copies := make(map[demandKey]int)
-	for _, eng := range planner.engines {
-		if !eng.isAvailable() || eng.spec == nil {
-			continue
-		}
-		for id := range eng.onDisk {
-			copies[demandKey{eng.service, feed.Unit{Model: id}}]++
+// diskCopies counts the available engines that have a copy of the model's weights on disk.
+func (planner *Planner) diskCopies(service celerylanding.ServiceID, id celerylanding.ModelID) int {
+	count := 0
+	for _, eng := range planner.index.copies(service, id) {
+		if eng.isAvailable() && eng.spec != nil && eng.cached[id].disk {
+			count++
 		}
 	}
-	return copies
+	return count
 }
 
 // prefetchCost returns the eviction cost of a prefetch of the model to the engine; the second result is false if the engine can't
--- a/loadplan/summary.go
+++ b/loadplan/summary.go
@@ -40,7 +40,7 @@
 		services[eng.service] = eng.spec
 	}
 	summary.Loaded = len(loaded)
-	summary.countCopies(planner.copies(), services)
+	planner.countCopies(&summary, services)
 	for _, load := range planner.pending {
 		if load.replica == 0 && !planner.isServed(now, load) {
 			summary.Waiting++
@@ -50,11 +50,11 @@
 }
 
 // countCopies counts the services' configured models by the number of copies of their weights.
-func (summary *Summary) countCopies(copies map[demandKey]int, services map[celerylanding.ServiceID]*routing.Engine) {
+func (planner *Planner) countCopies(summary *Summary, services map[celerylanding.ServiceID]*routing.Engine) {
 	for service, spec := range services {
 		for _, model := range spec.Models {
 			summary.Models++
-			switch copies[demandKey{service, feed.Unit{Model: model.ID}}] {
+			switch planner.diskCopies(service, model.ID) {
 			case 0:
 				summary.NoCopy++
 			case 1:
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -1,6 +1,8 @@
 package loadplan
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -60,13 +62,9 @@
 
 // hasCopy reports whether an available engine has loaded the unit's model or has a local copy of the model's weights.
 func (planner *Planner) hasCopy(load *pendingLoad) bool {
-	for _, eng := range planner.engines {
-		if eng.isAvailable() && eng.service == load.service && (eng.residents[load.unit.Model] != nil ||
-			eng.tier(load.unit.Model) != celerylanding.TierRemote) {
-			return true
-		}
-	}
-	return false
+	isAvailable := func(eng *engine) bool { return eng.isAvailable() }
+	return slices.ContainsFunc(planner.index.holders(load.service, load.unit.Model), isAvailable) ||
+		slices.ContainsFunc(planner.index.copies(load.service, load.unit.Model), isAvailable)
 }
 
 // retryGrace is how long a load stays queued after its expected end, for the retries of requests that couldn't wait for it.
@@ -108,8 +106,8 @@
 
 // isServed reports whether an engine that all waiting routers can reach serves the unit.
 func (planner *Planner) isServed(now time.Time, load *pendingLoad) bool {
-	for _, eng := range planner.engines {
-		if eng.isAvailable() && eng.service == load.service && eng.canServe(now, load.unit) && !load.unreachable[incarnationKeyOf(eng.endpoint)] {
+	for _, eng := range planner.index.holders(load.service, load.unit.Model) {
+		if eng.isAvailable() && eng.canServe(now, load.unit) && !load.excludes(eng) {
 			return true
 		}
 	}
@@ -119,17 +117,29 @@
 // assign queues the load on the engine with the lowest cost; it returns false if no engine can load the unit.
 func (planner *Planner) assign(now time.Time, load *pendingLoad) bool {
 	var best *engine
-	var lowest float64
-	for _, eng := range planner.engines {
-		if !eng.isAvailable() || eng.service != load.service || eng.spec == nil || load.unreachable[incarnationKeyOf(eng.endpoint)] {
-			continue
+	lowest := math.Inf(1)
+	consider := func(eng *engine) {
+		if !eng.isAvailable() || eng.service != load.service || eng.spec == nil || load.excludes(eng) {
+			return
+		}
+		cost, ok := planner.cost(now, eng, load, lowest)
+		if ok && (cost < lowest || (cost == lowest && eng.endpoint.Target < best.endpoint.Target)) {
+			best, lowest = eng, cost
 		}
-		cost, ok := planner.cost(now, eng, load)
-		if !ok {
+	}
+	// The engines that have the model or a copy are considered first: their low costs rule out most others without a look at their victims.
+	for _, eng := range planner.index.holders(load.service, load.unit.Model) {
+		consider(eng)
+	}
+	for _, eng := range planner.index.copies(load.service, load.unit.Model) {
+		consider(eng)
+	}
+	for _, eng := range planner.ordered {
+		if lowest < load.storeCost(eng) && !eng.willLoad(load.unit.Model) {
 			continue
 		}
-		if best == nil || cost < lowest || (cost == lowest && eng.endpoint.Target < best.endpoint.Target) {
-			best, lowest = eng, cost
+		if eng.tier(load.unit.Model) == celerylanding.TierRemote && eng.residents[load.unit.Model] == nil {
+			consider(eng)
 		}
 	}
 	if best == nil {
@@ -140,6 +150,18 @@
 	return true
 }
 
+// storeCost returns the least cost of the load on an engine that has to read the model from the store.
+func (load *pendingLoad) storeCost(eng *engine) float64 {
+	if eng.spec == nil {
+		return 0
+	}
+	if load.storeCostSpec != eng.spec {
+		model, _ := eng.spec.Model(load.unit.Model)
+		load.storeCostSpec, load.storeSeconds = eng.spec, (orderOverhead + model.StoreLoadTime).Seconds()
+	}
+	return storeLoadCost + load.storeSeconds*float64(max(1, load.count()))
+}
+
 // dequeue removes the load from its engine's queue.
 func (planner *Planner) dequeue(load *pendingLoad) {
 	eng := load.engine
@@ -159,6 +181,9 @@
 // if until is nil.
 func (planner *Planner) backlog(now time.Time, eng *engine, until *pendingLoad) time.Duration {
 	sum := planner.orderRemaining(now, eng)
+	if len(eng.queue) == 0 {
+		return sum
+	}
 	counted := make(map[celerylanding.ModelID]bool)
 	for _, ahead := range eng.queue {
 		if ahead == until {
@@ -177,6 +202,9 @@
 // orderRemaining returns the expected remaining time of the order in progress.
 func (planner *Planner) orderRemaining(now time.Time, eng *engine) time.Duration {
 	if eng.order == nil {
+		if eng.inheritedFetch == "" {
+			return 0
+		}
 		// The start time of a load that an earlier leader ordered is unknown, so the full load time is assumed.
 		model, _ := eng.spec.Model(eng.inheritedFetch)
 		return model.StoreLoadTime
