A busy leader keeps its role: work by priority, wakes asked for seldom

Routers then asked again at each change of the table, and each wake that was not answered within 400 ms closed the connection that its router's watch also used, so that late answers became new connections.

Change: - The control goroutine has three queues: log and configuration, reports of other processes, wakes. A round spends at most 8 ms on reports and 4 ms on wakes. Wakes that find 256 others waiting, or have waited 300 ms, are turned away without planning. - The time of each part of a round and the lengths of the queues are metrics; rounds over 20 ms are logged with their parts. - A router asks again for a unit when the promised time has passed (200 ms to 1 s), when more requests wait, when it has a refusal to report or when the leader changes. After an error it waits 100 ms to 1.6 s with jitter. The number of waiting requests is now counted for their whole wait.

--- a/control/api.go
+++ b/control/api.go
@@ -24,7 +24,7 @@
 // committed.
 func (ctl *Control) Submit(ctx context.Context, configuration *routing.Configuration) (version uint64, err error) {
 	active := uint64(0)
-	if err := ctl.postAndWait(ctx, func(time.Time) { active = ctl.version() }); err != nil {
+	if err := ctl.postUrgentAndWait(ctx, func(time.Time) { active = ctl.version() }); err != nil {
 		return 0, ErrNoQuorum.Wrap(err, "control state is busy")
 	}
 	if active >= configuration.Version {
@@ -78,7 +78,7 @@
 // confirms it.
 func (ctl *Control) Read(ctx context.Context) ([]byte, error) {
 	var reply ReadReply
-	if err := ctl.postAndWait(ctx, func(now time.Time) { reply = ctl.read(now) }); err != nil {
+	if err := ctl.postUrgentAndWait(ctx, func(now time.Time) { reply = ctl.read(now) }); err != nil {
 		return nil, ErrNoQuorum.Wrap(err, "control state is busy")
 	}
 	if !reply.Leads {
--- a/control/control.go
+++ b/control/control.go
@@ -28,10 +28,6 @@
 const (
 	// tickInterval is the interval of periodic work: log ticks, timeouts and retries.
 	tickInterval = 20 * time.Millisecond
-	// inboxDepth bounds the functions that wait for the control goroutine.
-	inboxDepth = 4096
-	// maxBatch bounds the functions that run before the next durable write, which they share.
-	maxBatch = 256
 	// maxAppend bounds the log entries in one message between members.
 	maxAppend = 64
 	// electionTimeout is the shortest silence of a leader after which another one is elected: eight heartbeats, so that scheduling
@@ -52,7 +48,8 @@
 	peers   *rpc.Peers
 	stop    context.CancelFunc
 	tasks   *tasks.Group
-	inbox   chan func(now time.Time)
+	inbox   inbox
+	rounds  roundTimer
 
 	// The fields below are owned by the control goroutine.
 	member        quorum.Member
@@ -115,7 +112,8 @@
 		clock:      hlc.New(maxClockOffset),
 		stop:       stop,
 		tasks:      tasks.New(ctx),
-		inbox:      make(chan func(time.Time), inboxDepth),
+		inbox:      newInbox(),
+		rounds:     newRoundTimer(options.Metrics),
 		proposals:  make(map[uint64]pendingProposal),
 		addresses:  make(map[quorum.MemberID]string),
 		directory:  directory,
@@ -204,70 +202,6 @@
 	return errors.Join(err, ctl.wal.Close())
 }
 
-// post queues a function for the control goroutine; it returns false if the context ends first.
-func (ctl *Control) post(ctx context.Context, work func(now time.Time)) bool {
-	select {
-	case ctl.inbox <- work:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// postAndWait runs a function on the control goroutine and waits for its end.
-func (ctl *Control) postAndWait(ctx context.Context, work func(now time.Time)) error {
-	done := make(chan struct{})
-	posted := ctl.post(ctx, func(now time.Time) {
-		work(now)
-		close(done)
-	})
-	if posted {
-		select {
-		case <-done:
-			return nil
-		case <-ctx.Done():
-		}
-	}
-	return ctx.Err()
-}
-
-// loop is the control goroutine: it runs queued functions and periodic work, and makes log changes durable after each.
-func (ctl *Control) loop(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case work := <-ctl.inbox:
-			work(ctl.options.Clock())
-			ctl.drainInbox()
-		}
-		now := ctl.options.Clock()
-		ctl.effects.Merge(ctl.core.Tick(now))
-		if err := ctl.flush(now); err != nil {
-			return fmt.Errorf("persist control state: %w", err)
-		}
-		ctl.runPeriodicTasks(now)
-		if err := ctl.flush(now); err != nil {
-			return fmt.Errorf("persist control state: %w", err)
-		}
-		ctl.answerWatchers(now)
-	}
-}
-
-func (ctl *Control) drainInbox() {
-	for range maxBatch {
-		select {
-		case work := <-ctl.inbox:
-			work(ctl.options.Clock())
-		default:
-			return
-		}
-	}
-}
-
 // Leader returns the peer address of the leader, or "" while none is known.
 func (ctl *Control) Leader() string {
 	ctl.mutex.Lock()
--- a/control/handover.go
+++ b/control/handover.go
@@ -64,7 +64,7 @@
 			defer cancel()
 			var reply LastOrderReply
 			err := ctl.peers.Call(callCtx, member.Address, "Peer.LastOrder", args, &reply)
-			ctl.post(ctx, func(now time.Time) { ctl.handleLastOrder(now, since, reply, err) })
+			ctl.postUrgent(ctx, func(now time.Time) { ctl.handleLastOrder(now, since, reply, err) })
 		})
 	}
 	if ctl.handover.pendingReplies == 0 {
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout)
 	defer cancel()
 	led := false
-	err := ctl.postAndWait(ctx, func(now time.Time) {
+	err := ctl.postUrgentAndWait(ctx, func(now time.Time) {
 		ctl.stopping = true
 		led = ctl.core.Role() == quorum.Leader
 		ctl.effects.Merge(ctl.core.StepDown(now))
--- a/control/log.go
+++ b/control/log.go
@@ -241,7 +241,7 @@
 // proposeLocal proposes a command on this node and waits until the command is applied or has failed, or until the context ends.
 func (ctl *Control) proposeLocal(ctx context.Context, data []byte) ProposeReply {
 	reply := make(chan ProposeReply, 1)
-	if !ctl.post(ctx, func(time.Time) { ctl.batch = append(ctl.batch, queuedCommand{data, reply}) }) {
+	if !ctl.postUrgent(ctx, func(time.Time) { ctl.batch = append(ctl.batch, queuedCommand{data, reply}) }) {
 		return ProposeReply{}
 	}
 	select {
--- a/control/messages.go
+++ b/control/messages.go
@@ -80,7 +80,7 @@
 		return quorum.ErrBadMessage.New("Deliver call without messages")
 	}
 	result := make(chan error, 1)
-	if !service.control.post(service.ctx, func(now time.Time) { result <- service.control.receive(now, args) }) {
+	if !service.control.postUrgent(service.ctx, func(now time.Time) { result <- service.control.receive(now, args) }) {
 		return service.ctx.Err()
 	}
 	select {
@@ -96,7 +96,7 @@
 	if args.Member.ID == "" || args.Member.Address == "" {
 		return quorum.ErrBadMessage.New("Join call names a member without ID or address")
 	}
-	return service.postAndWait(func(now time.Time) {
+	return service.postUrgentAndWait(func(now time.Time) {
 		reply.Leader = service.control.leaderAddress()
 		reply.Accepted = service.control.addMember(now, args.Member)
 	})
@@ -112,7 +112,7 @@
 
 // Read returns the newest configuration if this node leads and can confirm it.
 func (service *PeerService) Read(_ *Empty, reply *ReadReply) error {
-	return service.postAndWait(func(now time.Time) { *reply = service.control.read(now) })
+	return service.postUrgentAndWait(func(now time.Time) { *reply = service.control.read(now) })
 }
 
 // Announce applies an announcement that a follower has received, if this node leads.
@@ -127,7 +127,7 @@
 
 // LastOrder returns when this node last sent an order and, if requested, the targets that it knows.
 func (service *PeerService) LastOrder(args *LastOrderArgs, reply *LastOrderReply) error {
-	return service.postAndWait(func(now time.Time) { *reply = service.control.lastOrderReply(now, args) })
+	return service.postUrgentAndWait(func(now time.Time) { *reply = service.control.lastOrderReply(now, args) })
 }
 
 // Watch waits for changes of the feed and returns them.
@@ -144,9 +144,12 @@
 	}
 }
 
-// Wake requests the load of a unit if this node leads.
+// Wake requests the load of a unit if this node leads. A node that has too much to do turns the request away without planning.
 func (service *PeerService) Wake(args *feed.WakeArgs, reply *feed.WakeReply) error {
-	return service.postAndWait(func(now time.Time) { *reply = service.control.wake(now, *args) })
+	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
+	defer cancel()
+	*reply = service.control.requestWake(ctx, *args)
+	return nil
 }
 
 func (service *PeerService) postAndWait(run func(now time.Time)) error {
@@ -154,3 +157,9 @@
 	defer cancel()
 	return service.control.postAndWait(ctx, run)
 }
+
+func (service *PeerService) postUrgentAndWait(run func(now time.Time)) error {
+	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
+	defer cancel()
+	return service.control.postUrgentAndWait(ctx, run)
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -165,4 +165,6 @@
 	Infeasible bool `cbor:"3,keyasint"`
 	// Cause is the reason of a delay or of Infeasible, for logs and error responses.
 	Cause string `cbor:"4,keyasint,omitempty"`
+	// Busy is set when the node had no time for the request; the other fields, except for Cause, then say nothing.
+	Busy bool `cbor:"5,keyasint,omitempty"`
 }
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -116,40 +116,55 @@
 
 // assign queues the load on the engine with the lowest cost; it returns false if no engine can load the unit.
 func (planner *Planner) assign(now time.Time, load *pendingLoad) bool {
-	var best *engine
-	lowest := math.Inf(1)
-	consider := func(eng *engine) {
-		if !eng.isAvailable() || eng.service != load.service || eng.spec == nil || load.excludes(eng) {
-			return
-		}
-		cost, ok := planner.cost(now, eng, load, lowest)
-		if ok && (cost < lowest || (cost == lowest && eng.endpoint.Target < best.endpoint.Target)) {
-			best, lowest = eng, cost
-		}
-	}
+	search := engineSearch{planner: planner, now: now, load: load, lowest: math.Inf(1)}
 	// The engines that have the model or a copy are considered first: their low costs rule out most others without a look at their victims.
 	for _, eng := range planner.index.holders(load.service, load.unit.Model) {
-		consider(eng)
+		search.consider(eng)
 	}
 	for _, eng := range planner.index.copies(load.service, load.unit.Model) {
-		consider(eng)
+		search.consider(eng)
 	}
 	for _, eng := range planner.ordered {
-		if lowest < load.storeCost(eng) && !eng.willLoad(load.unit.Model) {
-			continue
-		}
-		if eng.tier(load.unit.Model) == celerylanding.TierRemote && eng.residents[load.unit.Model] == nil {
-			consider(eng)
-		}
+		search.considerStoreLoad(eng)
 	}
-	if best == nil {
+	if search.best == nil {
 		return false
 	}
-	load.engine = best
-	best.queue = append(best.queue, load)
+	load.engine = search.best
+	search.best.queue = append(search.best.queue, load)
 	return true
 }
 
+// engineSearch is the search for the engine with the lowest cost for a load.
+type engineSearch struct {
+	planner *Planner
+	now     time.Time
+	load    *pendingLoad
+	best    *engine
+	lowest  float64
+}
+
+func (search *engineSearch) consider(eng *engine) {
+	if !eng.isAvailable() || eng.service != search.load.service || eng.spec == nil || search.load.excludes(eng) {
+		return
+	}
+	cost, ok := search.planner.cost(search.now, eng, search.load, search.lowest)
+	if ok && (cost < search.lowest || (cost == search.lowest && eng.endpoint.Target < search.best.endpoint.Target)) {
+		search.best, search.lowest = eng, cost
+	}
+}
+
+// considerStoreLoad considers an engine without a copy of the model, unless a load from the store costs more than the best engine so far.
+func (search *engineSearch) considerStoreLoad(eng *engine) {
+	id := search.load.unit.Model
+	if search.lowest < search.load.storeCost(eng) && !eng.willLoad(id) {
+		return
+	}
+	if eng.tier(id) == celerylanding.TierRemote && eng.residents[id] == nil {
+		search.consider(eng)
+	}
+}
+
 // storeCost returns the least cost of the load on an engine that has to read the model from the store.
 func (load *pendingLoad) storeCost(eng *engine) float64 {
 	if eng.spec == nil {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -65,7 +65,7 @@
 		state:          newTableState(),
 		picker:         dispatch.NewPicker(options.Domain),
 		budget:         dispatch.NewRetryBudget(options.Budget),
-		waker:          newWaker(options.Node, options.Leader),
+		waker:          newWaker(options.Node, options.Leader, options.Clock),
 		usage:          newUsageCounter(),
 		crashes:        newCrashTracker(),
 	}
@@ -77,6 +77,9 @@
 // RecordLeaderContact records that the leader has answered, also when nothing has changed.
 func (handler *Handler) RecordLeaderContact(now time.Time) { handler.state.recordContact(now) }
 
+// HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
+func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
+
 // HasRoutes reports whether a configuration is known.
 func (handler *Handler) HasRoutes() bool { return handler.state.table().Routes() != nil }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -39,6 +39,12 @@
 
 // findTarget returns the target of the next attempt; it waits for the unit to be loaded if no usable target has it loaded.
 func (handler *Handler) findTarget(ctx context.Context, call *call) (*feed.Target, *refusal) {
+	var wait *unitWait
+	defer func() {
+		if wait != nil {
+			wait.leave()
+		}
+	}()
 	for {
 		now := handler.options.Clock()
 		table, changed := handler.state.watch()
@@ -52,7 +58,10 @@
 		if call.unit.Model == "" {
 			return nil, unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
 		}
-		if refusal := handler.waitForUnit(ctx, call, unreachable, changed); refusal != nil {
+		if wait == nil {
+			wait = handler.waker.join(call.service, call.unit)
+		}
+		if refusal := handler.waitForUnit(ctx, call, wait, unreachable, changed); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -94,13 +103,14 @@
 }
 
 // waitForUnit asks the leader to load the unit, and waits for a new table or the next poll.
-func (handler *Handler) waitForUnit(ctx context.Context, call *call, unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
+func (handler *Handler) waitForUnit(ctx context.Context, call *call, wait *unitWait, unreachable []celerylanding.Endpoint,
+	changed <-chan struct{}) *refusal {
 	if handler.refusesWaiting.Load() {
 		return unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
 	}
 	now := handler.options.Clock()
 	remaining := call.deadline.Sub(now)
-	reply, err := handler.waker.wake(ctx, now, call.service, call.unit, remaining, call.slack(now), call.refusals, unreachable)
+	reply, err := wait.wake(ctx, now, remaining, call.slack(now), call.refusals, unreachable)
 	call.refusals = nil
 	if err != nil {
 		handler.logUnansweredWake(call, err)
--- a/proxy/waker.go
+++ b/proxy/waker.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +16,12 @@
 	wakePollInterval = 250 * time.Millisecond
 	// wakeTimeout is the timeout of one wake request to the leader.
 	wakeTimeout = 400 * time.Millisecond
-	// wakeReplyTTL is how long the leader's reply for a unit is reused for all requests that wait for the unit. Errors and infeasible replies
-	// are not reused.
-	wakeReplyTTL = 200 * time.Millisecond
+	// minWakeInterval and maxWakeInterval bound the time after which the leader is asked again for a unit that it has promised. It is asked
+	// when the promised time has passed, or when more requests wait, but not more often than once in minWakeInterval.
+	minWakeInterval = 200 * time.Millisecond
+	maxWakeInterval = time.Second
+	// maxWakeBackoffDoublings bounds the exponential backoff after wake requests that the leader has not answered or has turned away.
+	maxWakeBackoffDoublings = 3
 )
 
 // wakeKey identifies the unit that requests wait for.
@@ -28,11 +33,20 @@
 // wakeState is the state of the wake requests for one unit.
 type wakeState struct {
 	waiting int
+	// askedFor is the number of waiting requests that the last wake request reported.
+	askedFor int
 	// onTimeUntil is the latest time at which a load of the unit lets a waiting request still meet its latency objective.
 	onTimeUntil time.Time
+	// refusals and unreachable are the targets to report with the next wake request.
+	refusals    []celerylanding.Endpoint
+	unreachable []celerylanding.Endpoint
 	askedAt     time.Time
 	reply       feed.WakeReply
 	err         error
+	// failures counts the consecutive wake requests that ended in an error.
+	failures int
+	// askAgainAt is when the leader is asked again for the same number of waiting requests.
+	askAgainAt time.Time
 	// done is closed when the pending wake request ends; nil while none is pending.
 	done chan struct{}
 }
@@ -41,30 +55,66 @@
 type waker struct {
 	node   celerylanding.NodeID
 	leader Leader
+	clock  func() time.Time
 	mutex  sync.Mutex
 	units  map[wakeKey]*wakeState
 }
 
-func newWaker(node celerylanding.NodeID, leader Leader) *waker {
-	return &waker{node: node, leader: leader, units: make(map[wakeKey]*wakeState)}
+func newWaker(node celerylanding.NodeID, leader Leader, clock func() time.Time) *waker {
+	return &waker{node: node, leader: leader, clock: clock, units: make(map[wakeKey]*wakeState)}
 }
 
-// wake returns the leader's reply for the unit; it sends a wake request unless one is pending or the last reply is still valid.
-// Refusals force a new request unless one is pending.
-func (waker *waker) wake(ctx context.Context, now time.Time, service celerylanding.ServiceID, unit feed.Unit, remaining, slack time.Duration,
-	refusals, unreachable []celerylanding.Endpoint) (feed.WakeReply, error) {
+// forgetReplies makes the next request for each unit ask the leader at once; a new leader knows nothing of what the former one promised.
+func (waker *waker) forgetReplies() {
+	waker.mutex.Lock()
+	defer waker.mutex.Unlock()
+	for _, state := range waker.units {
+		state.askedAt, state.askAgainAt, state.failures = time.Time{}, time.Time{}, 0
+	}
+}
+
+// unitWait is one request's wait for a unit.
+type unitWait struct {
+	waker *waker
+	key   wakeKey
+	state *wakeState
+}
+
+// join adds a request to those that wait for the unit; leave ends its wait.
+func (waker *waker) join(service celerylanding.ServiceID, unit feed.Unit) *unitWait {
 	key := wakeKey{service, unit}
 	waker.mutex.Lock()
+	defer waker.mutex.Unlock()
 	state := waker.units[key]
 	if state == nil {
 		state = &wakeState{}
 		waker.units[key] = state
 	}
 	state.waiting++
+	return &unitWait{waker: waker, key: key, state: state}
+}
+
+// leave ends the wait of one request, and forgets the unit when no request waits for it and nothing is left to report.
+func (wait *unitWait) leave() {
+	wait.waker.mutex.Lock()
+	defer wait.waker.mutex.Unlock()
+	wait.state.waiting--
+	if wait.state.waiting == 0 && wait.state.done == nil && len(wait.state.refusals) == 0 {
+		delete(wait.waker.units, wait.key)
+	}
+}
+
+// wake returns the leader's reply for the unit; it sends a wake request unless one is pending or the last reply is still valid.
+// Refusals force a new request unless one is pending; then they are reported with the next one.
+func (wait *unitWait) wake(ctx context.Context, now time.Time, remaining, slack time.Duration,
+	refusals, unreachable []celerylanding.Endpoint) (feed.WakeReply, error) {
+	waker, state := wait.waker, wait.state
+	waker.mutex.Lock()
 	if onTimeUntil := now.Add(slack); onTimeUntil.After(state.onTimeUntil) {
 		state.onTimeUntil = onTimeUntil
 	}
-	defer waker.release(key, state)
+	state.refusals = appendMissing(state.refusals, refusals)
+	state.unreachable = appendMissing(state.unreachable, unreachable)
 	if done := state.done; done != nil {
 		waker.mutex.Unlock()
 		select {
@@ -73,39 +123,66 @@
 		}
 		return waker.lastReply(state)
 	}
-	isFresh := now.Sub(state.askedAt) < wakeReplyTTL && state.err == nil && !state.reply.Infeasible
-	if isFresh && len(refusals) == 0 {
+	if !state.isDue(now) {
 		defer waker.mutex.Unlock()
-		return state.reply, nil
+		return state.reply, state.err
 	}
 	state.done = make(chan struct{})
-	args := feed.WakeArgs{Node: waker.node, Service: service, Unit: unit, Waiting: state.waiting, MaxWait: remaining, Slack: max(0, state.onTimeUntil.Sub(now)),
-		Refusals: refusals, Unreachable: unreachable}
+	state.askedFor = state.waiting
+	args := feed.WakeArgs{Node: waker.node, Service: wait.key.service, Unit: wait.key.unit, Waiting: state.waiting, MaxWait: remaining,
+		Slack: max(0, state.onTimeUntil.Sub(now)), Refusals: state.refusals, Unreachable: state.unreachable}
+	state.refusals, state.unreachable = nil, nil
 	waker.mutex.Unlock()
 	wakeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wakeTimeout)
 	defer cancel()
 	reply, err := waker.leader.Wake(wakeCtx, args)
+	answered := waker.clock()
 	waker.mutex.Lock()
 	defer waker.mutex.Unlock()
 	state.askedAt, state.reply, state.err = now, reply, err
+	if err == nil {
+		state.failures = 0
+		state.askAgainAt = now.Add(min(max(reply.Expected, minWakeInterval), maxWakeInterval))
+	} else {
+		state.refusals = appendMissing(state.refusals, args.Refusals)
+		state.askAgainAt = answered.Add(wakeBackoff(state.failures, rand.Float64()))
+		state.failures++
+	}
 	close(state.done)
 	state.done = nil
 	return reply, err
 }
 
-func (waker *waker) lastReply(state *wakeState) (feed.WakeReply, error) {
-	waker.mutex.Lock()
-	defer waker.mutex.Unlock()
-	return state.reply, state.err
+// isDue reports whether the leader has to be asked for the unit now.
+func (state *wakeState) isDue(now time.Time) bool {
+	switch {
+	case state.err != nil:
+		return !now.Before(state.askAgainAt)
+	case state.reply.Infeasible || len(state.refusals) > 0 || !now.Before(state.askAgainAt):
+		return true
+	}
+	return state.waiting > state.askedFor && now.Sub(state.askedAt) >= minWakeInterval
+}
+
+// wakeBackoff returns the time before the next wake request after one that failed; jitter is between 0 and 1, so that routers do not ask
+// a busy leader all at the same time.
+func wakeBackoff(failures int, jitter float64) time.Duration {
+	longest := minWakeInterval << min(failures, maxWakeBackoffDoublings)
+	return longest/2 + time.Duration(jitter*float64(longest)/2)
+}
+
+// appendMissing appends the endpoints that the list lacks.
+func appendMissing(list, added []celerylanding.Endpoint) []celerylanding.Endpoint {
+	for _, endpoint := range added {
+		if !slices.Contains(list, endpoint) {
+			list = append(list, endpoint)
+		}
+	}
+	return list
 }
 
-// release ends the wait of one request, and deletes the state of the unit when no request waits for it and no load is expected.
-func (waker *waker) release(key wakeKey, state *wakeState) {
+func (waker *waker) lastReply(state *wakeState) (feed.WakeReply, error) {
 	waker.mutex.Lock()
 	defer waker.mutex.Unlock()
-	state.waiting--
-	isSettled := state.reply.Expected == 0 || state.reply.Infeasible || state.err != nil
-	if state.waiting == 0 && state.done == nil && isSettled {
-		delete(waker.units, key)
-	}
+	return state.reply, state.err
 }
--- a/quorum/rpc/client.go
+++ b/quorum/rpc/client.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/boottime"
 	"celerylanding.example/celerylanding/common/hlc"
 	"celerylanding.example/celerylanding/common/rpccodec"
 )
@@ -18,6 +20,9 @@
 	dialTimeout = time.Second
 	// notifyTimeout is the deadline of one queued notification.
 	notifyTimeout = 2 * time.Second
+	// silenceTimeout is how long a peer may send nothing at all, while calls wait for it, before its connection counts as dead. Calls with
+	// shorter deadlines do not close the connection, since a busy peer answers late and a new connection would add to its load.
+	silenceTimeout = 450 * time.Millisecond
 	// notifyQueueLimit is the maximum number of notifications queued for one peer; further ones are dropped.
 	notifyQueueLimit = 256
 )
@@ -51,12 +56,55 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	mutex      sync.Mutex
-	clients    map[string]*rpc.Client
+	clients    map[string]*client
 	queues     map[string]chan notification
 	senderDone chan struct{}
 	senders    int
 }
 
+// client is the connection to one peer.
+type client struct {
+	*rpc.Client
+	conn *monitoredConn
+}
+
+// monitoredConn is a connection that knows when bytes last arrived and since when calls have waited in vain.
+type monitoredConn struct {
+	net.Conn
+	// received counts the reads that returned bytes.
+	received atomic.Uint64
+	mutex    sync.Mutex
+	// silentSince is the start of the first call that ended without any byte from the peer since then; zero after bytes have arrived.
+	silentSince time.Time
+	// receivedBefore is the count of reads when silentSince was set.
+	receivedBefore uint64
+}
+
+// Read reads from the connection.
+func (conn *monitoredConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count > 0 {
+		conn.received.Add(1)
+	}
+	return count, err
+}
+
+// isDead reports whether the connection counts as dead, after a call that began when receivedBefore reads had returned bytes has ended
+// without a reply.
+func (conn *monitoredConn) isDead(began, now time.Time, receivedBefore uint64) bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	received := conn.received.Load()
+	if received != receivedBefore {
+		conn.silentSince = time.Time{}
+		return false
+	}
+	if conn.silentSince.IsZero() || conn.receivedBefore != received {
+		conn.silentSince, conn.receivedBefore = began, received
+	}
+	return now.Sub(conn.silentSince) >= silenceTimeout
+}
+
 // NewPeers returns Peers without open connections; their senders run until the context ends or Close is called.
 func NewPeers(ctx context.Context, options Options) *Peers {
 	ctx, cancel := context.WithCancel(ctx)
@@ -64,24 +112,25 @@
 		options:    options,
 		ctx:        ctx,
 		cancel:     cancel,
-		clients:    make(map[string]*rpc.Client),
+		clients:    make(map[string]*client),
 		queues:     make(map[string]chan notification),
 		senderDone: make(chan struct{}),
 	}
 }
 
-// Call calls a method on the peer and waits for the reply. A call that exceeds its deadline closes the connection, since a dead connection
-// may report no error. Call returns ErrUnreachable, ErrNoAnswer, or the error of the remote method as rpc.ServerError.
+// Call calls a method on the peer and waits for the reply. A call that exceeds its deadline closes the connection if nothing at all has
+// arrived on it for silenceTimeout, since a dead connection may report no error. Call returns ErrUnreachable, ErrNoAnswer, or the error of the remote method as rpc.ServerError.
 func (peers *Peers) Call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := peers.client(ctx, address)
 	if err != nil {
 		return ErrUnreachable.Wrap(err, "%s", address)
 	}
+	began, received := boottime.Now(), client.conn.received.Load()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && client.conn.isDead(began, boottime.Now(), received) {
 			peers.closeClient(address, client)
 		}
 		return ErrNoAnswer.Wrap(ctx.Err(), "%s of %s", method, address)
@@ -132,7 +181,7 @@
 	peers.cancel()
 	senders := peers.senders
 	clients := peers.clients
-	peers.clients = make(map[string]*rpc.Client)
+	peers.clients = make(map[string]*client)
 	peers.mutex.Unlock()
 	for _, client := range clients {
 		_ = client.Close()
@@ -142,26 +191,27 @@
 	}
 }
 
-func (peers *Peers) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (peers *Peers) client(ctx context.Context, address string) (*client, error) {
 	peers.mutex.Lock()
-	client, ok := peers.clients[address]
+	known, ok := peers.clients[address]
 	peers.mutex.Unlock()
 	if ok {
-		return client, nil
+		return known, nil
 	}
-	conn, err := peers.dial(ctx, address)
+	dialed, err := peers.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClientWithCodec(rpccodec.NewClient(conn, peers.options.Clock, peers.options.Counters))
+	conn := &monitoredConn{Conn: dialed}
+	added := &client{rpc.NewClientWithCodec(rpccodec.NewClient(conn, peers.options.Clock, peers.options.Counters)), conn}
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	if other, ok := peers.clients[address]; ok {
-		_ = client.Close()
+		_ = added.Close()
 		return other, nil
 	}
-	peers.clients[address] = client
-	return client, nil
+	peers.clients[address] = added
+	return added, nil
 }
 
 func (peers *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -175,7 +225,7 @@
 	return (&tls.Dialer{NetDialer: dialer, Config: peers.options.TLS()}).DialContext(ctx, "tcp", address)
 }
 
-func (peers *Peers) closeClient(address string, client *rpc.Client) {
+func (peers *Peers) closeClient(address string, client *client) {
 	peers.mutex.Lock()
 	if peers.clients[address] == client {
 		delete(peers.clients, address)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -24,6 +24,9 @@
 // ErrNoLeader means that no leader is known, or that the asked node no longer leads.
 var ErrNoLeader = celerylanding.ErrorNamespace.NewType("no_leader")
 
+// ErrBusy means that the leader had no time for a request.
+var ErrBusy = celerylanding.ErrorNamespace.NewType("leader_busy")
+
 // Options configure a client.
 type Options struct {
 	Peers *rpc.Peers
