Followers relay the leader's feed to the routers of their failure domain

Cause: 118 routers watched the leader. Each push encoded the changed targets once for each of them, a push took at least 126 ms to be due (8 ms and 1 ms a router), longer than the 30 ms that an unload waits for routers to learn of it, and all of it came out of the leader's 0.48 of a core.

A follower relays while the leader has answered it within a second in the current term; its replies carry their age. Usage is summed at the relay, outcomes keep their router, crashes are kept until the leader has them. Replies that contain the same targets share one encoding. A reply of an earlier revision changes nothing at a router.

--- a/control/control.go
+++ b/control/control.go
@@ -76,10 +76,9 @@
 	planner   *loadplan.Planner
 	outliers  *membership.OutlierDetector
 	feed      feedState
-	// quarantine counts, for each request, the targets that crashed while they ran it; quarantined lists the fingerprints of the requests
-	// that routers refuse.
-	quarantine  *router.Quarantine
-	quarantined []uint64
+	relay     *relayReports
+	// quarantine counts, for each request, the targets that crashed while they ran it.
+	quarantine *router.Quarantine
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
 	handover    handover
@@ -120,6 +119,7 @@
 		planner:    loadplan.New(time.Time{}),
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: router.NewQuarantine(),
+		relay:      newRelayReports(),
 	}
 	ctl.feed = newFeedState()
 	ctl.heartbeats = newHeartbeatBatch()
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,16 +1,12 @@
 package control
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
-	"celerylanding.example/celerylanding/loadplan"
-	"celerylanding.example/celerylanding/membership"
 	"celerylanding.example/celerylanding/router"
-	"celerylanding.example/celerylanding/routing"
 )
 
 const (
@@ -40,37 +36,142 @@
 	revision uint64
 }
 
-// feedState is the state of the feed on the leader.
+// listKey identifies the targets that have changed since a revision, for routers or for control nodes.
+type listKey struct {
+	since    uint64
+	isRouter bool
+}
+
+// feedState is the state of the feed: on the leader its own, on another node what the leader has sent.
 type feedState struct {
+	// term is the term of the leader whose state this is, and contact when that state was in force at the latest; on the leader both are unused.
+	term     uint64
+	contact  time.Time
 	revision uint64
 	targets  map[celerylanding.TargetID]*publishedTarget
 	watchers []watcher
-	routers  map[celerylanding.NodeID]time.Time
+	// routers holds the time of the last watch request of each router that watches this node.
+	routers map[celerylanding.NodeID]time.Time
+	// relays holds the control nodes that pass the feed on.
+	relays   map[celerylanding.NodeID]relayReport
 	lastPush time.Time
+	// lists are the changes since earlier revisions, up to the current one.
+	lists map[listKey]*feed.TargetList
 	// configurationChanged is set until the targets are re-evaluated under a new configuration.
 	configurationChanged bool
+	// quarantined lists the fingerprints of the requests that routers refuse.
+	quarantined []uint64
+	// routerTotal is the number of all routers, as the leader has sent it.
+	routerTotal int
+	// relayAddresses are the relays that the leader has named.
+	relayAddresses []feed.RelayAddress
+}
+
+// relayReport is what a relay has last reported.
+type relayReport struct {
+	address string
+	routers int
+	seen    time.Time
 }
 
 func newFeedState() feedState {
-	return feedState{targets: make(map[celerylanding.TargetID]*publishedTarget), routers: make(map[celerylanding.NodeID]time.Time)}
+	return feedState{targets: make(map[celerylanding.TargetID]*publishedTarget), routers: make(map[celerylanding.NodeID]time.Time),
+		relays: make(map[celerylanding.NodeID]relayReport), lists: make(map[listKey]*feed.TargetList)}
+}
+
+// advance starts a new revision.
+func (state *feedState) advance() {
+	state.revision++
+	clear(state.lists)
+}
+
+// changesSince returns the targets that have changed since a revision; readers at the same revision share one list.
+func (state *feedState) changesSince(key listKey) *feed.TargetList {
+	if list, ok := state.lists[key]; ok {
+		return list
+	}
+	var changed []feed.Target
+	for _, entry := range state.targets {
+		if entry.revision <= key.since {
+			continue
+		}
+		target := entry.target
+		if key.isRouter {
+			target.OnDisk, target.InMemory, target.Fetching = nil, nil, ""
+		}
+		changed = append(changed, target)
+	}
+	var list *feed.TargetList
+	if len(changed) > 0 {
+		list = feed.NewTargetList(changed)
+	}
+	state.lists[key] = list
+	return list
+}
+
+// countRouters returns the number of routers that watch this node or one of the relays.
+func (state *feedState) countRouters() int {
+	count := len(state.routers)
+	for _, relay := range state.relays {
+		count += relay.routers
+	}
+	return count
+}
+
+// forgetSilent drops the routers and relays that have not watched for routerTimeout, and returns the routers and relays that it dropped.
+func (state *feedState) forgetSilent(now time.Time) []celerylanding.NodeID {
+	var dropped []celerylanding.NodeID
+	for id, seen := range state.routers {
+		if now.Sub(seen) > routerTimeout {
+			delete(state.routers, id)
+			dropped = append(dropped, id)
+		}
+	}
+	for id, relay := range state.relays {
+		if now.Sub(relay.seen) > routerTimeout {
+			delete(state.relays, id)
+			dropped = append(dropped, id)
+		}
+	}
+	return dropped
 }
 
 // watch records the crashes, outcomes and usage that a watch request reports, and queues the request until there are changes. A node that
-// does not lead replies at once with the address of the leader.
+// neither leads nor relays replies at once with the address of the leader.
 func (ctl *Control) watch(now time.Time, args *feed.WatchArgs, reply chan<- feed.WatchReply) {
-	if !ctl.leads(now) {
+	// A node that knows a later term has better state than this one.
+	isOutdated := args.Term > ctl.feedTerm()
+	switch {
+	case !isOutdated && ctl.leads(now):
+		ctl.applyReport(now, args)
+	case !isOutdated && args.Router && ctl.relays(now):
+		ctl.relay.add(now, args)
+		ctl.feed.routers[args.Node] = now
+	default:
 		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
 		return
 	}
+	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, reply: reply, due: now.Add(watchTimeout)})
+}
+
+// applyReport applies what a router or relay reports to the leader.
+func (ctl *Control) applyReport(now time.Time, args *feed.WatchArgs) {
 	if args.Router {
 		ctl.feed.routers[args.Node] = now
 	}
+	if args.Relay != "" {
+		ctl.feed.relays[args.Node] = relayReport{address: args.Relay, routers: args.Routers, seen: now}
+	}
 	for _, crash := range args.Crashes {
 		ctl.recordCrash(now, crash)
 	}
 	for _, outcome := range args.Outcomes {
-		if ctl.outliers.Report(now, args.Node, outcome.Target, outcome.Incarnation, outcome.Answered, outcome.Failed) {
-			ctl.options.Log.Warn().Str("target", string(outcome.Target)).Str("router", string(args.Node)).
+		node := outcome.Node
+		if node == "" {
+			node = args.Node
+		}
+		if ctl.outliers.Report(now, node, outcome.Target, outcome.Incarnation, outcome.Answered, outcome.Failed) {
+			ctl.options.Log.Warn().Str("target", string(outcome.Target)).Str("router", string(node)).
 				Msg("target ejected: it fails most of its requests")
 			ctl.options.Metrics.Counter("targets_ailing").Inc(1)
 			ctl.observeTarget(now, outcome.Target)
@@ -79,7 +180,6 @@
 	for _, usage := range args.Usage {
 		ctl.planner.RecordUsage(now, args.Node, ctl.serviceOf(usage.Unit.Model), usage)
 	}
-	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, reply: reply, due: now.Add(watchTimeout)})
 }
 
 // quarantineThreshold is the number of crashed targets at which a request is quarantined; a request that merely ran at the same time as the
@@ -95,15 +195,15 @@
 	ctl.options.Log.Warn().Uint64("fingerprint", crash.Fingerprint).Str("target", string(crash.Target)).Int("crashes", count).
 		Msg("target crashed while it ran a request")
 	if count == quarantineThreshold {
-		ctl.quarantined = append(ctl.quarantined, crash.Fingerprint)
-		ctl.feed.revision++
+		ctl.feed.quarantined = append(ctl.feed.quarantined, crash.Fingerprint)
+		ctl.feed.advance()
 	}
 }
 
 // expireQuarantine releases requests whose quarantine has expired.
 func (ctl *Control) expireQuarantine(now time.Time) {
 	ctl.quarantine.Expire(now)
-	ctl.quarantined = slices.DeleteFunc(slices.Clone(ctl.quarantined), func(fingerprint uint64) bool {
+	ctl.feed.quarantined = slices.DeleteFunc(slices.Clone(ctl.feed.quarantined), func(fingerprint uint64) bool {
 		return ctl.quarantine.Crashes(now, fingerprint) == 0
 	})
 }
@@ -139,6 +239,7 @@
 		return
 	}
 	leads := ctl.leads(now)
+	hasState := leads || ctl.relays(now)
 	isPushDue := now.Sub(ctl.feed.lastPush) >= pushInterval+time.Duration(len(ctl.feed.routers))*pushIntervalPerRouter
 	pushed := false
 	configurations := 0
@@ -147,10 +248,10 @@
 		lacksConfiguration := watcher.args.Version < ctl.version()
 		includeConfiguration := lacksConfiguration && configurations < maxConfigurationsPerPush
 		switch {
-		case !leads:
+		case !hasState:
 			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
 		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
-			watcher.reply <- ctl.watchReply(&watcher.args, includeConfiguration)
+			watcher.reply <- ctl.watchReply(now, &watcher.args, includeConfiguration)
 			pushed = true
 			if includeConfiguration {
 				configurations++
@@ -159,25 +260,43 @@
 			waiting = append(waiting, watcher)
 		}
 	}
+	clear(ctl.feed.watchers[len(waiting):])
 	ctl.feed.watchers = waiting
 	if pushed && isPushDue {
 		ctl.feed.lastPush = now
 	}
 }
 
-// isUrgent reports whether a watch request is answered before its timeout: that of a router when there are changes and a push is due, and
-// that of any node that has not received a reply in this term.
+// feedTerm returns the term of the leader whose state this node publishes.
+func (ctl *Control) feedTerm() uint64 {
+	if ctl.leaderSince.IsZero() {
+		return ctl.feed.term
+	}
+	return ctl.core.Term()
+}
+
+// isUrgent reports whether a watch request is answered before its timeout: that of a router or relay when there are changes and a push is
+// due, and that of any node that has not received a reply in this term.
 func (ctl *Control) isUrgent(args *feed.WatchArgs, isPushDue bool) bool {
-	if args.Term != ctl.core.Term() {
+	if args.Term != ctl.feedTerm() {
 		return true
 	}
-	return isPushDue && args.Router && args.Revision < ctl.feed.revision
+	return isPushDue && (args.Router || args.Relay != "") && args.Revision < ctl.feed.revision
 }
 
-func (ctl *Control) watchReply(args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
-	reply := feed.WatchReply{Leads: true, Leader: ctl.member.Address, Members: ctl.memberAddresses(), Term: ctl.core.Term(),
-		Revision: ctl.feed.revision, Routers: len(ctl.feed.routers)}
-	reply.Quarantined = ctl.quarantined
+func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
+	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
+		Quarantined: ctl.feed.quarantined}
+	if ctl.leads(now) {
+		reply.Leads, reply.Leader = true, ctl.member.Address
+		reply.Routers = ctl.feed.countRouters()
+		if args.Router || args.Relay != "" {
+			reply.Relays = ctl.relayCandidates(now)
+		}
+	} else {
+		reply.Relayed, reply.Age = true, now.Sub(ctl.feed.contact)
+		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
+	}
 	if withConfiguration {
 		configuration := *ctl.configuration
 		if args.Router {
@@ -185,172 +304,10 @@
 		}
 		reply.Configuration = &configuration
 	}
-	since := args.Revision
-	if args.Term != ctl.core.Term() {
-		since = 0
-	}
-	for _, entry := range ctl.feed.targets {
-		if entry.revision <= since {
-			continue
-		}
-		target := entry.target
-		if args.Router {
-			target.OnDisk, target.InMemory, target.Fetching = nil, nil, ""
-		}
-		reply.Targets = append(reply.Targets, target)
-	}
-	return reply
-}
-
-// publish raises the revision of the feed if the published state of the target has changed.
-func (ctl *Control) publish(now time.Time, target *membership.Target) {
-	view := ctl.targetView(now, target)
-	entry := ctl.feed.targets[view.ID]
-	if entry != nil && isSameView(&entry.target, &view) {
-		entry.target = view
-		return
-	}
-	ctl.feed.revision++
-	ctl.feed.targets[view.ID] = &publishedTarget{target: view, revision: ctl.feed.revision}
-}
-
-// isSameView reports whether two published states are equal, apart from fields that only the next leader needs.
-func isSameView(a, b *feed.Target) bool {
-	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving &&
-		a.Silent == b.Silent && a.Slots == b.Slots && slices.EqualFunc(a.Loaded, b.Loaded, func(x, y feed.LoadedModel) bool {
-		return x.Model == y.Model && x.Draining == y.Draining && slices.Equal(x.Adapters, y.Adapters)
-	}) && len(a.OnDisk) == len(b.OnDisk) && len(a.InMemory) == len(b.InMemory) && a.Fetching == b.Fetching && a.Outlier == b.Outlier
-}
-
-func (ctl *Control) targetView(now time.Time, target *membership.Target) feed.Target {
-	announcement := target.Announcement()
-	view := feed.Target{
-		ID:          announcement.Target,
-		Incarnation: announcement.Incarnation,
-		Service:     celerylanding.ServiceID(announcement.Group),
-		Address:     announcement.Address,
-		Domain:      announcement.Domain,
-		Slots:       announcement.Slots,
-		Leaving:     announcement.Leaving,
-		Silent:      !target.IsRoutable(),
-		Sequence:    announcement.Sequence,
-		Outlier:     ctl.outliers.IsEjected(now, announcement.Target, announcement.Incarnation),
-	}
-	switch {
-	case ctl.engineSpec(view.Service) == nil:
-	case ctl.leaderSince.IsZero():
-		view.Loaded = loadedModels(announcement.Inventory)
-	default:
-		view.Loaded = ctl.planner.LoadedModels(now, announcement.Target)
-		view.Fetching = ctl.planner.Fetching(announcement.Target)
-	}
-	for _, cached := range announcement.Cached {
-		if cached.Tier == celerylanding.TierMemory {
-			view.InMemory = append(view.InMemory, cached.Model)
-		} else {
-			view.OnDisk = append(view.OnDisk, cached.Model)
-		}
-	}
-	return view
-}
-
-func (ctl *Control) engineSpec(id celerylanding.ServiceID) *routing.Engine {
-	if ctl.configuration == nil {
-		return nil
-	}
-	service, ok := ctl.configuration.Service(id)
-	if !ok {
-		return nil
-	}
-	return service.Engine
-}
-
-// loadedModels groups the entries of an inventory by model.
-func loadedModels(inventory []celerylanding.LoadedModel) []feed.LoadedModel {
-	var list []feed.LoadedModel
-	for _, entry := range inventory {
-		unit := loadplan.ParseUnit(entry.Model)
-		at := slices.IndexFunc(list, func(loaded feed.LoadedModel) bool { return loaded.Model == unit.Model })
-		if at < 0 {
-			at = len(list)
-			list = append(list, feed.LoadedModel{Model: unit.Model})
-		}
-		if unit.Adapter != "" {
-			list[at].Adapters = append(list[at].Adapters, unit.Adapter)
-		}
-	}
-	return list
-}
-
-// announcementOf converts the published state of a target back into an announcement.
-func announcementOf(view *feed.Target) celerylanding.Announcement {
-	announcement := celerylanding.Announcement{
-		Target:      view.ID,
-		Incarnation: view.Incarnation,
-		Sequence:    view.Sequence,
-		Domain:      view.Domain,
-		Group:       string(view.Service),
-		Address:     view.Address,
-		Leaving:     view.Leaving,
-		Slots:       view.Slots,
-		Fetching:    view.Fetching,
-	}
-	for _, loaded := range view.Loaded {
-		announcement.Inventory = append(announcement.Inventory, celerylanding.LoadedModel{Model: loaded.Model})
-		for _, adapter := range loaded.Adapters {
-			unit := feed.Unit{Model: loaded.Model, Adapter: adapter}
-			announcement.Inventory = append(announcement.Inventory, celerylanding.LoadedModel{Model: celerylanding.ModelID(unit.String())})
-		}
-	}
-	for _, id := range view.OnDisk {
-		announcement.Cached = append(announcement.Cached, celerylanding.CachedCheckpoint{Model: id, Tier: celerylanding.TierDisk})
-	}
-	for _, id := range view.InMemory {
-		announcement.Cached = append(announcement.Cached, celerylanding.CachedCheckpoint{Model: id, Tier: celerylanding.TierMemory})
-	}
-	return announcement
-}
-
-// requestWake queues a wake request for the control goroutine and returns its reply. It turns the request away if too many wait, or if
-// this one has waited too long.
-func (ctl *Control) requestWake(ctx context.Context, args feed.WakeArgs) feed.WakeReply {
-	arrived := ctl.options.Clock()
-	replies := make(chan feed.WakeReply, 1)
-	work := func(now time.Time) {
-		if now.Sub(arrived) > maxWakeDelay {
-			replies <- ctl.turnAway(args, "the request has waited too long")
-			return
-		}
-		replies <- ctl.wake(now, args)
-	}
-	select {
-	case ctl.inbox.wakes <- work:
-	default:
-		return ctl.turnAway(args, "too many requests wait")
-	}
-	select {
-	case reply := <-replies:
-		return reply
-	case <-ctx.Done():
-		return feed.WakeReply{}
-	}
-}
-
-func (ctl *Control) turnAway(args feed.WakeArgs, cause string) feed.WakeReply {
-	ctl.options.Metrics.Counter("wakes_turned_away").Inc(1)
-	ctl.options.Log.Debug().Str("unit", args.Unit.String()).Str("router", string(args.Node)).Str("cause", cause).Msg("wake turned away")
-	return feed.WakeReply{Busy: true, Cause: cause}
-}
-
-// wake asks the planner to load a unit for waiting requests; it returns an empty reply if this node does not lead or the service has no
-// engine.
-func (ctl *Control) wake(now time.Time, args feed.WakeArgs) feed.WakeReply {
-	if !ctl.leads(now) || ctl.engineSpec(args.Service) == nil {
-		return feed.WakeReply{}
+	key := listKey{since: args.Revision, isRouter: args.Router}
+	if args.Term != reply.Term {
+		key.since = 0
 	}
-	reply := ctl.planner.Wake(now, args)
-	ctl.options.Log.Info().Str("unit", args.Unit.String()).Str("router", string(args.Node)).Int("waiting", args.Waiting).
-		Dur("patience", args.MaxWait).Dur("expected", reply.Expected).Bool("hopeless", reply.Infeasible).Str("cause", reply.Cause).
-		Msg("wake asked for")
+	reply.Targets = ctl.feed.changesSince(key)
 	return reply
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -95,20 +95,26 @@
 	case role != quorum.Leader && !ctl.leaderSince.IsZero():
 		ctl.leaderSince = time.Time{}
 		ctl.planner = loadplan.New(time.Time{})
+		ctl.resetFeed()
 	case role == quorum.Leader && ctl.leaderSince.IsZero() && ctl.core.HasCommittedInTerm():
 		ctl.leaderSince = now
 		// A follower receives a target from the leader only when the target has changed, so its times of last contact are out of date.
 		ctl.directory.ResetSilence(now)
 		ctl.planner = loadplan.New(now.Add(time.Duration(startupShare * float64(ctl.options.TargetSilence))))
-		watchers := ctl.feed.watchers
-		ctl.feed = newFeedState()
-		ctl.feed.watchers = watchers
+		ctl.resetFeed()
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
 	}
 }
 
+// resetFeed clears the state of the feed at a change of this node's role; the watch requests that wait are kept.
+func (ctl *Control) resetFeed() {
+	watchers, quarantined := ctl.feed.watchers, ctl.feed.quarantined
+	ctl.feed = newFeedState()
+	ctl.feed.watchers, ctl.feed.quarantined = watchers, quarantined
+}
+
 func (ctl *Control) observeAll(now time.Time) {
 	for _, target := range ctl.directory.Targets() {
 		ctl.observeTarget(now, target.Announcement().Target)
@@ -138,11 +144,8 @@
 		ctl.options.Log.Info().Str("target", string(id)).Msg("ejection of target ended; it gets new work again")
 		ctl.observeTarget(now, id)
 	}
-	for id, seen := range ctl.feed.routers {
-		if now.Sub(seen) > routerTimeout {
-			delete(ctl.feed.routers, id)
-			ctl.planner.ForgetRouter(id)
-		}
+	for _, id := range ctl.feed.forgetSilent(now) {
+		ctl.planner.ForgetRouter(id)
 	}
 	for _, target := range ctl.directory.Targets() {
 		id := target.Announcement().Target
@@ -216,11 +219,15 @@
 	ctl.planner.HandleOutcome(now, order, outcome)
 }
 
-// watchLeader keeps a follower's directory up to date, so that it can take over.
+// watchLeader keeps a follower's directory up to date, so that it can take over and pass the leader's state on to routers.
 func (ctl *Control) watchLeader(ctx context.Context) error {
 	var term, revision uint64
+	var sent time.Time
+	crashes := 0
 	watcher := watch.New(watch.Options{
-		Peers: ctl.peers,
+		Direct: true,
+		Clock:  ctl.options.Clock,
+		Peers:  ctl.peers,
 		Seeds: func() []string {
 			if leader := ctl.Leader(); leader != "" {
 				return []string{leader}
@@ -228,12 +235,19 @@
 			return nil
 		},
 		NextArgs: func() feed.WatchArgs {
+			sent = ctl.options.Clock()
+			args := feed.WatchArgs{Node: ctl.options.Node, Term: term, Revision: revision, Relay: ctl.member.Address}
+			args.Usage, args.Crashes, args.Outcomes, args.Routers = ctl.relay.collect(sent)
+			crashes = len(args.Crashes)
 			// Followers receive the configuration through the log, so the feed need not send it.
-			return feed.WatchArgs{Node: ctl.options.Node, Term: term, Revision: revision, Version: ^uint64(0)}
+			args.Version = ^uint64(0)
+			return args
 		},
 		Apply: func(reply *feed.WatchReply) {
 			term, revision = reply.Term, reply.Revision
-			ctl.post(ctx, func(now time.Time) { ctl.applyTargets(now, reply.Targets) })
+			ctl.relay.acknowledge(crashes)
+			contact := sent
+			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, contact, reply) })
 		},
 		IsPaused: func() bool { return ctl.Leader() == "" || ctl.Leader() == ctl.member.Address },
 		Log:      ctl.options.Log,
--- a/control/options.go
+++ b/control/options.go
@@ -42,10 +42,13 @@
 	LeaseTime time.Duration
 	// TargetSilence is how long a target may send no heartbeat before it gets no new work.
 	TargetSilence time.Duration
-	Engines       EngineClient
-	Clock         func() time.Time
-	Log           zerolog.Logger
-	Metrics       tally.Scope
+	// MaxDirectRouters is the number of routers up to which all watch the leader; with more, they watch the control nodes of their own
+	// failure domains, which relay its state.
+	MaxDirectRouters int
+	Engines          EngineClient
+	Clock            func() time.Time
+	Log              zerolog.Logger
+	Metrics          tally.Scope
 	// Seed seeds all random choices.
 	Seed uint64
 }
--- /dev/null
+++ b/control/relay.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+)
+
+const (
+	// relayFreshness is the age of the leader's last reply up to which a follower passes the leader's state on. The age counts from the
+	// request, which the leader may hold for watchTimeout, and the next reply takes as long again.
+	relayFreshness = 4 * watchTimeout
+	// relayContactTimeout is how long after its last report a relay is still named to routers.
+	relayContactTimeout = time.Second
+	// maxPendingCrashes bounds the crashes that a relay keeps until the leader has answered.
+	maxPendingCrashes = 1024
+)
+
+// relayReports collects what routers report to a relay until the relay's next watch request; it is safe for concurrent use.
+type relayReports struct {
+	mutex    sync.Mutex
+	usage    map[feed.Unit]*unitTotal
+	crashes  []feed.Crash
+	outcomes []feed.Outcome
+	routers  map[celerylanding.NodeID]*routerUsage
+}
+
+// unitTotal is the sum of the routers' usage of a unit.
+type unitTotal struct {
+	feed.Usage
+	// isReported is set when the leader has been told the number of running requests.
+	isReported bool
+}
+
+// routerUsage holds the running requests that a router has last reported.
+type routerUsage struct {
+	inFlight map[feed.Unit]int
+	seen     time.Time
+}
+
+func newRelayReports() *relayReports {
+	return &relayReports{usage: make(map[feed.Unit]*unitTotal), routers: make(map[celerylanding.NodeID]*routerUsage)}
+}
+
+// add adds the report of a router.
+func (reports *relayReports) add(now time.Time, args *feed.WatchArgs) {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	router := reports.routers[args.Node]
+	if router == nil {
+		router = &routerUsage{inFlight: make(map[feed.Unit]int)}
+		reports.routers[args.Node] = router
+	}
+	router.seen = now
+	for _, usage := range args.Usage {
+		total := reports.total(usage.Unit)
+		total.Arrivals += usage.Arrivals
+		total.Urgency += usage.Urgency
+		reports.setInFlight(router, usage.Unit, usage.InFlight)
+	}
+	if len(reports.crashes) < maxPendingCrashes {
+		reports.crashes = append(reports.crashes, args.Crashes...)
+	}
+	for _, outcome := range args.Outcomes {
+		outcome.Node = args.Node
+		reports.outcomes = append(reports.outcomes, outcome)
+	}
+}
+
+func (reports *relayReports) total(unit feed.Unit) *unitTotal {
+	total := reports.usage[unit]
+	if total == nil {
+		total = &unitTotal{Usage: feed.Usage{Unit: unit}}
+		reports.usage[unit] = total
+	}
+	return total
+}
+
+func (reports *relayReports) setInFlight(router *routerUsage, unit feed.Unit, count int) {
+	before := router.inFlight[unit]
+	if count == before {
+		return
+	}
+	total := reports.total(unit)
+	total.InFlight += count - before
+	total.isReported = false
+	if count == 0 {
+		delete(router.inFlight, unit)
+	} else {
+		router.inFlight[unit] = count
+	}
+}
+
+// collect returns the reports since the last call, and forgets the routers that have not reported for routerTimeout. Crashes are returned
+// again until acknowledge is called.
+func (reports *relayReports) collect(now time.Time) (usage []feed.Usage, crashes []feed.Crash, outcomes []feed.Outcome, routers int) {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	for id, router := range reports.routers {
+		if now.Sub(router.seen) <= routerTimeout {
+			continue
+		}
+		for unit := range router.inFlight {
+			reports.setInFlight(router, unit, 0)
+		}
+		delete(reports.routers, id)
+	}
+	for unit, total := range reports.usage {
+		if total.Arrivals > 0 || !total.isReported {
+			usage = append(usage, total.Usage)
+		}
+		total.Arrivals, total.Urgency, total.isReported = 0, 0, true
+		if total.InFlight == 0 {
+			delete(reports.usage, unit)
+		}
+	}
+	outcomes = reports.outcomes
+	reports.outcomes = nil
+	return usage, reports.crashes, outcomes, len(reports.routers)
+}
+
+// acknowledge drops the first crashes, which the leader has recorded.
+func (reports *relayReports) acknowledge(crashes int) {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	reports.crashes = reports.crashes[crashes:]
+}
+
+// relays reports whether this node follows the leader closely enough to pass its state on.
+func (ctl *Control) relays(now time.Time) bool {
+	return ctl.leaderSince.IsZero() && !ctl.stopping && ctl.feed.term != 0 && ctl.feed.term == ctl.core.Term() && now.Sub(ctl.feed.contact) <= relayFreshness
+}
+
+// applyFeed takes over the leader's reply to this node's watch request, which was sent at the given time.
+func (ctl *Control) applyFeed(now, sent time.Time, reply *feed.WatchReply) {
+	targets := reply.Targets.All()
+	ctl.applyTargets(now, targets)
+	if !ctl.leaderSince.IsZero() {
+		return
+	}
+	if reply.Term != ctl.feed.term {
+		routers, watchers := ctl.feed.routers, ctl.feed.watchers
+		ctl.feed = newFeedState()
+		ctl.feed.term, ctl.feed.routers, ctl.feed.watchers = reply.Term, routers, watchers
+	}
+	// The leader has answered after the request was sent.
+	ctl.feed.contact = sent
+	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
+	ctl.feed.quarantined = reply.Quarantined
+	if reply.Revision > ctl.feed.revision {
+		ctl.feed.revision = reply.Revision
+		clear(ctl.feed.lists)
+	}
+	for _, target := range targets {
+		ctl.feed.targets[target.ID] = &publishedTarget{target: target, revision: reply.Revision}
+	}
+}
+
+// relayCandidates returns the nodes that routers should watch instead of the leader: none while there are few routers, otherwise the
+// leader and the followers that relay.
+func (ctl *Control) relayCandidates(now time.Time) []feed.RelayAddress {
+	if ctl.feed.countRouters() <= ctl.options.MaxDirectRouters {
+		return nil
+	}
+	list := []feed.RelayAddress{{Address: ctl.member.Address, Domain: ctl.member.Domain}}
+	for _, member := range ctl.core.Members() {
+		for _, relay := range ctl.feed.relays {
+			if relay.address == member.Address && now.Sub(relay.seen) <= relayContactTimeout {
+				list = append(list, feed.RelayAddress{Address: member.Address, Domain: member.Domain})
+				break
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/control/relay_test.go
@@ -0,0 +1,148 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/hlc"
+	"celerylanding.example/celerylanding/common/rpccodec"
+	"celerylanding.example/celerylanding/control"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/quorum/rpc"
+)
+
+// watchAsRouter sends one watch request of a new router to a node.
+func watchAsRouter(ctx context.Context, peers *rpc.Peers, node *testNode, id celerylanding.NodeID) (feed.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var reply feed.WatchReply
+	err := peers.Call(ctx, node.addr, "Peer.Watch", &feed.WatchArgs{Node: id, Router: true}, &reply)
+	return reply, err
+}
+
+func newTestPeers(t *testing.T) *rpc.Peers {
+	peers := rpc.NewPeers(t.Context(), rpc.Options{LocalIP: "127.0.0.1", Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
+	t.Cleanup(peers.Close)
+	return peers
+}
+
+// awaitRelays watches all nodes until each either leads or relays the state with the target, and returns the last replies.
+func (cluster *testCluster) awaitRelays(ctx context.Context, peers *rpc.Peers, want celerylanding.TargetID) []feed.WatchReply {
+	cluster.t.Helper()
+	for ctx.Err() == nil {
+		var replies []feed.WatchReply
+		for _, node := range cluster.nodes {
+			reply, err := watchAsRouter(ctx, peers, node, celerylanding.NodeID("r-"+node.addr))
+			if targets := reply.Targets.All(); err == nil && reply.IsState() && len(targets) == 1 && targets[0].ID == want {
+				replies = append(replies, reply)
+			}
+		}
+		if len(replies) == len(cluster.nodes) {
+			return replies
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cluster.t.Fatal("not all nodes publish the target")
+	return nil
+}
+
+// TestFollowersRelayTheLeadersState guards against routers that all depend on the leader's processor: followers must answer with the
+// leader's term, configuration and targets, and the leader must know the number of all routers.
+func TestFollowersRelayTheLeadersState(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	peers := newTestPeers(t)
+	replies := cluster.awaitRelays(ctx, peers, "t1")
+	leaders := 0
+	for _, reply := range replies {
+		assert.Equal(t, reply.Configuration.Version, uint64(1))
+		assert.Equal(t, reply.Term, replies[0].Term)
+		assert.Equal(t, reply.Leader, replies[0].Leader)
+		assert.Assert(t, reply.Leads != reply.Relayed)
+		if reply.Leads {
+			leaders++
+		}
+	}
+	assert.Equal(t, leaders, 1)
+	for routers := 0; routers < len(cluster.nodes); time.Sleep(20 * time.Millisecond) {
+		assert.NilError(t, ctx.Err(), "the leader counts %d routers", routers)
+		for _, reply := range cluster.awaitRelays(ctx, peers, "t1") {
+			if reply.Leads {
+				routers = reply.Routers
+				assert.Assert(t, len(reply.Relays) <= len(cluster.nodes))
+			}
+		}
+	}
+}
+
+// TestRelayWithoutLeaderStops guards against routers that hold an old state for good: a follower that has lost the leader must not go on
+// relaying.
+func TestRelayWithoutLeaderStops(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	peers := newTestPeers(t)
+	cluster.awaitRelays(ctx, peers, "t1")
+	leader := cluster.nodes[0].ctl.Leader()
+	var last *testNode
+	for _, node := range cluster.nodes {
+		if node.addr != leader && last == nil {
+			last = node
+			continue
+		}
+		cluster.stop(node)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	reply, err := watchAsRouter(ctx, peers, last, "r")
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.IsState())
+}
+
+func usage(arrivals, inFlight int) []feed.Usage {
+	return []feed.Usage{{Unit: feed.Unit{Model: "m"}, Arrivals: arrivals, InFlight: inFlight, Urgency: float64(arrivals)}}
+}
+
+// TestRelaySumsTheUsageOfItsRouters guards against demand that is lost or counted twice on its way through a relay.
+func TestRelaySumsTheUsageOfItsRouters(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reports := control.NewRelayReports()
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(2, 3)})
+	reports.Add(now, &feed.WatchArgs{Node: "r2", Usage: usage(1, 1)})
+	args := reports.Collect(now)
+	assert.Equal(t, args.Routers, 2)
+	assert.DeepEqual(t, args.Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, Arrivals: 3, InFlight: 4, Urgency: 3}})
+	assert.Equal(t, len(reports.Collect(now).Usage), 0)
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(0, 1)})
+	assert.DeepEqual(t, reports.Collect(now).Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 2}})
+
+	// A router that has stopped reporting runs nothing any more.
+	now = now.Add(2 * time.Second)
+	reports.Add(now, &feed.WatchArgs{Node: "r2", Usage: usage(0, 1)})
+	now = now.Add(2 * time.Second)
+	args = reports.Collect(now)
+	assert.Equal(t, args.Routers, 1)
+	assert.DeepEqual(t, args.Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 1}})
+}
+
+// TestRelayKeepsCrashesUntilTheLeaderHasThem guards against a crash report that is lost with a relay's request to the leader.
+func TestRelayKeepsCrashesUntilTheLeaderHasThem(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reports := control.NewRelayReports()
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Crashes: []feed.Crash{{Fingerprint: 1, Target: "t", Incarnation: 1}},
+		Outcomes: []feed.Outcome{{Target: "t", Incarnation: 1, Failed: 2}}})
+	args := reports.Collect(now)
+	assert.Equal(t, len(args.Crashes), 1)
+	assert.Equal(t, args.Outcomes[0].Node, celerylanding.NodeID("r1"))
+	reports.Add(now, &feed.WatchArgs{Node: "r2", Crashes: []feed.Crash{{Fingerprint: 2, Target: "t", Incarnation: 1}}})
+	reports.Acknowledge(1)
+	assert.Equal(t, reports.Collect(now).Crashes[0].Fingerprint, uint64(2))
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 }
 
 func reply(term, revision uint64, targets ...feed.Target) *feed.WatchReply {
-	return &feed.WatchReply{Leads: true, Term: term, Revision: revision, Targets: targets, Routers: 1}
+	return &feed.WatchReply{Leads: true, Term: term, Revision: revision, Targets: feed.NewTargetList(targets), Routers: 1}
 }
 
 func targetIDs(targets []*feed.Target) map[celerylanding.TargetID]bool {
@@ -160,7 +160,7 @@
 	table := func(others ...feed.Target) *dispatch.Table {
 		targets := append([]feed.Target{{ID: "outlier", Incarnation: 1, Service: "s", Slots: 4, Outlier: true,
 			Loaded: []feed.LoadedModel{{Model: "m"}}}}, others...)
-		return dispatch.NewRoster().Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 1, Routers: 2, Targets: targets})
+		return dispatch.NewRoster().Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 1, Routers: 2, Targets: feed.NewTargetList(targets)})
 	}
 	healthy := feed.Target{ID: "healthy", Incarnation: 1, Service: "s", Slots: 4, Loaded: []feed.LoadedModel{{Model: "m"}}}
 	unit := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}}
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -74,17 +74,19 @@
 
 // Apply applies a leader's reply and returns the new table, or nil if nothing has changed. Replies of earlier terms are ignored.
 func (roster *Roster) Apply(now time.Time, reply *feed.WatchReply) *Table {
-	if reply.Term < roster.term {
+	// A relay may be behind the one that answered before.
+	if reply.Term < roster.term || (reply.Term == roster.term && reply.Revision < roster.revision) {
 		return nil
 	}
-	changed := reply.Term != roster.term || len(reply.Targets) > 0 || reply.Routers != roster.routers
+	targets := reply.Targets.All()
+	changed := reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
 	roster.term, roster.revision, roster.routers = reply.Term, reply.Revision, reply.Routers
 	if next := reply.Configuration; next != nil && (roster.routes == nil || next.Version > roster.routes.Version()) {
 		roster.routes = routing.NewTable(next)
 		changed = true
 	}
-	for i := range reply.Targets {
-		roster.upsert(reply.Term, reply.Targets[i])
+	for i := range targets {
+		roster.upsert(reply.Term, targets[i])
 	}
 	changed = roster.removeOrphans(now) || changed
 	if !changed {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -104,6 +104,16 @@
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
 	// Outcomes count the results of requests to targets with recent failures.
 	Outcomes []Outcome `cbor:"8,keyasint,omitempty"`
+	// Relay is the peer address of a control node that passes the feed on to routers, "" for other nodes. Routers is the number of its routers,
+	// and Usage the sum of theirs.
+	Relay   string `cbor:"9,keyasint,omitempty"`
+	Routers int    `cbor:"10,keyasint,omitempty"`
+}
+
+// RelayAddress is a control node from which routers can receive the feed.
+type RelayAddress struct {
+	Address string                      `cbor:"1,keyasint"`
+	Domain  celerylanding.FailureDomain `cbor:"2,keyasint"`
 }
 
 // Outcome counts the requests of one router to one incarnation of a target since its last report.
@@ -112,6 +122,8 @@
 	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
 	Answered    int                       `cbor:"3,keyasint,omitempty"`
 	Failed      int                       `cbor:"4,keyasint,omitempty"`
+	// Node is the router that counted the requests; empty if it is the sender.
+	Node celerylanding.NodeID `cbor:"5,keyasint,omitempty"`
 }
 
 // Crash reports that a request was running on an incarnation of a target when that crashed.
@@ -124,7 +136,7 @@
 
 // WatchReply holds the changes since the last reply.
 type WatchReply struct {
-	// Leads is false if the node is not the leader; then only Leader and Members are set.
+	// Leads is set if the node is the leader. Unless Leads or Relayed is set, only Leader and Members are.
 	Leads    bool     `cbor:"1,keyasint"`
 	Leader   string   `cbor:"2,keyasint,omitempty"`
 	Members  []string `cbor:"3,keyasint,omitempty"`
@@ -132,13 +144,21 @@
 	Revision uint64   `cbor:"5,keyasint,omitempty"`
 	// Configuration is nil if the node has the newest one.
 	Configuration *routing.Configuration `cbor:"6,keyasint,omitempty"`
-	Targets       []Target               `cbor:"7,keyasint,omitempty"`
+	Targets       *TargetList            `cbor:"7,keyasint,omitempty"`
 	// Routers is the number of nodes that currently serve callers.
 	Routers int `cbor:"8,keyasint,omitempty"`
 	// Quarantined lists the fingerprints of requests that crash their targets.
 	Quarantined []uint64 `cbor:"9,keyasint,omitempty"`
+	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
+	Relayed bool          `cbor:"10,keyasint,omitempty"`
+	Age     time.Duration `cbor:"11,keyasint,omitempty"`
+	// Relays lists the nodes that pass on the leader's state, where there are too many routers for the leader alone.
+	Relays []RelayAddress `cbor:"12,keyasint,omitempty"`
 }
 
+// IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
+func (reply *WatchReply) IsState() bool { return reply.Leads || reply.Relayed }
+
 // WakeArgs ask the leader to load a unit for waiting requests.
 type WakeArgs struct {
 	Node    celerylanding.NodeID    `cbor:"1,keyasint"`
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -21,6 +21,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// startingRetryDelay is the Retry-After delay of a node that has no configuration yet.
 	startingRetryDelay = 500 * time.Millisecond
+	// maxUnknownRouteAge is the age of the routes up to which an unknown route is reported as not found.
+	maxUnknownRouteAge = time.Second
 	// startupWindow is the time after the start of this process in which requests wait for the first configuration, in case all nodes are
 	// starting: an election takes up to 1.2 s, and processes start within half a second of each other.
 	startupWindow = 2 * time.Second
@@ -108,6 +110,10 @@
 		call.waited = now.Sub(call.arrived)
 	}
 	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
+	if age := handler.state.sinceContact(now); !ok && age > maxUnknownRouteAge {
+		// A newer configuration that this router does not have may contain the route.
+		return call, unavailable(celerylanding.ReasonNoQuorum, startingRetryDelay, "no route matches in a configuration that may be out of date")
+	}
 	if !ok {
 		return call, &refusal{status: http.StatusNotFound, verdict: celerylanding.NotRun, reason: celerylanding.ReasonUnknownService,
 			cause: "no route matches"}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -74,8 +74,8 @@
 // Update replaces the table of routes and targets.
 func (handler *Handler) Update(table *dispatch.Table) { handler.state.set(table) }
 
-// RecordLeaderContact records that the leader has answered, also when nothing has changed.
-func (handler *Handler) RecordLeaderContact(now time.Time) { handler.state.recordContact(now) }
+// RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
+func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
 
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -44,7 +44,9 @@
 func (state *tableState) recordContact(now time.Time) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	state.lastContact = now
+	if now.After(state.lastContact) {
+		state.lastContact = now
+	}
 }
 
 // sinceContact returns the time since the leader's last answer.
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -236,11 +236,13 @@
 		sim.isUpdateScheduled = false
 		sim.revision++
 		reply := &feed.WatchReply{Leads: true, Term: 1, Revision: sim.revision, Routers: 1}
+		var targets []feed.Target
 		for i := range sim.experiment.Engines {
 			eng := sim.engines[targetID(i)]
-			reply.Targets = append(reply.Targets, feed.Target{ID: eng.endpoint.Target, Incarnation: eng.endpoint.Incarnation, Service: service,
+			targets = append(targets, feed.Target{ID: eng.endpoint.Target, Incarnation: eng.endpoint.Incarnation, Service: service,
 				Address: eng.endpoint.Address, Domain: "d", Slots: sim.experiment.Slots, Loaded: sim.planner.LoadedModels(sim.now, eng.endpoint.Target)})
 		}
+		reply.Targets = feed.NewTargetList(targets)
 		if table := sim.roster.Apply(sim.now, reply); table != nil {
 			sim.table = table
 		}
