--- a/proxy/call.go
+++ b/proxy/call.go
@@ -109,14 +109,9 @@
 		now = handler.options.Clock()
 		call.waited = now.Sub(call.arrived)
 	}
-	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
-	if age := handler.state.sinceContact(now); !ok && age > maxUnknownRouteAge {
-		// A newer configuration that this router does not have may contain the route.
-		return call, unavailable(celerylanding.ReasonNoQuorum, startingRetryDelay, "no route matches in a configuration that may be out of date")
-	}
-	if !ok {
-		return call, &refusal{status: http.StatusNotFound, verdict: celerylanding.NotRun, reason: celerylanding.ReasonUnknownService,
-			cause: "no route matches"}
+	route, unmatched := handler.findRoute(now, table, request)
+	if unmatched != nil {
+		return call, unmatched
 	}
 	if limit := table.Routes().Limits().HeaderBytes; limit > 0 && headerSize(request) > limit {
 		return call, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, verdict: celerylanding.NotRun,
@@ -142,6 +137,20 @@
 	return call, nil
 }
 
+// findRoute returns the route of a request.
+func (handler *Handler) findRoute(now time.Time, table *dispatch.Table, request *http.Request) (*routing.Route, *refusal) {
+	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
+	switch {
+	case ok:
+		return route, nil
+	case handler.state.sinceContact(now) > maxUnknownRouteAge:
+		// A newer configuration that this router does not have may contain the route.
+		return nil, unavailable(celerylanding.ReasonNoQuorum, startingRetryDelay, "no route matches in a configuration that may be out of date")
+	}
+	return nil, &refusal{status: http.StatusNotFound, verdict: celerylanding.NotRun, reason: celerylanding.ReasonUnknownService,
+		cause: "no route matches"}
+}
+
 // headerLineOverhead is the number of bytes of a header line other than its name and value.
 const headerLineOverhead = len(": \r\n")
 
