Answers that never end, late second answers and stalled streams

A stream was only ended by the route's timeout, also when its target sent nothing but comments. A late second answer without an ID was taken for the answer to the next request on the connection.

Change: the headers before an answer's body may hold 64 KiB, informational answers included; an event 256 KiB. A stream without an event that has data for the longest of 2 s, 4 latency objectives and 8 allowed pauses has stalled: its target's connection is closed and the caller told; a stream that can be resumed moves to another target after half of that. An answer without an ID counts only on a connection that has carried no other request.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -54,7 +54,7 @@
 	}
 	call.verdict = celerylanding.Ran
 	if isStream(response) {
-		return handler.forwardStream(ctx, writer, call, target, response, reply)
+		return handler.forwardStream(ctx, cancel, writer, call, target, response, reply)
 	}
 	return handler.forwardBuffered(ctx, writer, call, target, response, reply)
 }
@@ -77,9 +77,10 @@
 		Host:   call.host,
 		Header: header,
 		Body:   call.body,
-		Accept: func(header http.Header) bool {
+		Accept: func(header http.Header, isFirst bool) bool {
 			id := handler.options.HeaderCodec.ParseResponse(http.StatusOK, header).CallID
-			return id == "" || id == call.metadata.ID
+			// An answer without an ID may be a late one to an earlier request, unless there was none.
+			return id == call.metadata.ID || (id == "" && isFirst)
 		},
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/dispatch"
@@ -13,18 +15,36 @@
 	"celerylanding.example/celerylanding/upstream"
 )
 
-// streamBuffer is the size of the read buffer of a stream in bytes.
-const streamBuffer = 4 << 10
+const (
+	// streamBuffer is the size of the read buffer of a stream in bytes.
+	streamBuffer = 4 << 10
+	// maxEventBytes bounds the size of an event; a target whose event is longer has failed.
+	maxEventBytes = 256 << 10
+	// minStallTimeout, stallObjectives and stallGaps define when a stream without a new event has stalled: after the longest of
+	// minStallTimeout, stallObjectives times the latency objective and stallGaps times the longest pause that the route allows between events.
+	// Callers wait no longer than that.
+	minStallTimeout = 2 * time.Second
+	stallObjectives = 4
+	stallGaps       = 8
+	// resumeStallShare is the share of the stall timeout after which a stream that can be resumed moves to another target.
+	resumeStallShare = 0.5
+)
 
 // forwardStream forwards server-sent events as they arrive; a partial event is not forwarded if the stream ends early.
-func (handler *Handler) forwardStream(ctx context.Context, writer http.ResponseWriter, call *call, target *feed.Target,
+//
+// stop ends the attempt; it is called when the stream stalls.
+func (handler *Handler) forwardStream(ctx context.Context, stop context.CancelFunc, writer http.ResponseWriter, call *call, target *feed.Target,
 	response *upstream.Response, reply celerylanding.ResponseMetadata) (bool, *refusal) {
 	if !reply.HasServerStamp {
 		handler.picker.Done(handler.options.Clock(), target, dispatch.ResultFailed)
 		return false, &refusal{status: http.StatusBadGateway, verdict: celerylanding.MayHaveRun,
 			reason: celerylanding.ReasonAnswerIncomplete, cause: "answer lacks the target's server stamp"}
 	}
-	err := handler.copyEvents(writer, call, response)
+	stall := newStallTimer(handler.stallTimeout(call), stop)
+	err := handler.copyEvents(writer, call, response, stall)
+	if stall.end() && err != nil {
+		err = errors.Join(errStreamStalled, err)
+	}
 	now := handler.options.Clock()
 	if err == nil {
 		handler.picker.Done(now, target, dispatch.ResultAnswered)
@@ -53,7 +73,7 @@
 
 // copyEvents forwards complete events until the stream ends, and then the remaining bytes. An error means that the stream ended early or
 // the caller disconnected.
-func (handler *Handler) copyEvents(writer http.ResponseWriter, call *call, response *upstream.Response) error {
+func (handler *Handler) copyEvents(writer http.ResponseWriter, call *call, response *upstream.Response, stall *stallTimer) error {
 	var partial []byte
 	buffer := make([]byte, streamBuffer)
 	for {
@@ -64,6 +84,9 @@
 		if isEnd {
 			whole = len(partial)
 		}
+		if hasData(partial[:whole]) {
+			stall.restart()
+		}
 		if whole > 0 || isEnd {
 			if err := handler.forwardEvents(writer, call, response, partial[:whole]); err != nil {
 				return err
@@ -76,9 +99,51 @@
 		if err != nil {
 			return errors.Join(errStreamBroken, err)
 		}
+		if len(partial) > maxEventBytes {
+			return errEventTooLarge
+		}
 	}
 }
 
+// stallTimeout returns the time without an event after which the call's stream has stalled.
+func (handler *Handler) stallTimeout(call *call) time.Duration {
+	timeout := max(minStallTimeout, stallObjectives*call.route.LatencyObjective, stallGaps*call.route.MaxEventGap)
+	if call.route.Resumable && handler.mayRetry(call) {
+		return time.Duration(resumeStallShare * float64(timeout))
+	}
+	return timeout
+}
+
+// stallTimer ends an attempt whose stream makes no progress.
+type stallTimer struct {
+	timeout time.Duration
+	timer   *time.Timer
+	fired   atomic.Bool
+}
+
+func newStallTimer(timeout time.Duration, stop context.CancelFunc) *stallTimer {
+	stall := &stallTimer{timeout: timeout}
+	stall.timer = time.AfterFunc(timeout, func() {
+		stall.fired.Store(true)
+		stop()
+	})
+	return stall
+}
+
+// restart restarts the timeout after an event.
+func (stall *stallTimer) restart() { stall.timer.Reset(stall.timeout) }
+
+// end stops the timer and reports whether the stream had stalled.
+func (stall *stallTimer) end() bool {
+	stall.timer.Stop()
+	return stall.fired.Load()
+}
+
+// hasData reports whether one of the events has data; comments keep a connection open and are no progress.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+}
+
 // forwardEvents writes events to the caller and flushes them; the header is sent before the first ones.
 func (handler *Handler) forwardEvents(writer http.ResponseWriter, call *call, response *upstream.Response, events []byte) error {
 	if !call.hasStarted {
@@ -99,6 +164,8 @@
 
 var (
 	errStreamBroken       = errors.New("stream broke off")
+	errStreamStalled      = errors.New("stream sent no event in time")
+	errEventTooLarge      = errors.New("event of the stream exceeds the limit")
 	errCallerDisconnected = errors.New("caller disconnected")
 )
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -20,6 +20,14 @@
 // maxUnrelatedBytes bounds the size in bytes of a skipped answer to another request.
 const maxUnrelatedBytes = 1 << 20
 
+// maxHeaderBytes bounds the size of the headers that a target sends before the body of an answer, informational answers included.
+const maxHeaderBytes = 64 << 10
+
+var (
+	errHeaderTooLarge = errors.New("header of the answer exceeds the limit")
+	errUnrelated      = errors.New("answer may belong to an earlier request on the connection")
+)
+
 // Request is one request to a target.
 type Request struct {
 	Method string
@@ -28,8 +36,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Accept reports whether an answer belongs to this request; nil accepts any answer.
-	Accept func(header http.Header) bool
+	// Accept reports whether an answer belongs to this request; isFirst is set if the connection has carried no other request. Nil accepts
+	// any answer.
+	Accept func(header http.Header, isFirst bool) bool
 	// NewConnection closes the idle connections to the address first, so that the request is sent on a new one.
 	NewConnection bool
 }
@@ -113,6 +122,8 @@
 
 // readAnswer reads answers until one belongs to the request, since a late answer to an earlier request may come first.
 func (conn *pooledConn) readAnswer(request *Request, outgoing *http.Request) (*http.Response, error) {
+	conn.limit.set(maxHeaderBytes)
+	defer conn.limit.clear()
 	for range maxUnrelatedAnswers {
 		response, err := http.ReadResponse(conn.reader, outgoing)
 		if err != nil {
@@ -121,17 +132,19 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Accept == nil || request.Accept(response.Header) {
+		if request.Accept == nil || request.Accept(response.Header, !conn.isUsed) {
 			return response, nil
 		}
 		if response.Close || response.ContentLength < 0 {
-			return nil, errors.New("answer to another request that has no length")
+			return nil, errUnrelated
 		}
+		conn.limit.clear()
 		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, maxUnrelatedBytes)); err != nil {
 			return nil, err
 		}
+		conn.limit.set(maxHeaderBytes)
 	}
-	return nil, errors.New("too many answers to other requests")
+	return nil, errUnrelated
 }
 
 // Read reads the body; io.EOF means that the body is complete.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -48,6 +49,10 @@
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	// limit bounds the bytes of the next header.
+	limit *readLimit
+	// isUsed is set when the connection has carried an earlier request.
+	isUsed bool
 	// idleSince is when the connection became idle, and expires when it is no longer reused.
 	idleSince time.Time
 	expires   time.Time
@@ -114,7 +119,8 @@
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	conn = &pooledConn{Conn: dialed, reader: bufio.NewReaderSize(dialed, readBuffer)}
+	limit := &readLimit{reader: dialed}
+	conn = &pooledConn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
 	if tcp, ok := dialed.(*net.TCPConn); ok {
 		// Without the raw connection an idle connection can't be checked and is not reused.
 		conn.raw, _ = tcp.SyscallConn()
@@ -149,6 +155,7 @@
 		return
 	}
 	conn.idleSince, conn.expires = now, now.Add(idleTimeout)
+	conn.isUsed = true
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.idle[address] = append(pool.idle[address], conn)
@@ -188,6 +195,31 @@
 	}
 }
 
+// readLimit reads from a connection, up to a limit while one is set.
+type readLimit struct {
+	reader io.Reader
+	// left is the number of bytes that may still be read while isSet.
+	left  int
+	isSet bool
+}
+
+func (limit *readLimit) set(bytes int) { limit.left, limit.isSet = bytes, true }
+
+func (limit *readLimit) clear() { limit.isSet = false }
+
+// Read reads at most the bytes that are left; it returns errHeaderTooLarge if none are.
+func (limit *readLimit) Read(buffer []byte) (int, error) {
+	if !limit.isSet {
+		return limit.reader.Read(buffer)
+	}
+	if limit.left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	count, err := limit.reader.Read(buffer[:min(len(buffer), limit.left)])
+	limit.left -= count
+	return count, err
+}
+
 // hasNoInput reports whether an idle connection has no pending input: neither its end nor bytes that belong to no request.
 func (conn *pooledConn) hasNoInput() bool {
 	if conn.reader.Buffered() > 0 {
