--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -77,10 +77,9 @@
 		Host:   call.host,
 		Header: header,
 		Body:   call.body,
-		Accept: func(header http.Header, isFirst bool) bool {
-			id := handler.options.HeaderCodec.ParseResponse(http.StatusOK, header).CallID
-			// An answer without an ID may be a late one to an earlier request, unless there was none.
-			return id == call.metadata.ID || (id == "" && isFirst)
+		ID:     call.metadata.ID,
+		AnswerID: func(header http.Header) string {
+			return handler.options.HeaderCodec.ParseResponse(http.StatusOK, header).CallID
 		},
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -93,13 +93,12 @@
 			}
 			partial = append(partial[:0], partial[whole:]...)
 		}
-		if isEnd {
+		switch {
+		case isEnd:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return errors.Join(errStreamBroken, err)
-		}
-		if len(partial) > maxEventBytes {
+		case len(partial) > maxEventBytes:
 			return errEventTooLarge
 		}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -36,13 +36,22 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Accept reports whether an answer belongs to this request; isFirst is set if the connection has carried no other request. Nil accepts
+	// ID identifies the request, and AnswerID returns the ID of the request that an answer names, or "" if it names none. A nil AnswerID accepts
 	// any answer.
-	Accept func(header http.Header, isFirst bool) bool
+	ID       string
+	AnswerID func(header http.Header) string
 	// NewConnection closes the idle connections to the address first, so that the request is sent on a new one.
 	NewConnection bool
 }
 
+// answerID returns the ID of the request that an answer names; without AnswerID every answer counts as naming this request.
+func (request *Request) answerID(header http.Header) string {
+	if request.AnswerID == nil {
+		return request.ID
+	}
+	return request.AnswerID(header)
+}
+
 // Response is an answer whose body is unread; Close must be called.
 type Response struct {
 	Status int
@@ -132,10 +141,13 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Accept == nil || request.Accept(response.Header, !conn.isUsed) {
+		named := request.answerID(response.Header)
+		if named == request.ID || (named == "" && !conn.namesRequests) {
+			conn.namesRequests = named != ""
 			return response, nil
 		}
-		if response.Close || response.ContentLength < 0 {
+		// An answer that names no request, from a target that names them, may be a late one or the answer to this request.
+		if named == "" || response.Close || response.ContentLength < 0 {
 			return nil, errUnrelated
 		}
 		conn.limit.clear()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -51,8 +51,8 @@
 	reader *bufio.Reader
 	// limit bounds the bytes of the next header.
 	limit *readLimit
-	// isUsed is set when the connection has carried an earlier request.
-	isUsed bool
+	// namesRequests is set when the last answer on the connection named its request.
+	namesRequests bool
 	// idleSince is when the connection became idle, and expires when it is no longer reused.
 	idleSince time.Time
 	expires   time.Time
@@ -155,7 +155,6 @@
 		return
 	}
 	conn.idleSince, conn.expires = now, now.Add(idleTimeout)
-	conn.isUsed = true
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.idle[address] = append(pool.idle[address], conn)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -82,9 +82,7 @@
 func exchange(ctx context.Context, pool *upstream.Pool, address, id string) (int, string, error) {
 	response, err := pool.Do(ctx, time.Now(), address, &upstream.Request{Method: http.MethodPost, Target: "/a/b?c=d", Host: "h.example",
 		Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Accept: func(header http.Header, isFirst bool) bool {
-			return header.Get("Id") == id || (header.Get("Id") == "" && isFirst)
-		}})
+		ID: id, AnswerID: func(header http.Header) string { return header.Get("Id") }})
 	if err != nil {
 		return 0, "", err
 	}
