A target whose answers are late loses its preference for cached prompts

The cost of a target counted its requests as a share of its 96 slots, and a miss in the prompt cache half of them; with prompts of 9,200 tokens an engine is late long before its slots are taken. Ruled out: waiting for a load (the second copy was there) and the router's view (both were in it).

Change: routers average the time to the first byte of a target's answers, in latency objectives, with a half-life of 1.5 s; what exceeds half an objective adds to the cost.

Test: TestLateTargetLosesItsAffinity (failed before).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -95,6 +95,33 @@
 	assert.Equal(t, first.ID, second.ID, "two routers choose the same target without communicating")
 }
 
+// TestLateTargetLosesItsAffinity guards against a hot model whose first replica answers late while a second one is idle: routers preferred
+// the target that has the prompts cached, whatever its answers took (terasarhiiv-tln, inc-a242).
+func TestLateTargetLosesItsAffinity(t *testing.T) {
+	table := dispatch.NewRoster().Apply(start, reply(1, 1, target("t", 1, "m"), target("u", 1, "m")))
+	needs := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 9000}
+	picker := dispatch.NewPicker("d1")
+	now := start
+	pick := func() *feed.Target {
+		chosen, _ := picker.Pick(now, table, needs)
+		picker.Done(now, chosen, dispatch.ResultAnswered)
+		return chosen
+	}
+	preferred := pick()
+	for range 8 {
+		now = now.Add(100 * time.Millisecond)
+		picker.RecordFirstByte(now, preferred, 1600*time.Millisecond, 800*time.Millisecond)
+	}
+	assert.Assert(t, pick().ID != preferred.ID)
+	now = now.Add(10 * time.Second)
+	assert.Equal(t, pick().ID, preferred.ID)
+	for range 8 {
+		now = now.Add(100 * time.Millisecond)
+		picker.RecordFirstByte(now, preferred, 300*time.Millisecond, 800*time.Millisecond)
+	}
+	assert.Equal(t, pick().ID, preferred.ID, "answers within the objective cost nothing")
+}
+
 func TestUnreachableTargetsBackOff(t *testing.T) {
 	roster := dispatch.NewRoster()
 	table := roster.Apply(start, reply(1, 1, target("a", 1)))
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -25,6 +25,16 @@
 	failureHalfLife = 2 * time.Second
 	// failureCost is the cost of one recent failure, as a share of the target's slots.
 	failureCost = 0.35
+	// latenessHalfLife is the half-life of the observed lateness of a target's answers, in which another target can prove to be faster.
+	latenessHalfLife = 1500 * time.Millisecond
+	// latenessWeight is the weight of the newest answer in the average lateness.
+	latenessWeight = 0.3
+	// maxLateness bounds the lateness of one answer, in latency objectives.
+	maxLateness = 4
+	// freeLateness is the lateness up to which a target costs nothing more, and latenessCost the cost of one latency objective above it. Two
+	// objectives outweigh a miss in the prompt cache: the slots of an engine say little about the time that its waiting prompts take.
+	freeLateness = 0.5
+	latenessCost = 0.5
 	// crossDomainCost is the cost of a target in another failure domain, as a share of its slots: traffic between domains is expensive, and the
 	// domains may be partitioned at any moment.
 	crossDomainCost = 0.12
@@ -65,6 +75,9 @@
 	backoff      time.Duration
 	backoffUntil time.Time
 	answeredAt   time.Time
+	// lateness is the average time to the first byte of an answer, in latency objectives, as of latenessAt.
+	lateness   float64
+	latenessAt time.Time
 }
 
 // Picker chooses targets; it is safe for concurrent use.
@@ -202,8 +215,8 @@
 	return list
 }
 
-// cost returns the target's expected load as a share of its slots, plus a penalty for recent failures and one if the target is in a
-// failure domain other than the router's.
+// cost returns the target's expected load as a share of its slots, plus a penalty for recent failures, one for late answers and one if the
+// target is in a failure domain other than the router's.
 func (picker *Picker) cost(now time.Time, table *Table, target *feed.Target, stats *targetStats) float64 {
 	slots := float64(max(1, target.Slots))
 	// Without a recent load report, each router is assumed to have as many requests in flight on the target as this one.
@@ -212,7 +225,7 @@
 		// Requests that other routers have sent since the report are not included.
 		load = float64(stats.load.Running + stats.load.Waiting + stats.sentSinceLoad)
 	}
-	cost := load/slots + failureCost*stats.decayedFailures(now)
+	cost := load/slots + failureCost*stats.decayedFailures(now) + latenessCost*max(0, stats.decayedLateness(now)-freeLateness)
 	if target.Domain != picker.domain {
 		cost += crossDomainCost
 	}
@@ -223,6 +236,23 @@
 	return stats.failures * math.Exp2(-now.Sub(stats.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+func (stats *targetStats) decayedLateness(now time.Time) float64 {
+	return stats.lateness * math.Exp2(-now.Sub(stats.latenessAt).Seconds()/latenessHalfLife.Seconds())
+}
+
+// RecordFirstByte records the time from sending a request to the first byte of its answer; objective is the request's latency objective.
+func (picker *Picker) RecordFirstByte(now time.Time, target *feed.Target, took, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	stats := picker.statsOf(target)
+	lateness := min(took.Seconds()/objective.Seconds(), maxLateness)
+	stats.lateness = (1-latenessWeight)*stats.decayedLateness(now) + latenessWeight*lateness
+	stats.latenessAt = now
+}
+
 // Result is the result of a request to a target.
 type Result int
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -36,7 +36,7 @@
 		handler.picker.Done(now, target, dispatch.ResultCanceled)
 		return false, unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, "retry budget exhausted: "+call.cause)
 	}
-	call.lastTarget = target.ID
+	call.lastTarget, call.target, call.sentAt = target.ID, target, now
 	attemptCtx, cancel := handler.attemptContext(ctx, now, call)
 	defer cancel()
 	response, err := handler.options.Pool.Do(attemptCtx, now, target.Address, handler.targetRequest(now, call, target))
@@ -240,5 +240,7 @@
 	writer.WriteHeader(response.Status)
 	call.status = response.Status
 	call.hasStarted = true
-	call.firstByte = handler.options.Clock().Sub(call.arrived)
+	now := handler.options.Clock()
+	call.firstByte = now.Sub(call.arrived)
+	handler.picker.RecordFirstByte(now, call.target, now.Sub(call.sentAt), call.route.LatencyObjective)
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -60,8 +60,11 @@
 	// to another target.
 	refusals   []celerylanding.Endpoint
 	lastTarget celerylanding.TargetID
-	status     int
-	waited     time.Duration
+	// target is the target of the current attempt, and sentAt when the attempt began.
+	target *feed.Target
+	sentAt time.Time
+	status int
+	waited time.Duration
 	// unansweredWakes counts the wake requests that the leader did not answer.
 	unansweredWakes int
 	firstByte       time.Duration
