Models whose answers are late get another replica

A model got another replica at 12 arrivals a second or half of an engine's slots (48 of 96); prompts of 9,200 tokens fill an engine at 4 to 13 requests a second.

Change: routers report the answers whose first byte came later than the latency objective after sending; a model with a quarter of its answers late gets another replica, one at a time, 3 s apart.

--- a/control/relay.go
+++ b/control/relay.go
@@ -58,6 +58,7 @@
 		total := reports.total(usage.Unit)
 		total.Arrivals += usage.Arrivals
 		total.Urgency += usage.Urgency
+		total.Late += usage.Late
 		reports.setInFlight(router, usage.Unit, usage.InFlight)
 	}
 	if len(reports.crashes) < maxPendingCrashes {
@@ -108,10 +109,10 @@
 		delete(reports.routers, id)
 	}
 	for unit, total := range reports.usage {
-		if total.Arrivals > 0 || !total.isReported {
+		if total.Arrivals > 0 || total.Late > 0 || !total.isReported {
 			usage = append(usage, total.Usage)
 		}
-		total.Arrivals, total.Urgency, total.isReported = 0, 0, true
+		total.Arrivals, total.Late, total.Urgency, total.isReported = 0, 0, 0, true
 		if total.InFlight == 0 {
 			delete(reports.usage, unit)
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -87,6 +87,8 @@
 	// Urgency is the sum of the arrivals' urgencies; that of a request is the inverse of its latency objective in
 	// seconds, within bounds.
 	Urgency float64 `cbor:"4,keyasint,omitempty"`
+	// Late is the number of answers since the last report whose first byte took longer than the latency objective after the request was sent.
+	Late int `cbor:"5,keyasint,omitempty"`
 }
 
 // WatchArgs ask for the changes since the node's last reply, and report the node's usage and outcomes.
--- a/loadplan/demand.go
+++ b/loadplan/demand.go
@@ -38,6 +38,8 @@
 	arrivals float64
 	// urgency is the decayed sum of the arrivals' urgencies, as of updated.
 	urgency float64
+	// late is the decayed number of late answers, as of updated.
+	late    float64
 	updated time.Time
 	// since is when the planner began to count arrivals of all units.
 	since    time.Time
@@ -119,6 +121,7 @@
 	decay := dem.decay(now)
 	dem.arrivals = dem.arrivals*decay + float64(usage.Arrivals)
 	dem.urgency = dem.urgency*decay + usage.Urgency
+	dem.late = dem.late*decay + float64(usage.Late)
 	dem.updated = now
 	dem.setInFlight(source, usage.InFlight)
 }
@@ -168,7 +171,36 @@
 		}
 	}
 	byAdapters := float64(adapters) / float64(max(1, spec.AdapterSlots))
-	return int(math.Ceil(max(byRate, byRunning, byAdapters)))
+	return max(int(math.Ceil(max(byRate, byRunning, byAdapters))), planner.replicasForLateAnswers(now, service, id))
+}
+
+const (
+	// lateShare is the share of late answers from which a model gets another replica, and minLate the decayed number of them.
+	lateShare = 0.25
+	minLate   = 3
+	// replicaSettleTime is how long the newest replica of a model is given to make answers faster before the model gets another one.
+	replicaSettleTime = 3 * time.Second
+)
+
+// replicasForLateAnswers returns the number of replicas that a model needs because its replicas answer late: one more than it has, once the
+// newest has had time to help. Requests
+// and slots say too little where long prompts take most of an engine's time.
+func (planner *Planner) replicasForLateAnswers(now time.Time, service celerylanding.ServiceID, id celerylanding.ModelID) int {
+	dem := planner.demand[demandKey{service, feed.Unit{Model: id}}]
+	if dem == nil || dem.late*dem.decay(now) < minLate || dem.late < lateShare*dem.arrivals {
+		return 0
+	}
+	replicas, needed := 0, 1
+	for _, eng := range planner.index.holders(service, id) {
+		if !eng.isAvailable() || eng.residents[id].draining {
+			continue
+		}
+		if now.Sub(eng.residents[id].loadedAt) < replicaSettleTime {
+			needed = 0
+		}
+		replicas++
+	}
+	return replicas + needed
 }
 
 // maxModelShare is the share of an engine's slots that the requests of one model may take before the model gets another replica; the rest is
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -242,5 +242,9 @@
 	call.hasStarted = true
 	now := handler.options.Clock()
 	call.firstByte = now.Sub(call.arrived)
-	handler.picker.RecordFirstByte(now, call.target, now.Sub(call.sentAt), call.route.LatencyObjective)
+	took := now.Sub(call.sentAt)
+	handler.picker.RecordFirstByte(now, call.target, took, call.route.LatencyObjective)
+	if took > call.route.LatencyObjective && call.route.LatencyObjective > 0 {
+		handler.usage.recordLate(call.unit)
+	}
 }
--- a/proxy/usage.go
+++ b/proxy/usage.go
@@ -41,17 +41,26 @@
 	}
 }
 
-// collect returns the counts that the leader needs and resets the arrivals and their urgency.
+// recordLate counts an answer whose first byte came too late.
+func (counts *usageCounter) recordLate(unit feed.Unit) {
+	counts.mutex.Lock()
+	defer counts.mutex.Unlock()
+	if count := counts.units[unit]; count != nil {
+		count.Late++
+	}
+}
+
+// collect returns the counts that the leader needs and resets all but the requests in flight.
 func (counts *usageCounter) collect() []feed.Usage {
 	counts.mutex.Lock()
 	defer counts.mutex.Unlock()
 	list := make([]feed.Usage, 0, len(counts.units))
 	for _, count := range counts.units {
-		if count.Arrivals > 0 || count.InFlight > 0 || count.wasRunning {
+		if count.Arrivals > 0 || count.Late > 0 || count.InFlight > 0 || count.wasRunning {
 			list = append(list, count.Usage)
 		}
 		count.wasRunning = count.InFlight > 0
-		count.Arrivals, count.Urgency = 0, 0
+		count.Arrivals, count.Late, count.Urgency = 0, 0, 0
 	}
 	return list
 }
