--- a/control/control_test.go
+++ b/control/control_test.go
@@ -24,11 +24,16 @@
 // stepTimeout bounds each step of a test; elections take up to two seconds on a busy machine.
 const stepTimeout = 15 * time.Second
 
+// leaseTime is the shortest time between the orders of two leaders in the tests.
+const leaseTime = time.Second
+
 // fakeEngines records the orders that the nodes of a test send, and accepts every order.
 type fakeEngines struct {
 	mutex  sync.Mutex
 	fences []control.FencingToken
 	orders []loadplan.Order
+	// sent holds the times of the orders.
+	sent []time.Time
 }
 
 func (eng *fakeEngines) Send(_ context.Context, _ time.Time, order loadplan.Order, _ string, fence control.FencingToken) loadplan.Outcome {
@@ -36,6 +41,7 @@
 	defer eng.mutex.Unlock()
 	eng.fences = append(eng.fences, fence)
 	eng.orders = append(eng.orders, order)
+	eng.sent = append(eng.sent, time.Now())
 	return loadplan.OutcomeAccepted
 }
 
@@ -65,6 +71,8 @@
 	clock   func() time.Time
 	// silence is the target silence timeout of the nodes.
 	silence time.Duration
+	// ignoresFences is set when engines do not check fencing tokens.
+	ignoresFences bool
 }
 
 func listen(t *testing.T, addr string) net.Listener {
@@ -80,7 +88,13 @@
 }
 
 func newClusterWithSilence(t *testing.T, extra int, silence time.Duration) *testCluster {
-	cluster := &testCluster{t: t, engines: &fakeEngines{}, clock: boottime.Now, silence: silence}
+	return startCluster(&testCluster{t: t, engines: &fakeEngines{}, clock: boottime.Now, silence: silence}, extra)
+}
+
+// startCluster starts three seeds and the given number of extra nodes, all at once.
+func startCluster(cluster *testCluster, extra int) *testCluster {
+	t := cluster.t
+	t.Helper()
 	listeners := make([]net.Listener, 3+extra)
 	for i := range listeners {
 		listeners[i] = listen(t, "127.0.0.1:0")
@@ -113,8 +127,8 @@
 		Seeds:         func() []string { return cluster.seeds },
 		Bootstrap:     bootstrap,
 		MaxVoters:     3,
-		Fencing:       true,
-		LeaseTime:     time.Second,
+		Fencing:       !cluster.ignoresFences,
+		LeaseTime:     leaseTime,
 		TargetSilence: cluster.silence,
 		Engines:       cluster.engines,
 		Clock:         cluster.clock,
