--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -136,11 +136,13 @@
 				}
 				return reply(conn, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 3\r\n\r\nown")
 			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
 			pool := newPool()
-			_, body, err := exchange(t.Context(), pool, target.address(), "1")
+			_, body, err := exchange(ctx, pool, target.address(), "1")
 			assert.NilError(t, err)
 			assert.Equal(t, body, "own")
-			_, body, err = exchange(t.Context(), pool, target.address(), "2")
+			_, body, err = exchange(ctx, pool, target.address(), "2")
 			if err == nil {
 				assert.Equal(t, body, "own")
 				return
