--- a/control/overload_test.go
+++ b/control/overload_test.go
@@ -23,7 +23,7 @@
 	overloadEngines = 256
 	overloadModels  = 917
 	// overloadRouters ask for loads without a pause for overloadTime.
-	overloadRouters = 12
+	overloadRouters = 48
 	overloadTime    = 4 * time.Second
 	// maxAckTime is the time in which operators expect an acknowledgement, also while the leader is overloaded.
 	maxAckTime = 2 * time.Second
@@ -96,11 +96,11 @@
 	assert.Equal(t, cluster.nodes[1].ctl.Leader(), leader)
 }
 
-// flood asks the leader for loads of random models, four at a time and without a pause, until the context ends.
+// flood asks the leader for loads of random models, eight at a time and without a pause, until the context ends.
 func flood(ctx context.Context, leader string, seed uint64, answered *atomic.Int64) {
 	peers := rpc.NewPeers(ctx, rpc.Options{LocalIP: "127.0.0.1", Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
 	defer peers.Close()
-	const parallel = 4
+	const parallel = 8
 	done := make(chan struct{}, parallel)
 	for i := range parallel {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
