The weight store is used from the start, and its capacity is found by half again each round

Cause: the limit of concurrent loads from the store began at 3 and rose by one for each load that ended, to 8 at most, also where the store serves ten at once; in the 14 s before traffic nothing was fetched, although models without any copy were waiting to be asked for.

Change: the limit grows by half after each round of loads at full speed until loads first slow each other down; then the time that they took gives the store's capacity. It reaches 32 at most. A load that started before the last change does not count. Until the first request, models that no engine has are fetched.

--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -118,7 +118,12 @@
 	// storeLoads are the start times of recent loads from the store, oldest first.
 	storeLoads []time.Time
 	// fetchLimit limits the concurrent loads from the store.
-	fetchLimit      int
+	fetchLimit          int
+	fetchLimitChangedAt time.Time
+	// isStoreLimitKnown is set once concurrent loads from the store have slowed each other down.
+	isStoreLimitKnown bool
+	// isWoken is set once requests have waited for a unit.
+	isWoken         bool
 	lastOrderNumber uint64
 	scaleOutDue     time.Time
 	// discoveryEnd is the time by which all live engines have sent a heartbeat to this leader.
@@ -303,7 +308,7 @@
 	order := eng.order
 	if isFetch(order) && !order.acceptedAt.IsZero() {
 		model, _ := eng.spec.Model(order.Unit.Model)
-		planner.adjustFetchLimit(now.Sub(order.acceptedAt), model.StoreLoadTime, planner.fetches())
+		planner.adjustFetchLimit(now, order.acceptedAt, model.StoreLoadTime, planner.fetches())
 	}
 	eng.order = nil
 	planner.store.isValid = false
--- a/loadplan/store.go
+++ b/loadplan/store.go
@@ -1,11 +1,13 @@
 package loadplan
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
 )
 
 const (
@@ -14,7 +16,7 @@
 	initialFetchLimit = 3
 	// minFetchLimit and maxFetchLimit bound the limit of concurrent loads from the store.
 	minFetchLimit = 2
-	maxFetchLimit = 8
+	maxFetchLimit = 32
 	// slowFetchRatio and fastFetchRatio are load times, as multiples of the time of a load that runs alone. Above the first the limit falls;
 	// below the second it rises if it was reached.
 	slowFetchRatio = 1.4
@@ -94,17 +96,26 @@
 	return waiting
 }
 
-// adjustFetchLimit adapts the limit of concurrent loads from the store to the time that one took, compared with the time that it takes
-// alone; busy is the number of loads from the store that were in progress.
-func (planner *Planner) adjustFetchLimit(took, alone time.Duration, busy int) {
-	if alone <= 0 {
+// adjustFetchLimit adapts the limit of concurrent loads from the store after a load that started at the given time, by its duration compared
+// with the time that it takes alone; busy is the number of loads from the store that were in progress. The limit grows by half
+// until loads first slow each other down. Loads that started before the last change of the limit say nothing about the new one.
+func (planner *Planner) adjustFetchLimit(now, started time.Time, alone time.Duration, busy int) {
+	if alone <= 0 || started.Before(planner.fetchLimitChangedAt) {
 		return
 	}
-	switch ratio := took.Seconds() / alone.Seconds(); {
+	limit := planner.fetchLimit
+	switch ratio := now.Sub(started).Seconds() / alone.Seconds(); {
 	case ratio > slowFetchRatio:
-		planner.fetchLimit = max(minFetchLimit, planner.fetchLimit-1)
-	case ratio < fastFetchRatio && busy >= planner.fetchLimit:
-		planner.fetchLimit = min(maxFetchLimit, planner.fetchLimit+1)
+		planner.isStoreLimitKnown = true
+		// Concurrent loads share the store's bandwidth, so that their time shows how many of them it serves at full speed.
+		limit = max(minFetchLimit, min(limit-1, int(math.Round(float64(busy)/ratio))))
+	case ratio < fastFetchRatio && busy >= limit && planner.isStoreLimitKnown:
+		limit = min(maxFetchLimit, limit+1)
+	case ratio < fastFetchRatio && busy >= limit:
+		limit = min(maxFetchLimit, limit+(limit+1)/2)
+	}
+	if limit != planner.fetchLimit {
+		planner.fetchLimit, planner.fetchLimitChangedAt = limit, now
 	}
 }
 
@@ -146,14 +157,11 @@
 
 // prefetch queues a load of the most urgent model with too few copies, on the engine where the load costs least.
 func (planner *Planner) prefetch(now time.Time) {
-	pending, prefetches := planner.storeQueue()
-	if prefetches >= maxPrefetches || now.Before(planner.discoveryEnd) {
+	if now.Before(planner.discoveryEnd) {
 		return
 	}
-	isLargeSite := float64(pending+1) <= maxPrefetchShare*float64(len(planner.engines))
-	key, ok := planner.prefetchCandidate(now, isLargeSite)
-	// A busy model, whose replicas are overloaded, takes precedence over requests that wait for other models.
-	if !ok || (pending >= maxPrefetches && planner.demand[key].urgencyRate(now) < busyUrgencyRate) {
+	key, ok := planner.nextPrefetch(now)
+	if !ok {
 		return
 	}
 	var best *engine
@@ -171,6 +179,25 @@
 	planner.pending[pendingKey{key.service, key.unit, prefetchReplica}] = load
 }
 
+// nextPrefetch returns the model to prefetch next; the second result is false if there is none or if the store has enough to do.
+func (planner *Planner) nextPrefetch(now time.Time) (demandKey, bool) {
+	pending, prefetches := planner.storeQueue()
+	if planner.countedSince.IsZero() && !planner.isWoken {
+		// Nobody has sent a request yet, so that the store serves nothing else.
+		if planner.fetches() >= planner.fetchLimit {
+			return demandKey{}, false
+		}
+		return planner.missingModel()
+	}
+	if prefetches >= maxPrefetches {
+		return demandKey{}, false
+	}
+	isLargeSite := float64(pending+1) <= maxPrefetchShare*float64(len(planner.engines))
+	key, ok := planner.prefetchCandidate(now, isLargeSite)
+	// A busy model, whose replicas are overloaded, takes precedence over requests that wait for other models.
+	return key, ok && (pending < maxPrefetches || planner.demand[key].urgencyRate(now) >= busyUrgencyRate)
+}
+
 // storeQueue counts the loads from the store that are in progress or queued, and the queued prefetches.
 func (planner *Planner) storeQueue() (pending, prefetches int) {
 	pending = planner.fetches()
@@ -213,6 +240,30 @@
 	return best, highest > 0
 }
 
+// missingModel returns a model that no engine has in memory or a copy of, so that the first request for it need not wait for the store.
+func (planner *Planner) missingModel() (demandKey, bool) {
+	seen := make(map[celerylanding.ServiceID]bool)
+	for _, eng := range planner.ordered {
+		if !eng.isAvailable() || eng.spec == nil || seen[eng.service] {
+			continue
+		}
+		seen[eng.service] = true
+		for i := range eng.spec.Models {
+			id := eng.spec.Models[i].ID
+			key := demandKey{eng.service, feed.Unit{Model: id}}
+			if len(planner.index.holders(eng.service, id)) == 0 && len(planner.index.copies(eng.service, id)) == 0 &&
+				planner.pending[pendingKey{eng.service, key.unit, prefetchReplica}] == nil && !planner.isFetchingModel(eng.service, id) {
+				return key, true
+			}
+		}
+	}
+	return demandKey{}, false
+}
+
+func (planner *Planner) isFetchingModel(service celerylanding.ServiceID, id celerylanding.ModelID) bool {
+	return slices.ContainsFunc(planner.ordered, func(eng *engine) bool { return eng.service == service && eng.willLoad(id) })
+}
+
 // desiredCopies returns the number of engines that should have a copy of the model.
 func (planner *Planner) desiredCopies(now time.Time, key demandKey) int {
 	serving := planner.servingEngine(key.service, key.unit.Model)
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -26,6 +26,7 @@
 	for _, refusal := range args.Refusals {
 		planner.dropRefused(refusal, args.Unit)
 	}
+	planner.isWoken = true
 	key := pendingKey{service: args.Service, unit: args.Unit}
 	load := planner.pending[key]
 	if load == nil {
