--- a/loadplan/store.go
+++ b/loadplan/store.go
@@ -240,8 +240,11 @@
 	return best, highest > 0
 }
 
-// missingModel returns a model that no engine has in memory or a copy of, so that the first request for it need not wait for the store.
+// missingModel returns a model that no engine has in memory or a copy of, so that the first request for it need not wait for the store. It
+// returns none where more models are missing than there are engines, since nothing says which of them will be asked for.
 func (planner *Planner) missingModel() (demandKey, bool) {
+	var first demandKey
+	missing := 0
 	seen := make(map[celerylanding.ServiceID]bool)
 	for _, eng := range planner.ordered {
 		if !eng.isAvailable() || eng.spec == nil || seen[eng.service] {
@@ -250,17 +253,19 @@
 		seen[eng.service] = true
 		for i := range eng.spec.Models {
 			id := eng.spec.Models[i].ID
-			key := demandKey{eng.service, feed.Unit{Model: id}}
-			if len(planner.index.holders(eng.service, id)) == 0 && len(planner.index.copies(eng.service, id)) == 0 &&
-				planner.pending[pendingKey{eng.service, key.unit, prefetchReplica}] == nil && !planner.isFetchingModel(eng.service, id) {
-				return key, true
+			if len(planner.index.holders(eng.service, id)) > 0 || len(planner.index.copies(eng.service, id)) > 0 || planner.willLoad(eng.service, id) {
+				continue
+			}
+			if missing++; missing == 1 {
+				first = demandKey{eng.service, feed.Unit{Model: id}}
 			}
 		}
 	}
-	return demandKey{}, false
+	return first, missing > 0 && missing <= len(planner.ordered)
 }
 
-func (planner *Planner) isFetchingModel(service celerylanding.ServiceID, id celerylanding.ModelID) bool {
+// willLoad reports whether an engine is loading the model or has a load of it queued.
+func (planner *Planner) willLoad(service celerylanding.ServiceID, id celerylanding.ModelID) bool {
 	return slices.ContainsFunc(planner.ordered, func(eng *engine) bool { return eng.service == service && eng.willLoad(id) })
 }
 
