A request's body must arrive within its route's timeout

Cause: only the header of a request had a time limit, so that a caller that sends its body a byte at a time held a connection and its buffer for good (found by TestDrippingRequestsEnd: still read after 3 s on a route with a timeout of 1 s).

Change: the body has the time in which the request must be answered; then the router answers 408, which is true, as nothing was sent.

Tests, all with faults on the connection: TestAnswersCutAtEachByte and TestLostAnswerOfAStream cut the answer before each of its bytes, TestEndlessRequestsEnd, TestPipelinedRequestsGetTheirOwnAnswers, TestDrippingRequestsEnd; three mutations.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -19,6 +20,8 @@
 const (
 	// defaultMaxBodyBytes is the limit for a request body where the configuration sets none.
 	defaultMaxBodyBytes = 4 << 20
+	// defaultBodyTimeout bounds the time in which a body must arrive while the route is not known.
+	defaultBodyTimeout = 10 * time.Second
 	// startingRetryDelay is the Retry-After delay of a node that has no configuration yet.
 	startingRetryDelay = 500 * time.Millisecond
 	// maxUnknownRouteAge is the age of the routes up to which an unknown route is reported as not found.
@@ -203,11 +206,22 @@
 		return nil
 	}
 	call.isBodyRead = true
+	if request.ContentLength == 0 {
+		return nil
+	}
+	controller := http.NewResponseController(writer)
+	// Connections whose reads have no deadline keep the limits of the server.
+	_ = controller.SetReadDeadline(time.Now().Add(call.bodyTimeout()))
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
 	call.body = body
 	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		return nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refusal{status: http.StatusRequestTimeout, verdict: celerylanding.NotRun, reason: celerylanding.ReasonDeadline,
+			cause: "the body did not arrive in time"}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return bodyTooLarge()
@@ -216,6 +230,18 @@
 		cause: "body broke off: " + err.Error()}
 }
 
+// bodyTimeout returns the time in which the body must arrive: that in which the request must be answered.
+func (call *call) bodyTimeout() time.Duration {
+	timeout := defaultBodyTimeout
+	if call.route != nil {
+		timeout = call.route.Timeout
+	}
+	if call.metadata.MaxWait > 0 {
+		timeout = min(timeout, call.metadata.MaxWait)
+	}
+	return timeout
+}
+
 func bodyTooLarge() *refusal {
 	return &refusal{status: http.StatusRequestEntityTooLarge, verdict: celerylanding.NotRun,
 		reason: celerylanding.ReasonBadRequest, cause: "body exceeds the limit"}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -72,3 +72,6 @@
 mutate stalled-by-comments proxy/stream.go ./platform TestSlowStreams 's/if hasData\(partial\[:whole\]\) \{/if whole > 0 || len(partial) > 0 {/'
 mutate late-target-preferred dispatch/picker.go ./dispatch TestLateTarget 's/latenessCost = 0\.5/latenessCost = 0.05/'
 mutate late-model-alone loadplan/demand.go ./loadplan TestModelWithLate 's/minLate   = 3/minLate   = 3000/'
+mutate lost-answer-called-not-run proxy/attempt.go ./platform 'TestAnswersCut|TestLostAnswerOfA' 's/status: http\.StatusBadGateway, verdict: call\.verdict, reason: celerylanding\.ReasonTargetFailed,\n\t\t\tcause: call\.cause\}\n\t\}\n\tcall\.exclude/status: http.StatusServiceUnavailable, verdict: call.verdict, reason: celerylanding.ReasonTargetFailed,\n\t\t\tcause: call.cause}\n\t}\n\tcall.exclude/'
+mutate lost-answer-run-again proxy/attempt.go ./platform 'TestAnswersCut|TestLostAnswerOfA' 's/return call\.route\.IsRetryable\(\) && call\.sends/return call.sends/'
+mutate cut-answer-whole proxy/attempt.go ./platform 'TestAnswersCut|TestLostAnswerOfA' 's/if err != nil \|\| !reply\.HasServerStamp \|\| guaranteesNotRun/if !reply.HasServerStamp || guaranteesNotRun/'
