A relay repeats the reports that the leader has not answered

Cause, read in the diff: what a relay had sent with a request that failed was lost. A lost last change of a unit's running requests would have protected its model from eviction for good, and a new leader was never told of running requests that did not change. Routers that had moved away from a relay still counted for the interval of its pushes.

Change: a report counts as delivered when the leader has answered it, otherwise the next one contains it; after a change of the leader all running requests are repeated. A relay forgets silent routers.

Tests: TestRelayRepeatsWhatTheLeaderHasNotAnswered, TestRelaySumsTheUsageOfItsRouters.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -17,13 +17,14 @@
 
 // Collect returns the next report to the leader.
 func (reports *RelayReports) Collect(now time.Time) feed.WatchArgs {
-	var args feed.WatchArgs
-	args.Usage, args.Crashes, args.Outcomes, args.Routers = reports.reports.collect(now)
-	return args
+	return reports.reports.collect(now)
 }
 
-// Acknowledge drops the first crashes.
-func (reports *RelayReports) Acknowledge(crashes int) { reports.reports.acknowledge(crashes) }
+// Acknowledge records that the leader has the last report.
+func (reports *RelayReports) Acknowledge() { reports.reports.acknowledge() }
+
+// RepeatAll makes the next report contain all running requests.
+func (reports *RelayReports) RepeatAll() { reports.reports.repeatAll() }
 
 // IsSameView reports whether two states of a target are published as one.
 func IsSameView(a, b *feed.Target) bool { return isSameView(a, b) }
--- a/control/failover_test.go
+++ b/control/failover_test.go
@@ -48,7 +48,7 @@
 		for _, node := range cluster.nodes {
 			var reply feed.WatchReply
 			err := peers.Call(ctx, node.addr, "Peer.Watch", &feed.WatchArgs{Node: "r", Router: true}, &reply)
-			if err == nil && len(reply.Targets.All()) > 0 {
+			if err == nil && reply.Leads && len(reply.Targets.All()) > 0 {
 				return reply.Targets.All()
 			}
 		}
--- a/control/leader.go
+++ b/control/leader.go
@@ -223,7 +223,6 @@
 func (ctl *Control) watchLeader(ctx context.Context) error {
 	var term, revision uint64
 	var sent time.Time
-	crashes := 0
 	watcher := watch.New(watch.Options{
 		Direct: true,
 		Clock:  ctl.options.Clock,
@@ -236,16 +235,18 @@
 		},
 		NextArgs: func() feed.WatchArgs {
 			sent = ctl.options.Clock()
-			args := feed.WatchArgs{Node: ctl.options.Node, Term: term, Revision: revision, Relay: ctl.member.Address}
-			args.Usage, args.Crashes, args.Outcomes, args.Routers = ctl.relay.collect(sent)
-			crashes = len(args.Crashes)
+			args := ctl.relay.collect(sent)
+			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
 			return args
 		},
 		Apply: func(reply *feed.WatchReply) {
+			ctl.relay.acknowledge()
+			if reply.Term != term {
+				ctl.relay.repeatAll()
+			}
 			term, revision = reply.Term, reply.Revision
-			ctl.relay.acknowledge(crashes)
 			contact := sent
 			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, contact, reply) })
 		},
--- a/control/relay.go
+++ b/control/relay.go
@@ -18,20 +18,22 @@
 	maxPendingCrashes = 1024
 )
 
-// relayReports collects what routers report to a relay until the relay's next watch request; it is safe for concurrent use.
+// relayReports collects what routers report to a relay until the leader has it; it is safe for concurrent use.
 type relayReports struct {
 	mutex    sync.Mutex
 	usage    map[feed.Unit]*unitTotal
 	crashes  []feed.Crash
 	outcomes []feed.Outcome
 	routers  map[celerylanding.NodeID]*routerUsage
+	// sent is the last report, until the leader acknowledges it.
+	sent *feed.WatchArgs
 }
 
 // unitTotal is the sum of the routers' usage of a unit.
 type unitTotal struct {
 	feed.Usage
-	// isReported is set when the leader has been told the number of running requests.
-	isReported bool
+	// isChanged is set while the leader does not have the number of running requests.
+	isChanged bool
 }
 
 // routerUsage holds the running requests that a router has last reported.
@@ -55,10 +57,7 @@
 	}
 	router.seen = now
 	for _, usage := range args.Usage {
-		total := reports.total(usage.Unit)
-		total.Arrivals += usage.Arrivals
-		total.Urgency += usage.Urgency
-		total.Late += usage.Late
+		reports.addArrivals(usage)
 		reports.setInFlight(router, usage.Unit, usage.InFlight)
 	}
 	if len(reports.crashes) < maxPendingCrashes {
@@ -70,6 +69,13 @@
 	}
 }
 
+func (reports *relayReports) addArrivals(usage feed.Usage) {
+	total := reports.total(usage.Unit)
+	total.Arrivals += usage.Arrivals
+	total.Urgency += usage.Urgency
+	total.Late += usage.Late
+}
+
 func (reports *relayReports) total(unit feed.Unit) *unitTotal {
 	total := reports.usage[unit]
 	if total == nil {
@@ -86,7 +92,7 @@
 	}
 	total := reports.total(unit)
 	total.InFlight += count - before
-	total.isReported = false
+	total.isChanged = true
 	if count == 0 {
 		delete(router.inFlight, unit)
 	} else {
@@ -94,11 +100,12 @@
 	}
 }
 
-// collect returns the reports since the last call, and forgets the routers that have not reported for routerTimeout. Crashes are returned
-// again until acknowledge is called.
-func (reports *relayReports) collect(now time.Time) (usage []feed.Usage, crashes []feed.Crash, outcomes []feed.Outcome, routers int) {
+// collect returns the next report to the leader, with all that the leader has not acknowledged. It forgets the routers that have not reported
+// for routerTimeout.
+func (reports *relayReports) collect(now time.Time) feed.WatchArgs {
 	reports.mutex.Lock()
 	defer reports.mutex.Unlock()
+	reports.restoreSent()
 	for id, router := range reports.routers {
 		if now.Sub(router.seen) <= routerTimeout {
 			continue
@@ -108,25 +115,49 @@
 		}
 		delete(reports.routers, id)
 	}
+	args := feed.WatchArgs{Crashes: reports.crashes, Outcomes: reports.outcomes, Routers: len(reports.routers)}
 	for unit, total := range reports.usage {
-		if total.Arrivals > 0 || total.Late > 0 || !total.isReported {
-			usage = append(usage, total.Usage)
+		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
+			args.Usage = append(args.Usage, total.Usage)
 		}
-		total.Arrivals, total.Late, total.Urgency, total.isReported = 0, 0, 0, true
+		total.Arrivals, total.Late, total.Urgency, total.isChanged = 0, 0, 0, false
 		if total.InFlight == 0 {
 			delete(reports.usage, unit)
 		}
 	}
-	outcomes = reports.outcomes
-	reports.outcomes = nil
-	return usage, reports.crashes, outcomes, len(reports.routers)
+	reports.crashes, reports.outcomes = nil, nil
+	reports.sent = &args
+	return args
+}
+
+// restoreSent takes back the last report if the leader has not acknowledged it.
+func (reports *relayReports) restoreSent() {
+	if reports.sent == nil {
+		return
+	}
+	for _, usage := range reports.sent.Usage {
+		reports.addArrivals(usage)
+		reports.total(usage.Unit).isChanged = true
+	}
+	reports.crashes = append(reports.sent.Crashes, reports.crashes...)
+	reports.outcomes = append(reports.sent.Outcomes, reports.outcomes...)
+	reports.sent = nil
+}
+
+// acknowledge records that the leader has the last report.
+func (reports *relayReports) acknowledge() {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	reports.sent = nil
 }
 
-// acknowledge drops the first crashes, which the leader has recorded.
-func (reports *relayReports) acknowledge(crashes int) {
+// repeatAll makes the next report contain all running requests, since a new leader knows none.
+func (reports *relayReports) repeatAll() {
 	reports.mutex.Lock()
 	defer reports.mutex.Unlock()
-	reports.crashes = reports.crashes[crashes:]
+	for _, total := range reports.usage {
+		total.isChanged = true
+	}
 }
 
 // relays reports whether this node follows the leader closely enough to pass its state on.
@@ -146,6 +177,7 @@
 		ctl.feed = newFeedState()
 		ctl.feed.term, ctl.feed.routers, ctl.feed.watchers = reply.Term, routers, watchers
 	}
+	ctl.feed.forgetSilent(now)
 	// The leader has answered after the request was sent.
 	ctl.feed.contact = sent
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -115,36 +115,53 @@
 func TestRelaySumsTheUsageOfItsRouters(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	reports := control.NewRelayReports()
+	collect := func() feed.WatchArgs {
+		args := reports.Collect(now)
+		reports.Acknowledge()
+		return args
+	}
 	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(2, 3)})
 	reports.Add(now, &feed.WatchArgs{Node: "r2", Usage: usage(1, 1)})
-	args := reports.Collect(now)
+	args := collect()
 	assert.Equal(t, args.Routers, 2)
 	assert.DeepEqual(t, args.Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, Arrivals: 3, InFlight: 4, Urgency: 3}})
-	assert.Equal(t, len(reports.Collect(now).Usage), 0)
+	assert.Equal(t, len(collect().Usage), 0)
 	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(0, 1)})
-	assert.DeepEqual(t, reports.Collect(now).Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 2}})
+	assert.DeepEqual(t, collect().Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 2}})
 
 	// A router that has stopped reporting runs nothing any more.
 	now = now.Add(2 * time.Second)
 	reports.Add(now, &feed.WatchArgs{Node: "r2", Usage: usage(0, 1)})
 	now = now.Add(2 * time.Second)
-	args = reports.Collect(now)
+	args = collect()
 	assert.Equal(t, args.Routers, 1)
 	assert.DeepEqual(t, args.Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 1}})
+
+	// A new leader knows of no running requests.
+	reports.RepeatAll()
+	assert.DeepEqual(t, collect().Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, InFlight: 1}})
 }
 
-// TestRelayKeepsCrashesUntilTheLeaderHasThem guards against a crash report that is lost with a relay's request to the leader.
-func TestRelayKeepsCrashesUntilTheLeaderHasThem(t *testing.T) {
+// TestRelayRepeatsWhatTheLeaderHasNotAnswered guards against reports that are lost with a relay's request to the leader: arrivals, crashes,
+// and the last change of the running requests, without which the leader would protect a model from eviction for good.
+func TestRelayRepeatsWhatTheLeaderHasNotAnswered(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	reports := control.NewRelayReports()
-	reports.Add(now, &feed.WatchArgs{Node: "r1", Crashes: []feed.Crash{{Fingerprint: 1, Target: "t", Incarnation: 1}},
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(1, 1)})
+	reports.Collect(now)
+	reports.Acknowledge()
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Usage: usage(1, 0), Crashes: []feed.Crash{{Fingerprint: 1, Target: "t", Incarnation: 1}},
 		Outcomes: []feed.Outcome{{Target: "t", Incarnation: 1, Failed: 2}}})
+	reports.Collect(now)
+	reports.Add(now, &feed.WatchArgs{Node: "r2", Crashes: []feed.Crash{{Fingerprint: 2, Target: "t", Incarnation: 1}}})
 	args := reports.Collect(now)
-	assert.Equal(t, len(args.Crashes), 1)
+	assert.DeepEqual(t, args.Usage, []feed.Usage{{Unit: feed.Unit{Model: "m"}, Arrivals: 1, Urgency: 1}})
+	assert.Equal(t, len(args.Crashes), 2)
+	assert.Equal(t, len(args.Outcomes), 1)
 	assert.Equal(t, args.Outcomes[0].Node, celerylanding.NodeID("r1"))
-	reports.Add(now, &feed.WatchArgs{Node: "r2", Crashes: []feed.Crash{{Fingerprint: 2, Target: "t", Incarnation: 1}}})
-	reports.Acknowledge(1)
-	assert.Equal(t, reports.Collect(now).Crashes[0].Fingerprint, uint64(2))
+	reports.Acknowledge()
+	args = reports.Collect(now)
+	assert.Equal(t, len(args.Usage)+len(args.Crashes)+len(args.Outcomes), 0)
 }
 
 // TestChangedCopiesArePublished guards against a next leader that looks for a copy where there is none: an engine that replaces one copy by
