--- a/tests/mutate.sh
+++ b/tests/mutate.sh
@@ -21,7 +21,7 @@
     return
   fi
   local output
-  output=$(cd "$scratch/tree" && go test -count=1 "$package" -run "$test" 2>&1)
+  output=$(cd "$scratch/tree" && go test -count=1 -timeout 120s "$package" -run "$test" 2>&1)
   if [ $? -eq 0 ]; then
     echo "$name: NOT noticed by $test"
     status=1
@@ -29,6 +29,8 @@
     echo "$name: does not compile"
     grep -m3 '\.go:' <<<"$output"
     status=1
+  elif grep -q 'panic: test timed out' <<<"$output"; then
+    echo "$name: noticed, $(grep -m1 -oE 'Test[A-Za-z]+ \([0-9a-z]+\)' <<<"$output") has no end"
   else
     echo "$name: noticed by $(grep -oE -- '--- FAIL: [A-Za-z]+' <<<"$output" | cut -d' ' -f3 | sort -u | paste -sd' ') $(grep -m1 -oE '\[rapid\] (failed|panic).*' <<<"$output" | cut -c1-120)"
   fi
