--- a/state/state.go
+++ b/state/state.go
@@ -10,6 +10,7 @@
 
 // The flags, events and states of chart/replica.yaml that the code uses.
 const (
+	FlagCounted  chart.Flag = "counted"
 	FlagRoutable chart.Flag = "routable"
 	FlagTerminal chart.Flag = "terminal"
 
