--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -90,7 +90,7 @@
 	call.cause = celerylanding.MessageOf(err)
 	isDone := ctx.Err() != nil
 	if errorx.IsOfType(err, upstream.ErrConnRefused) {
-		handler.crashes.confirm(now, target.Endpoint())
+		handler.confirmCrash(now, target.Endpoint())
 	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultUnreachable))
--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -63,8 +63,9 @@
 		Incarnation: endpoint.Incarnation}, now})
 }
 
-// confirm records a crash for each recent suspect exchange with the target, after a connection to it was refused.
-func (tracker *crashTracker) confirm(now time.Time, endpoint celerylanding.Endpoint) {
+// confirm records a crash for each recent suspect exchange with the target, after a connection to it was refused. It returns the number of
+// these exchanges, and the number of those with any target that are too old to be confirmed.
+func (tracker *crashTracker) confirm(now time.Time, endpoint celerylanding.Endpoint) (confirmed, expired int) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	kept := tracker.suspects[:0]
@@ -72,13 +73,16 @@
 		isSame := suspect.crash.Target == endpoint.Target && suspect.crash.Incarnation == endpoint.Incarnation
 		switch {
 		case now.Sub(suspect.at) > crashWindow:
+			expired++
 		case isSame:
+			confirmed++
 			tracker.confirmed = append(tracker.confirmed, suspect.crash)
 		default:
 			kept = append(kept, suspect)
 		}
 	}
 	tracker.suspects = kept
+	return confirmed, expired
 }
 
 // collect returns the confirmed crashes since the last call.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -89,6 +89,17 @@
 // Crashes returns the crashes of targets during requests that were detected since the last call.
 func (handler *Handler) Crashes() []feed.Crash { return handler.crashes.collect() }
 
+// confirmCrash records that the target refused a connection, and logs how many interrupted exchanges this explains.
+func (handler *Handler) confirmCrash(now time.Time, endpoint celerylanding.Endpoint) {
+	confirmed, expired := handler.crashes.confirm(now, endpoint)
+	handler.options.Metrics.Counter("crash_suspects_confirmed").Inc(int64(confirmed))
+	handler.options.Metrics.Counter("crash_suspects_expired").Inc(int64(expired))
+	if confirmed > 0 {
+		handler.options.Log.Warn().Str("target", string(endpoint.Target)).Int("requests", confirmed).
+			Msg("target refuses connections after it broke off requests; counted as a crash")
+	}
+}
+
 // Outcomes returns the counts of answered and failed requests since the last call, for the targets with recent failures.
 func (handler *Handler) Outcomes(now time.Time) []feed.Outcome { return handler.picker.Outcomes(now) }
 
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -71,6 +71,9 @@
 	case call.isTruncated:
 		outcome = "cut"
 	}
+	if refusal != nil || call.isTruncated {
+		event = event.Strs("parts", call.partIDs())
+	}
 	if call.cause != "" {
 		event = event.Str("cause", call.cause)
 	}
@@ -114,5 +117,19 @@
 // logAttempt writes the log line of an attempt that did not produce an answer for the caller.
 func (handler *Handler) logAttempt(call *call, target *feed.Target, retry bool) {
 	handler.options.Log.Warn().Str("request", call.metadata.ID).Str("target", string(target.ID)).Str("unit", call.unit.String()).
-		Str("verdict", call.verdict.String()).Int("sends", call.sends).Bool("again", retry).Str("cause", call.cause).Msg("attempt failed")
+		Str("verdict", call.verdict.String()).Int("sends", call.sends).Bool("again", retry).Strs("parts", call.partIDs()).Str("cause", call.cause).
+		Msg("attempt failed")
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// partIDs returns the IDs of the first parts of the prompt, for log lines.
+func (call *call) partIDs() []string {
+	parts := call.metadata.PromptParts
+	ids := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, part := range parts[:cap(ids)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
 }
