--- /dev/null
+++ b/tests/fleet_test.go
@@ -0,0 +1,211 @@
+package tests_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/platform/fake"
+)
+
+const (
+	controllerCount = 3
+	routerCount     = 2
+	// engineRestart is the time after which a crashed engine is back at its address.
+	engineRestart = time.Second
+	// stabilityWindow is the time after a disturbance in which bounds do not hold yet.
+	stabilityWindow = 3 * time.Second
+)
+
+// fleet is a set of controllers and routers as processes, with fake engines in the test's process.
+type fleet struct {
+	t           *testing.T
+	number      int32
+	controllers []*fleetProcess
+	routers     []*fleetProcess
+	controls    []string
+	models      []string
+	// engines holds the running fake engines.
+	engines sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+// fleetProcess is a process of a fleet, which can be killed and started again.
+type fleetProcess struct {
+	t       *testing.T
+	role    string
+	folder  string
+	ip      string
+	seeds   string
+	command *exec.Cmd
+}
+
+func (fleet *fleet) ip(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, int(fleet.number)+kind, number+1)
+}
+
+// newFleet starts the processes and engines, and returns once all routers are ready. Options holds what all engines have in common.
+func newFleet(t *testing.T, engines int, options fake.Options) *fleet {
+	t.Helper()
+	const addressBlocks = 3
+	fleet := &fleet{t: t, number: siteCount.Add(addressBlocks) - addressBlocks + 1, models: []string{"m0", "m1"}}
+	for i := range controllerCount {
+		fleet.controls = append(fleet.controls, fleet.ip(0, i)+":8144")
+	}
+	folder := t.TempDir()
+	add := func(role, ip string, number int) *fleetProcess {
+		proc := &fleetProcess{t: t, role: role, folder: filepath.Join(folder, fmt.Sprintf("%s%d", role, number)), ip: ip,
+			seeds: strings.Join(fleet.controls, ",")}
+		assert.NilError(t, os.MkdirAll(proc.folder, 0o700))
+		proc.start(true)
+		t.Cleanup(proc.kill)
+		return proc
+	}
+	for i := range controllerCount {
+		fleet.controllers = append(fleet.controllers, add("controller", fleet.ip(0, i), i))
+	}
+	for i := range routerCount {
+		fleet.routers = append(fleet.routers, add("router", fleet.ip(1, i), i))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	fleet.stop = cancel
+	t.Cleanup(func() {
+		cancel()
+		fleet.engines.Wait()
+	})
+	for i := range engines {
+		fleet.engines.Go(func() { fleet.runEngine(ctx, i, options) })
+	}
+	fleet.awaitReady()
+	return fleet
+}
+
+// start starts the process with the settings that the platform would write.
+func (proc *fleetProcess) start(bootstrap bool) {
+	proc.t.Helper()
+	lines := []string{"node=" + filepath.Base(proc.folder), "ip=" + proc.ip, "zone=z" + proc.ip[len(proc.ip)-1:], "internalPorts=7380,7395",
+		"seeds=" + proc.seeds, fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeatIntervalMs=300", "faultTolerance.machines=1",
+		"bounds.fencingEnabled=true", "bounds.leaseMs=1000", "bounds.graceS=8", "bounds.budgetRatio=0.2", "bounds.budgetSlack=200",
+		"bounds.budgetWindowS=10", "bounds.stabilityWindowMs=3000", "limits.memoryMb=256"}
+	if proc.role == "controller" {
+		lines = append(lines, "listen.control="+proc.ip+":8144", "dataDir="+filepath.Join(proc.folder, "disk"))
+	} else {
+		lines = append(lines, "listen.front="+proc.ip+":8149", "listen.ready="+proc.ip+":8141")
+	}
+	path := filepath.Join(proc.folder, "node.conf")
+	assert.NilError(proc.t, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+	log, err := os.OpenFile(filepath.Join(proc.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(proc.t, err)
+	defer func() { _ = log.Close() }()
+	proc.command = exec.Command(binary, "platform", proc.role, "--node-file", path)
+	proc.command.Stdout, proc.command.Stderr = log, log
+	assert.NilError(proc.t, proc.command.Start())
+}
+
+// kill ends the process at once.
+func (proc *fleetProcess) kill() {
+	_ = proc.command.Process.Signal(syscall.SIGKILL)
+	// The error of a killed process only tells that it was killed.
+	_ = proc.command.Wait()
+}
+
+// runEngine runs one incarnation of an engine after the other at the same address until the context ends.
+func (fleet *fleet) runEngine(ctx context.Context, number int, options fake.Options) {
+	address := fleet.ip(2, number) + ":8605"
+	for incarnation := 0; ctx.Err() == nil; incarnation++ {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			fleet.t.Error(err)
+			return
+		}
+		options.ID, options.Service, options.Zone = fmt.Sprintf("i-%d-%d", number, incarnation), fake.ServiceEngines, "z1"
+		options.Listener, options.Address, options.Controllers = listener, address, fleet.controls
+		options.HeartbeatInterval, options.Models, options.MaxModels = 300*time.Millisecond, fleet.models, len(fleet.models)
+		options.LoadTime = 50 * time.Millisecond
+		options.OnViolation = func(text string) { fleet.t.Error(text) }
+		if options.OnExecute == nil {
+			options.OnExecute = func(string) {}
+		}
+		if err := fake.New(options, fleet.models).Run(ctx); err != nil {
+			fleet.t.Error(err)
+		}
+		pause(ctx, engineRestart)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
+// awaitReady submits the configuration and waits until all routers are ready.
+func (fleet *fleet) awaitReady() {
+	fleet.t.Helper()
+	body, err := fake.Configuration(1, fleet.models, len(fleet.models))
+	assert.NilError(fleet.t, err)
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodPut, "http://"+fleet.controls[0]+"/config", bytes.NewReader(body))
+		assert.NilError(fleet.t, err)
+		if response, err := client.Do(request); err != nil {
+			continue
+		} else if _ = response.Body.Close(); response.StatusCode != http.StatusOK {
+			continue
+		}
+		ready := 0
+		for _, proc := range fleet.routers {
+			if response, err := client.Get("http://" + proc.ip + ":8141/readyz"); err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					ready++
+				}
+			}
+		}
+		if ready == len(fleet.routers) {
+			return
+		}
+	}
+	fleet.t.Fatal("the routers are not ready")
+}
+
+// stream sends a request for a stream with the given parts of its prompt to a random router, and reports whether it got the whole answer.
+func (fleet *fleet) stream(ctx context.Context, id string, parts ...string) bool {
+	const timeout = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	router := fleet.routers[rand.IntN(len(fleet.routers))]
+	request, err := fake.NewRequest(ctx, router.ip+":8149", fake.PathStream, id, fleet.models[rand.IntN(len(fleet.models))], timeout)
+	if err != nil {
+		fleet.t.Error(err)
+		return false
+	}
+	sized := make([]string, 0, len(parts))
+	for _, part := range parts {
+		sized = append(sized, part+":100")
+	}
+	request.Header.Set("X-Celerylanding-Prompt-Prefix", strings.Join(sized, ","))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && string(body) == fake.StreamBody(id)
+}
