Parts of prompts that crash their targets are quarantined

Cause: crashes were counted for the fingerprint of a whole request. Requests that share only a part never have the same one; 571 fingerprints with at most two crashes each, none quarantined. Ruled out: missing evidence (77 of 83 crashes were confirmed) and late distribution (nothing was there to distribute). Logs with prompt parts show one part in every crash, with two parts that sound requests share.

Change: routers report each part but the last, except for those that were answered lately; quarantine.Detector blames the part that explains most crashes and exempts the parts beside it; blamed fingerprints are replicated in the control log; a target whose exchange broke off is probed; the quarantine is checked before each send.

Why it works: a part that crashes every target that answers it is in all crashes and in no answer, whatever else its requests hold.

--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,6 @@
 	"celerylanding.example/celerylanding/quorum"
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/quorum/wal"
-	"celerylanding.example/celerylanding/router"
 	"celerylanding.example/celerylanding/routing"
 )
 
@@ -72,13 +71,12 @@
 	diskFailedAt time.Time
 	diskRetryAt  time.Time
 
-	directory *membership.Directory
-	planner   *loadplan.Planner
-	outliers  *membership.OutlierDetector
-	feed      feedState
-	relay     *relayReports
-	// quarantine counts, for each request, the targets that crashed while they ran it.
-	quarantine *router.Quarantine
+	directory  *membership.Directory
+	planner    *loadplan.Planner
+	outliers   *membership.OutlierDetector
+	feed       feedState
+	relay      *relayReports
+	quarantine quarantineState
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
 	handover    handover
@@ -118,7 +116,7 @@
 		directory:  directory,
 		planner:    loadplan.New(time.Time{}),
 		outliers:   membership.NewOutlierDetector(),
-		quarantine: router.NewQuarantine(),
+		quarantine: newQuarantineState(),
 		relay:      newRelayReports(),
 	}
 	ctl.feed = newFeedState()
@@ -168,16 +166,18 @@
 func (ctl *Control) restore(snapshot quorum.Snapshot) error {
 	ctl.index = snapshot.Index
 	ctl.configuration = nil
+	ctl.quarantine.fingerprints = nil
 	if len(snapshot.Data) == 0 {
 		return nil
 	}
-	configuration := &routing.Configuration{}
-	if err := cbor.Unmarshal(snapshot.Data, configuration); err != nil {
+	state := &replicated{}
+	if err := cbor.Unmarshal(snapshot.Data, state); err != nil {
 		return err
 	}
-	if configuration.Version > 0 {
-		ctl.activate(configuration)
+	if state.Version > 0 {
+		ctl.activate(&state.Configuration)
 	}
+	ctl.quarantine.fingerprints = state.Quarantined
 	return nil
 }
 
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -3,9 +3,28 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
 )
 
+// DecodeReplicated decodes a command or a snapshot of the log.
+func DecodeReplicated(data []byte) (*routing.Configuration, []uint64, error) {
+	state := &replicated{}
+	err := cbor.Unmarshal(data, state)
+	return &state.Configuration, state.Quarantined, err
+}
+
+// EncodeReplicated encodes a snapshot, or a command that adds fingerprints if there is no configuration.
+func EncodeReplicated(configuration *routing.Configuration, fingerprints []uint64) ([]byte, error) {
+	state := &replicated{Quarantined: fingerprints}
+	if configuration != nil {
+		state.Configuration = *configuration
+	}
+	return cbor.Marshal(state)
+}
+
 // RelayReports collects the reports of routers at a relay.
 type RelayReports struct{ reports *relayReports }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,12 +1,10 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
-	"celerylanding.example/celerylanding/router"
 )
 
 const (
@@ -59,8 +57,10 @@
 	lists map[listKey]*feed.TargetList
 	// configurationChanged is set until the targets are re-evaluated under a new configuration.
 	configurationChanged bool
-	// quarantined lists the fingerprints of the requests that routers refuse.
+	// quarantined lists the fingerprints of the requests that routers refuse, as the leader has sent it; on the leader it is unused. suspects
+	// are the fingerprints whose answers routers report.
 	quarantined []uint64
+	suspects    []uint64
 	// routerTotal is the number of all routers, as the leader has sent it.
 	routerTotal int
 	// relayAddresses are the relays that the leader has named.
@@ -165,6 +165,7 @@
 	for _, crash := range args.Crashes {
 		ctl.recordCrash(now, crash)
 	}
+	ctl.recordAnswered(args.Node, args.Answered)
 	for _, outcome := range args.Outcomes {
 		node := outcome.Node
 		if node == "" {
@@ -182,32 +183,6 @@
 	}
 }
 
-// quarantineThreshold is the number of crashed targets at which a request is quarantined; a request that merely ran at the same time as the
-// one that caused the crashes rarely reaches it.
-const quarantineThreshold = 3
-
-// recordCrash counts a target that crashed while it ran a request, and quarantines the request at quarantineThreshold crashes.
-func (ctl *Control) recordCrash(now time.Time, crash feed.Crash) {
-	if !ctl.quarantine.Add(now, router.Crash{Fingerprint: crash.Fingerprint, Target: crash.Target, Incarnation: crash.Incarnation}) {
-		return
-	}
-	count := ctl.quarantine.Crashes(now, crash.Fingerprint)
-	ctl.options.Log.Warn().Uint64("fingerprint", crash.Fingerprint).Str("target", string(crash.Target)).Int("crashes", count).
-		Msg("target crashed while it ran a request")
-	if count == quarantineThreshold {
-		ctl.feed.quarantined = append(ctl.feed.quarantined, crash.Fingerprint)
-		ctl.feed.advance()
-	}
-}
-
-// expireQuarantine releases requests whose quarantine has expired.
-func (ctl *Control) expireQuarantine(now time.Time) {
-	ctl.quarantine.Expire(now)
-	ctl.feed.quarantined = slices.DeleteFunc(slices.Clone(ctl.feed.quarantined), func(fingerprint uint64) bool {
-		return ctl.quarantine.Crashes(now, fingerprint) == 0
-	})
-}
-
 // serviceOf returns the service whose engine settings list the model, or "" if there is none.
 func (ctl *Control) serviceOf(id celerylanding.ModelID) celerylanding.ServiceID {
 	if ctl.configuration == nil {
@@ -286,7 +261,7 @@
 
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
-		Quarantined: ctl.feed.quarantined}
+		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects}
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
 		reply.Routers = ctl.feed.countRouters()
--- a/control/leader.go
+++ b/control/leader.go
@@ -49,8 +49,8 @@
 	if !now.Before(ctl.expireDue) {
 		ctl.expireDue = now.Add(expireInterval)
 		ctl.expire(now)
-		ctl.expireQuarantine(now)
 	}
+	ctl.maintainQuarantine(now)
 	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
 		ctl.planDue = now.Add(planInterval + time.Duration(ctl.directory.Len())*planIntervalPerTarget)
 		ctl.execute(ctl.planner.Step(now))
@@ -102,6 +102,7 @@
 		ctl.directory.ResetSilence(now)
 		ctl.planner = loadplan.New(now.Add(time.Duration(startupShare * float64(ctl.options.TargetSilence))))
 		ctl.resetFeed()
+		ctl.quarantine.resetEvidence()
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
--- a/control/log.go
+++ b/control/log.go
@@ -190,13 +190,18 @@
 	return nil
 }
 
-// applyCommand activates a committed configuration if its version is higher than the active one.
+// applyCommand applies a committed change of the quarantine, or activates a committed configuration if its version is higher than the active one.
 func (ctl *Control) applyCommand(entry quorum.Entry) error {
-	configuration := &routing.Configuration{}
-	if err := cbor.Unmarshal(entry.Data, configuration); err != nil {
+	command := &replicated{}
+	if err := cbor.Unmarshal(entry.Data, command); err != nil {
 		return err
 	}
 	ctl.commandsSinceSnapshot++
+	if command.hasFingerprints() {
+		ctl.applyQuarantine(command)
+		return nil
+	}
+	configuration := &command.Configuration
 	isNew := configuration.Version > ctl.version()
 	ctl.options.Log.Info().Uint64("index", entry.Index).Uint64("version", configuration.Version).Uint64("held", ctl.version()).
 		Bool("in_force", isNew).Msg("configuration committed")
@@ -229,7 +234,11 @@
 	if ctl.commandsSinceSnapshot < commandsPerSnapshot {
 		return nil
 	}
-	data, err := cbor.Marshal(ctl.configuration)
+	state := replicated{Quarantined: ctl.quarantine.fingerprints}
+	if ctl.configuration != nil {
+		state.Configuration = *ctl.configuration
+	}
+	data, err := cbor.Marshal(&state)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/control/quarantine.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/quarantine"
+	"celerylanding.example/celerylanding/routing"
+)
+
+const (
+	// quarantineTime is how long requests are refused. The next leader counts it anew.
+	quarantineTime = time.Hour
+	// maxQuarantined bounds the fingerprints in the replicated state, which every reply to a router contains; the oldest is dropped first.
+	maxQuarantined = 256
+	// quarantineInterval is the time between two evaluations while there is new evidence or a suspect, and idleQuarantineInterval that between
+	// two checks for fingerprints to release.
+	quarantineInterval     = 50 * time.Millisecond
+	idleQuarantineInterval = time.Second
+)
+
+// replicated is a command of the log, or a snapshot of its state. A command holds either a configuration or fingerprints. The fields of the
+// configuration are not nested, so that entries from before the quarantine was replicated keep their meaning.
+type replicated struct {
+	routing.Configuration
+	// Quarantined lists the fingerprints of requests that are refused: in a command the new ones, in a snapshot all of them, oldest first.
+	Quarantined []uint64 `cbor:"16,keyasint,omitempty"`
+	Released    []uint64 `cbor:"17,keyasint,omitempty"`
+}
+
+// hasFingerprints reports whether a command changes the quarantine.
+func (command *replicated) hasFingerprints() bool {
+	return len(command.Quarantined)+len(command.Released) > 0
+}
+
+// quarantineState is the leader's evidence of requests that crash their targets, and the replicated list of those that are refused.
+type quarantineState struct {
+	detector *quarantine.Detector
+	// fingerprints are replicated, oldest first.
+	fingerprints []uint64
+	// releaseAt holds when the leader releases each fingerprint.
+	releaseAt map[uint64]time.Time
+	// evaluated is when the evidence was last evaluated, and isChanged is set when there is more since then.
+	evaluated time.Time
+	isChanged bool
+}
+
+func newQuarantineState() quarantineState {
+	return quarantineState{detector: quarantine.NewDetector(), releaseAt: make(map[uint64]time.Time)}
+}
+
+// resetEvidence makes a new leader count crashes from the routers' next reports, which repeat the recent ones.
+func (state *quarantineState) resetEvidence() {
+	state.detector = quarantine.NewDetector()
+	for _, fingerprint := range state.fingerprints {
+		state.detector.MarkBlamed(quarantine.Key(fingerprint))
+	}
+	clear(state.releaseAt)
+	state.isChanged = true
+}
+
+// recordCrash counts a target that crashed while it ran a request.
+func (ctl *Control) recordCrash(now time.Time, crash feed.Crash) {
+	specificity := crash.Part
+	if crash.Part == 0 {
+		specificity = quarantine.WholeRequest
+	}
+	isNew := ctl.quarantine.detector.RecordCrash(now, quarantine.Evidence{Key: quarantine.Key(crash.Fingerprint), Specificity: specificity,
+		Target: crash.Target, Incarnation: crash.Incarnation})
+	if isNew {
+		ctl.quarantine.isChanged = true
+		ctl.options.Log.Debug().Uint64("fingerprint", crash.Fingerprint).Int("part", crash.Part).Str("target", string(crash.Target)).
+			Msg("target crashed while it ran a request")
+	}
+}
+
+// maintainQuarantine proposes the quarantine of the fingerprints that the crashes point to, and the release of those whose time is over.
+func (ctl *Control) maintainQuarantine(now time.Time) {
+	state := &ctl.quarantine
+	interval := idleQuarantineInterval
+	if state.isChanged || len(ctl.feed.suspects) > 0 {
+		interval = quarantineInterval
+	}
+	if now.Sub(state.evaluated) < interval {
+		return
+	}
+	state.evaluated, state.isChanged = now, false
+	var command replicated
+	for _, blame := range state.detector.Decide(now) {
+		ctl.options.Log.Warn().Uint64("fingerprint", uint64(blame.Key)).Int("crashes", blame.Crashes).Bool("whole_request", blame.IsWhole).
+			Msg("requests crash their targets; they are refused from now on")
+		ctl.options.Metrics.Counter("requests_quarantined").Inc(1)
+		command.Quarantined = append(command.Quarantined, uint64(blame.Key))
+	}
+	for _, fingerprint := range state.fingerprints {
+		until, ok := state.releaseAt[fingerprint]
+		if !ok {
+			until = now.Add(quarantineTime)
+			state.releaseAt[fingerprint] = until
+		}
+		if !now.Before(until) {
+			command.Released = append(command.Released, fingerprint)
+		}
+	}
+	suspects := make([]uint64, 0)
+	for _, key := range state.detector.Suspects(now) {
+		suspects = append(suspects, uint64(key))
+	}
+	if !slices.Equal(suspects, ctl.feed.suspects) {
+		ctl.feed.suspects = suspects
+		ctl.feed.advance()
+	}
+	if !command.hasFingerprints() {
+		return
+	}
+	data, err := cbor.Marshal(&command)
+	if err != nil {
+		ctl.options.Log.Error().Err(err).Msg("quarantine can't be encoded")
+		return
+	}
+	// Without a commit this node loses its role, and the next leader decides anew.
+	ctl.batch = append(ctl.batch, queuedCommand{data, make(chan ProposeReply, 1)})
+}
+
+// applyQuarantine applies a committed change of the quarantine.
+func (ctl *Control) applyQuarantine(command *replicated) {
+	state := &ctl.quarantine
+	for _, fingerprint := range command.Quarantined {
+		state.detector.MarkBlamed(quarantine.Key(fingerprint))
+		if !slices.Contains(state.fingerprints, fingerprint) {
+			state.fingerprints = append(state.fingerprints, fingerprint)
+		}
+	}
+	dropped := command.Released
+	if surplus := len(state.fingerprints) - maxQuarantined; surplus > 0 {
+		dropped = append(dropped, state.fingerprints[:surplus]...)
+	}
+	for _, fingerprint := range dropped {
+		state.detector.Forget(quarantine.Key(fingerprint))
+		delete(state.releaseAt, fingerprint)
+	}
+	state.fingerprints = slices.DeleteFunc(slices.Clone(state.fingerprints), func(fingerprint uint64) bool { return slices.Contains(dropped, fingerprint) })
+	state.isChanged = true
+	ctl.options.Log.Info().Uints64("added", command.Quarantined).Uints64("released", dropped).Int("count", len(state.fingerprints)).
+		Msg("quarantine changed")
+	if !ctl.leaderSince.IsZero() {
+		ctl.feed.advance()
+	}
+}
+
+// quarantinedFingerprints returns the fingerprints that this node publishes: as the leader the replicated ones, as a relay the leader's.
+func (ctl *Control) quarantinedFingerprints() []uint64 {
+	if ctl.leaderSince.IsZero() {
+		return ctl.feed.quarantined
+	}
+	return ctl.quarantine.fingerprints
+}
+
+// recordAnswered clears the suspects that targets have answered.
+func (ctl *Control) recordAnswered(node celerylanding.NodeID, fingerprints []uint64) {
+	for _, fingerprint := range fingerprints {
+		ctl.quarantine.detector.RecordAnswered(quarantine.Key(fingerprint))
+		ctl.quarantine.isChanged = true
+		ctl.options.Log.Debug().Uint64("fingerprint", fingerprint).Str("reporter", string(node)).Msg("suspect was answered")
+	}
+}
--- a/control/relay.go
+++ b/control/relay.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	mutex    sync.Mutex
 	usage    map[feed.Unit]*unitTotal
 	crashes  []feed.Crash
+	answered []uint64
 	outcomes []feed.Outcome
 	routers  map[celerylanding.NodeID]*routerUsage
 	// sent is the last report, until the leader acknowledges it.
@@ -63,6 +65,11 @@
 	if len(reports.crashes) < maxPendingCrashes {
 		reports.crashes = append(reports.crashes, args.Crashes...)
 	}
+	for _, fingerprint := range args.Answered {
+		if !slices.Contains(reports.answered, fingerprint) {
+			reports.answered = append(reports.answered, fingerprint)
+		}
+	}
 	for _, outcome := range args.Outcomes {
 		outcome.Node = args.Node
 		reports.outcomes = append(reports.outcomes, outcome)
@@ -115,7 +122,7 @@
 		}
 		delete(reports.routers, id)
 	}
-	args := feed.WatchArgs{Crashes: reports.crashes, Outcomes: reports.outcomes, Routers: len(reports.routers)}
+	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Routers: len(reports.routers)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -125,7 +132,8 @@
 			delete(reports.usage, unit)
 		}
 	}
-	reports.crashes, reports.outcomes = nil, nil
+	// Routers repeat the answered suspects with each report while the leader lists them.
+	reports.crashes, reports.answered, reports.outcomes = nil, nil, nil
 	reports.sent = &args
 	return args
 }
@@ -181,7 +189,7 @@
 	// The leader has answered after the request was sent.
 	ctl.feed.contact = sent
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
-	ctl.feed.quarantined = reply.Quarantined
+	ctl.feed.quarantined, ctl.feed.suspects = reply.Quarantined, reply.Suspects
 	if reply.Revision > ctl.feed.revision {
 		ctl.feed.revision = reply.Revision
 		clear(ctl.feed.lists)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -104,6 +104,8 @@
 	Usage  []Usage `cbor:"6,keyasint,omitempty"`
 	// Crashes lists the detected crashes that no leader has acknowledged yet.
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	// Answered lists the suspects of the last reply that targets have recently answered without a crash.
+	Answered []uint64 `cbor:"11,keyasint,omitempty"`
 	// Outcomes count the results of requests to targets with recent failures.
 	Outcomes []Outcome `cbor:"8,keyasint,omitempty"`
 	// Relay is the peer address of a control node that passes the feed on to routers, "" for other nodes. Routers is the number of its routers,
@@ -128,12 +130,14 @@
 	Node celerylanding.NodeID `cbor:"5,keyasint,omitempty"`
 }
 
-// Crash reports that a request was running on an incarnation of a target when that crashed.
+// Crash reports that a request was running on an incarnation of a target when that crashed. Each fingerprint of a request makes a report.
 type Crash struct {
-	// Fingerprint is the same for all attempts of a request.
+	// Fingerprint is the same for all attempts of a request, or for all requests with a part of their prompts in common.
 	Fingerprint uint64                    `cbor:"1,keyasint"`
 	Target      celerylanding.TargetID    `cbor:"2,keyasint"`
 	Incarnation celerylanding.Incarnation `cbor:"3,keyasint"`
+	// Part is the position of the part in the prompt, from 1; zero for a whole request.
+	Part int `cbor:"4,keyasint,omitempty"`
 }
 
 // WatchReply holds the changes since the last reply.
@@ -149,8 +153,9 @@
 	Targets       *TargetList            `cbor:"7,keyasint,omitempty"`
 	// Routers is the number of nodes that currently serve callers.
 	Routers int `cbor:"8,keyasint,omitempty"`
-	// Quarantined lists the fingerprints of requests that crash their targets.
+	// Quarantined lists the fingerprints of requests and prompt parts that crash their targets, and Suspects those that may.
 	Quarantined []uint64 `cbor:"9,keyasint,omitempty"`
+	Suspects    []uint64 `cbor:"13,keyasint,omitempty"`
 	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
 	Relayed bool          `cbor:"10,keyasint,omitempty"`
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -107,7 +107,7 @@
 		// Bytes were not acknowledged, so the target or the network path to it is down for new connections too.
 		result = dispatch.ResultUnreachable
 	} else if !isDone {
-		handler.crashes.suspect(now, call, target.Endpoint())
+		handler.suspectCrash(now, call, target.Endpoint())
 	}
 	handler.picker.Done(now, target, resultOf(isDone, result))
 	if isDone {
@@ -175,7 +175,7 @@
 	now := handler.options.Clock()
 	isUnstamped := response.Status < http.StatusMultipleChoices && !reply.HasServerStamp
 	if err == nil && !isUnstamped && response.Status < http.StatusInternalServerError {
-		handler.picker.Done(now, target, dispatch.ResultAnswered)
+		handler.recordAnswer(now, call, target)
 		return false, nil
 	}
 	isDone := ctx.Err() != nil
@@ -184,7 +184,7 @@
 	if err != nil {
 		call.cause = "answer broke off"
 		if !isDone {
-			handler.crashes.suspect(now, call, target.Endpoint())
+			handler.suspectCrash(now, call, target.Endpoint())
 		}
 	}
 	if !isDone && handler.mayRetry(call) {
@@ -212,14 +212,21 @@
 	if err == nil {
 		_, err = io.Copy(writer, response)
 	}
-	result := dispatch.ResultAnswered
 	if err != nil {
-		call.isTruncated, call.cause, result = true, err.Error(), dispatch.ResultFailed
+		call.isTruncated, call.cause = true, err.Error()
+		handler.picker.Done(handler.options.Clock(), target, dispatch.ResultFailed)
+		return false, nil
 	}
-	handler.picker.Done(handler.options.Clock(), target, result)
+	handler.recordAnswer(handler.options.Clock(), call, target)
 	return false, nil
 }
 
+// recordAnswer records that the target has answered the request completely.
+func (handler *Handler) recordAnswer(now time.Time, call *call, target *feed.Target) {
+	handler.picker.Done(now, target, dispatch.ResultAnswered)
+	handler.crashes.recordAnswer(now, call)
+}
+
 // writeHeader forwards the status and the header of an answer.
 func (handler *Handler) writeHeader(writer http.ResponseWriter, call *call, response *upstream.Response, length int64) {
 	header := writer.Header()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -54,6 +54,9 @@
 	version uint64
 	viewAge time.Duration
 
+	// hashes are the fingerprints, once they are computed.
+	hashes []uint64
+
 	// The progress of the request, for retry decisions and the log line.
 	verdict celerylanding.Verdict
 	// sends counts the requests that were sent to targets; attempts that could not connect are not counted.
@@ -128,8 +131,8 @@
 	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
-	if handler.crashes.isQuarantined(now, call) {
-		return call, unavailable(celerylanding.ReasonQuarantined, 0, "the request has crashed the targets that ran it")
+	if cause := handler.crashes.quarantineCause(call); cause != "" {
+		return call, unavailable(celerylanding.ReasonQuarantined, 0, cause)
 	}
 	timeout := route.Timeout
 	if metadata.MaxWait > 0 {
--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,40 +14,67 @@
 const (
 	// crashWindow is the time after an interrupted exchange in which a refused connection counts as evidence that the target has crashed.
 	crashWindow = time.Second
-	// quarantineTime is how long a quarantined request is refused after the leader last published it as quarantined.
-	quarantineTime = 5 * time.Minute
+	// probeDelay is the time between an interrupted exchange and the probe of its target, in which the other exchanges break off too.
+	probeDelay = 20 * time.Millisecond
 	// maxSuspects is the largest number of interrupted exchanges that are kept.
 	maxSuspects = 1024
+	// answerMemory is the time for which an answered fingerprint is not blamed for a crash; it is kept for up to twice as long.
+	answerMemory = 10 * time.Second
+	// maxAnswered bounds the answered fingerprints that are kept for one answerMemory.
+	maxAnswered = 8192
 )
 
 // brokenExchange is an interrupted exchange, which may be due to a crash of the target.
 type brokenExchange struct {
-	crash feed.Crash
-	at    time.Time
+	endpoint     celerylanding.Endpoint
+	fingerprints []uint64
+	at           time.Time
 }
 
-// crashTracker finds the requests that were running on a target when it crashed, and stores the fingerprints of quarantined requests.
+// crashTracker finds the requests that were running on a target when it crashed, and holds the fingerprints of quarantined requests and
+// prompt parts.
 type crashTracker struct {
-	mutex     sync.Mutex
-	suspects  []brokenExchange
-	confirmed []feed.Crash
-	// quarantined maps the fingerprint of a request to the time until which the request is refused; each router stores these times because a
-	// new leader does not have them.
-	quarantined map[uint64]time.Time
+	mutex       sync.Mutex
+	suspects    []brokenExchange
+	confirmed   []feed.Crash
+	quarantined map[uint64]bool
+	// watched are the fingerprints that the leader suspects.
+	watched []uint64
+	// answered and answeredBefore hold the fingerprints of answered requests since rotatedAt and in the answerMemory before it.
+	answered, answeredBefore map[uint64]bool
+	rotatedAt                time.Time
+	// probed maps the addresses of probed targets to when they may be probed again.
+	probed map[string]time.Time
 }
 
-func newCrashTracker() *crashTracker { return &crashTracker{quarantined: make(map[uint64]time.Time)} }
+func newCrashTracker() *crashTracker {
+	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probed: make(map[string]time.Time)}
+}
 
-// fingerprint returns a hash that is the same for all attempts of a request, including retries by its caller.
-func (call *call) fingerprint() uint64 {
-	digest := xxhash.New()
-	parts := []string{call.host, call.method, call.requestURI, string(call.metadata.Model)}
-	for _, part := range call.metadata.PromptParts {
-		parts = append(parts, part.ID)
+// fingerprints returns hashes of what requests can have in common: the whole request, which is the same for all attempts, also by its caller,
+// and each part of its prompt but the last, which is the request's own. The first one is that of the whole request.
+func (call *call) fingerprints() []uint64 {
+	if call.hashes != nil {
+		return call.hashes
+	}
+	parts := call.metadata.PromptParts
+	shared := parts[:max(0, len(parts)-1)]
+	whole := []string{call.host, call.method, call.requestURI, string(call.metadata.Model)}
+	for _, part := range parts {
+		whole = append(whole, part.ID)
 	}
-	for _, part := range append(parts, string(call.body)) {
+	call.hashes = append(make([]uint64, 0, 1+len(shared)), hash(append(whole, string(call.body))...))
+	for _, part := range shared {
+		call.hashes = append(call.hashes, hash("prompt part", part.ID))
+	}
+	return call.hashes
+}
+
+func hash(texts ...string) uint64 {
+	digest := xxhash.New()
+	for _, text := range texts {
 		// Writing to a digest never fails.
-		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString(text)
 		_, _ = digest.WriteString("\x00")
 	}
 	return digest.Sum64()
@@ -59,8 +87,7 @@
 	if len(tracker.suspects) >= maxSuspects {
 		tracker.suspects = tracker.suspects[1:]
 	}
-	tracker.suspects = append(tracker.suspects, brokenExchange{feed.Crash{Fingerprint: call.fingerprint(), Target: endpoint.Target,
-		Incarnation: endpoint.Incarnation}, now})
+	tracker.suspects = append(tracker.suspects, brokenExchange{endpoint, call.fingerprints(), now})
 }
 
 // confirm records a crash for each recent suspect exchange with the target, after a connection to it was refused. It returns the number of
@@ -70,13 +97,13 @@
 	defer tracker.mutex.Unlock()
 	kept := tracker.suspects[:0]
 	for _, suspect := range tracker.suspects {
-		isSame := suspect.crash.Target == endpoint.Target && suspect.crash.Incarnation == endpoint.Incarnation
+		isSame := suspect.endpoint.Target == endpoint.Target && suspect.endpoint.Incarnation == endpoint.Incarnation
 		switch {
 		case now.Sub(suspect.at) > crashWindow:
 			expired++
 		case isSame:
 			confirmed++
-			tracker.confirmed = append(tracker.confirmed, suspect.crash)
+			tracker.report(suspect)
 		default:
 			kept = append(kept, suspect)
 		}
@@ -85,32 +112,114 @@
 	return confirmed, expired
 }
 
-// collect returns the confirmed crashes since the last call.
-func (tracker *crashTracker) collect() []feed.Crash {
+// report adds a crash for each fingerprint of the request that was not answered recently.
+func (tracker *crashTracker) report(suspect brokenExchange) {
+	for part, fingerprint := range suspect.fingerprints {
+		if !tracker.wasAnswered(fingerprint) {
+			tracker.confirmed = append(tracker.confirmed, feed.Crash{Fingerprint: fingerprint, Target: suspect.endpoint.Target,
+				Incarnation: suspect.endpoint.Incarnation, Part: part})
+		}
+	}
+}
+
+// beginProbe reports whether the target at an address is to be probed: not while a probe runs, nor soon after one that found it alive.
+func (tracker *crashTracker) beginProbe(now time.Time, address string) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if now.Before(tracker.probed[address]) {
+		return false
+	}
+	for other, until := range tracker.probed {
+		if !now.Before(until) {
+			delete(tracker.probed, other)
+		}
+	}
+	tracker.probed[address] = now.Add(crashWindow)
+	return true
+}
+
+// endProbe records the result of a probe. A target that refuses connections may be probed again at once, for exchanges that broke off late.
+func (tracker *crashTracker) endProbe(now time.Time, address string, isRefused bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.probed[address] = now
+	if !isRefused {
+		tracker.probed[address] = now.Add(crashWindow)
+	}
+}
+
+// collect returns the confirmed crashes since the last call, and the fingerprints that the leader suspects although requests with them were
+// answered recently.
+func (tracker *crashTracker) collect(now time.Time) (crashes []feed.Crash, answered []uint64) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	collected := tracker.confirmed
+	tracker.rotate(now)
+	for _, fingerprint := range tracker.watched {
+		if tracker.wasAnswered(fingerprint) {
+			answered = append(answered, fingerprint)
+		}
+	}
+	crashes = tracker.confirmed
 	tracker.confirmed = nil
-	return collected
+	return crashes, answered
 }
 
-// quarantine adds fingerprints of requests to refuse, and removes expired ones.
-func (tracker *crashTracker) quarantine(now time.Time, fingerprints []uint64) {
+// recordAnswer records that a target has answered the request completely.
+func (tracker *crashTracker) recordAnswer(now time.Time, call *call) {
+	fingerprints := call.fingerprints()
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	tracker.rotate(now)
 	for _, fingerprint := range fingerprints {
-		tracker.quarantined[fingerprint] = now.Add(quarantineTime)
-	}
-	for fingerprint, until := range tracker.quarantined {
-		if !now.Before(until) {
-			delete(tracker.quarantined, fingerprint)
+		if len(tracker.answered) < maxAnswered {
+			tracker.answered[fingerprint] = true
 		}
 	}
 }
 
-// isQuarantined reports whether the request has crashed too many targets.
-func (tracker *crashTracker) isQuarantined(now time.Time, call *call) bool {
+// rotate drops the fingerprints that were answered longer ago than answerMemory.
+func (tracker *crashTracker) rotate(now time.Time) {
+	if now.Sub(tracker.rotatedAt) < answerMemory {
+		return
+	}
+	if now.Sub(tracker.rotatedAt) < 2*answerMemory {
+		tracker.answeredBefore = tracker.answered
+	} else {
+		tracker.answeredBefore = make(map[uint64]bool)
+	}
+	tracker.answered, tracker.rotatedAt = make(map[uint64]bool), now
+}
+
+func (tracker *crashTracker) wasAnswered(fingerprint uint64) bool {
+	return tracker.answered[fingerprint] || tracker.answeredBefore[fingerprint]
+}
+
+// setQuarantine replaces the fingerprints to refuse, and those that the leader suspects.
+func (tracker *crashTracker) setQuarantine(quarantined, suspects []uint64) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.watched = suspects
+	tracker.quarantined = make(map[uint64]bool, len(quarantined))
+	for _, fingerprint := range quarantined {
+		tracker.quarantined[fingerprint] = true
+	}
+}
+
+// quarantineCause returns why the request is refused, or "" if it is not.
+func (tracker *crashTracker) quarantineCause(call *call) string {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return len(tracker.quarantined) > 0 && now.Before(tracker.quarantined[call.fingerprint()])
+	if len(tracker.quarantined) == 0 {
+		return ""
+	}
+	for part, fingerprint := range call.fingerprints() {
+		switch {
+		case !tracker.quarantined[fingerprint]:
+		case part == 0:
+			return "the request has crashed the targets that ran it"
+		default:
+			return "requests with part " + strconv.Quote(call.metadata.PromptParts[part-1].ID) + " of the prompt have crashed the targets that ran them"
+		}
+	}
+	return ""
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/upstream"
@@ -39,13 +40,15 @@
 
 // Handler is the HTTP handler that forwards callers' requests to targets.
 type Handler struct {
-	options  Options
-	state    *tableState
-	picker   *dispatch.Picker
-	budget   *dispatch.RetryBudget
-	waker    *waker
-	usage    *usageCounter
-	crashes  *crashTracker
+	options Options
+	state   *tableState
+	picker  *dispatch.Picker
+	budget  *dispatch.RetryBudget
+	waker   *waker
+	usage   *usageCounter
+	crashes *crashTracker
+	// probes are the connection attempts that find out whether a target has crashed.
+	probes   *tasks.Group
 	inFlight atomic.Int64
 	draining atomic.Bool
 	// refusesWaiting is set when requests that wait for a unit to load are refused, so that callers retry at another router.
@@ -68,6 +71,7 @@
 		waker:          newWaker(options.Node, options.Leader, options.Clock),
 		usage:          newUsageCounter(),
 		crashes:        newCrashTracker(),
+		probes:         tasks.New(requestsCtx),
 	}
 }
 
@@ -86,8 +90,41 @@
 // Usage returns the number of requests per unit, with the arrivals since the last call.
 func (handler *Handler) Usage() []feed.Usage { return handler.usage.collect() }
 
-// Crashes returns the crashes of targets during requests that were detected since the last call.
-func (handler *Handler) Crashes() []feed.Crash { return handler.crashes.collect() }
+// Crashes returns the crashes of targets during requests that were detected since the last call, and the suspects that targets have answered.
+func (handler *Handler) Crashes(now time.Time) (crashes []feed.Crash, answered []uint64) {
+	return handler.crashes.collect(now)
+}
+
+// suspectCrash records an interrupted exchange as a possible crash.
+func (handler *Handler) suspectCrash(now time.Time, call *call, endpoint celerylanding.Endpoint) {
+	handler.crashes.suspect(now, call, endpoint)
+	if !handler.crashes.beginProbe(now, endpoint.Address) {
+		return
+	}
+	// Without a probe, only the next request to the target would show that it has crashed; on a large site that takes seconds.
+	handler.probes.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, crashWindow)
+		defer cancel()
+		isRefused := sleep(ctx, probeDelay) && handler.options.Pool.RefusesConnections(ctx, handler.options.Clock(), endpoint.Address)
+		now := handler.options.Clock()
+		handler.crashes.endProbe(now, endpoint.Address, isRefused)
+		if isRefused {
+			handler.confirmCrash(now, endpoint)
+		}
+	})
+}
+
+// sleep waits for a time; it returns false if the context ends first.
+func sleep(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
 
 // confirmCrash records that the target refused a connection, and logs how many interrupted exchanges this explains.
 func (handler *Handler) confirmCrash(now time.Time, endpoint celerylanding.Endpoint) {
@@ -103,9 +140,9 @@
 // Outcomes returns the counts of answered and failed requests since the last call, for the targets with recent failures.
 func (handler *Handler) Outcomes(now time.Time) []feed.Outcome { return handler.picker.Outcomes(now) }
 
-// Quarantine refuses requests with these fingerprints for the quarantine time.
-func (handler *Handler) Quarantine(now time.Time, fingerprints []uint64) {
-	handler.crashes.quarantine(now, fingerprints)
+// SetQuarantine replaces the fingerprints of the requests to refuse, and those of the requests whose answers are to be reported.
+func (handler *Handler) SetQuarantine(quarantined, suspects []uint64) {
+	handler.crashes.setQuarantine(quarantined, suspects)
 }
 
 // InFlight returns the number of requests in flight.
@@ -120,6 +157,9 @@
 // CancelRequests cancels all requests in flight. A request whose answer has not begun gets an error status that depends on its verdict.
 func (handler *Handler) CancelRequests() { handler.cancelRequests() }
 
+// Close ends the handler's background work and waits for its end; requests are not affected.
+func (handler *Handler) Close() { <-handler.probes.Close() }
+
 // ServeHTTP forwards one request and writes the answer or a refusal.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	handler.inFlight.Add(1)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -51,6 +51,9 @@
 		if refusal := checkAttemptAllowed(now, call); refusal != nil {
 			return nil, refusal
 		}
+		if cause := handler.crashes.quarantineCause(call); cause != "" {
+			return nil, unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
+		}
 		target, unreachable := handler.picker.Pick(now, table, call.requirements())
 		if target != nil {
 			return target, nil
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -47,13 +47,13 @@
 	}
 	now := handler.options.Clock()
 	if err == nil {
-		handler.picker.Done(now, target, dispatch.ResultAnswered)
+		handler.recordAnswer(now, call, target)
 		return false, nil
 	}
 	isDone := ctx.Err() != nil
 	handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultFailed))
 	if !isDone && !errors.Is(err, errCallerDisconnected) {
-		handler.crashes.suspect(now, call, target.Endpoint())
+		handler.suspectCrash(now, call, target.Endpoint())
 	}
 	call.cause = err.Error()
 	if !isDone && handler.mayRetry(call) && (!call.hasStarted || call.lastEvent != "") {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -112,20 +113,35 @@
 		}
 		_ = conn.Close()
 	}
+	conn, err = pool.dial(ctx, address)
+	return conn, true, err
+}
+
+func (pool *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	dialed, err := pool.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
 	limit := &readLimit{reader: dialed}
-	conn = &pooledConn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+	conn := &pooledConn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
 	if tcp, ok := dialed.(*net.TCPConn); ok {
 		// Without the raw connection an idle connection can't be checked and is not reused.
 		conn.raw, _ = tcp.SyscallConn()
 	}
-	return conn, true, nil
+	return conn, nil
+}
+
+// RefusesConnections reports whether nothing listens at the address. A connection that is made is kept for the next request.
+func (pool *Pool) RefusesConnections(ctx context.Context, now time.Time, address string) bool {
+	conn, err := pool.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	pool.put(now, address, conn, 0)
+	return false
 }
 
 func (pool *Pool) takeIdle(address string) *pooledConn {
