Streams that end inside an event have been broken off, also without length or chunks

What callers saw: a stream that has neither a length nor chunks and is closed inside an event, or before its first event as by a crash, looked complete. Cause: the end of the connection counted as the end of the stream, and the rest was forwarded as it was. A stream that ends without length or chunks before its first event is an error too; with an explicit end it may be empty, as before.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// streamBuffer is the size of the read buffer of a stream in bytes.
-	streamBuffer = 4 << 10
-	// maxEventBytes bounds the size of an event; a target whose event is longer has failed.
-	maxEventBytes = 256 << 10
 	// minStallTimeout, stallObjectives and stallGaps define when a stream without a new event has stalled: after the longest of
 	// minStallTimeout, stallObjectives times the latency objective and stallGaps times the longest pause that the route allows between events.
 	// Callers wait no longer than that.
@@ -74,32 +70,23 @@
 // copyEvents forwards complete events until the stream ends, and then the remaining bytes. An error means that the stream ended early or
 // the caller disconnected.
 func (handler *Handler) copyEvents(writer http.ResponseWriter, call *call, response *upstream.Response, stall *stallTimer) error {
-	var partial []byte
-	buffer := make([]byte, streamBuffer)
+	reader := &eventReader{response: response, buffer: make([]byte, streamBuffer)}
 	for {
-		count, err := response.Read(buffer)
-		partial = append(partial, buffer[:count]...)
+		events, err := reader.next()
 		isEnd := errors.Is(err, io.EOF)
-		whole := completeEvents(partial)
-		if isEnd {
-			whole = len(partial)
-		}
-		if hasData(partial[:whole]) {
+		if hasData(events) {
 			stall.restart()
 		}
-		if whole > 0 || isEnd {
-			if err := handler.forwardEvents(writer, call, response, partial[:whole]); err != nil {
+		if len(events) > 0 || isEnd {
+			if err := handler.forwardEvents(writer, call, response, events); err != nil {
 				return err
 			}
-			partial = append(partial[:0], partial[whole:]...)
 		}
-		switch {
-		case isEnd:
+		if isEnd {
 			return nil
-		case err != nil:
-			return errors.Join(errStreamBroken, err)
-		case len(partial) > maxEventBytes:
-			return errEventTooLarge
+		}
+		if err != nil {
+			return err
 		}
 	}
 }
@@ -138,11 +125,6 @@
 	return stall.fired.Load()
 }
 
-// hasData reports whether one of the events has data; comments keep a connection open and are no progress.
-func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
-}
-
 // forwardEvents writes events to the caller and flushes them; the header is sent before the first ones.
 func (handler *Handler) forwardEvents(writer http.ResponseWriter, call *call, response *upstream.Response, events []byte) error {
 	if !call.hasStarted {
@@ -162,28 +144,18 @@
 }
 
 var (
-	errStreamBroken       = errors.New("stream broke off")
 	errStreamStalled      = errors.New("stream sent no event in time")
-	errEventTooLarge      = errors.New("event of the stream exceeds the limit")
 	errCallerDisconnected = errors.New("caller disconnected")
 )
 
-// completeEvents returns the length in bytes of the complete events at the start of the data.
-func completeEvents(data []byte) int {
-	if at := bytes.LastIndex(data, []byte("\n\n")); at >= 0 {
-		return at + 2
-	}
-	return 0
-}
-
 // recordLastEvent records the ID of the last event, for resuming the stream at another target.
 func (call *call) recordLastEvent(events []byte) {
 	at := bytes.LastIndex(events, []byte("id:"))
-	if at < 0 || (at > 0 && events[at-1] != '\n') {
+	if at < 0 || (at > 0 && events[at-1] != '\n' && events[at-1] != '\r') {
 		return
 	}
 	line := events[at+len("id:"):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+	if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
 		line = line[:end]
 	}
 	call.lastEvent = string(bytes.TrimSpace(line))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -57,7 +57,10 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body, or -1 when it is not known beforehand.
-	Length      int64
+	Length int64
+	// EndsWithConnection is set when the body has neither a length nor chunks, so that only the end of the connection ends it.
+	EndsWithConnection bool
+
 	body        io.Reader
 	pool        *Pool
 	conn        *pooledConn
@@ -103,6 +106,7 @@
 	}
 	answer := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
 		pool: pool, conn: conn, address: address, stopCancel: stop}
+	answer.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	answer.isReusable = !response.Close
 	answer.idleTimeout = keepAlive(response.Header)
 	return answer, nil
