--- a/call.go
+++ b/call.go
@@ -51,6 +51,9 @@
 	Load          TargetLoad
 	// Slots is the number of calls that the target runs concurrently; zero means that Load is not known.
 	Slots int
+	// Limit is the number of requests per second that the target takes from all nodes together, if HasLimit is set.
+	Limit    float64
+	HasLimit bool
 }
 
 // HeaderCodec translates between the header fields of one HTTP API and the metadata of calls.
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -78,6 +78,9 @@
 	// lateness is the average time to the first byte of an answer, in latency objectives, as of latenessAt.
 	lateness   float64
 	latenessAt time.Time
+	// limit is the number of requests per second that the target takes from all routers together, while hasLimit is set.
+	limit    float64
+	hasLimit bool
 }
 
 // Picker chooses targets; it is safe for concurrent use.
@@ -300,6 +303,16 @@
 	stats.load, stats.slots, stats.loadReportedAt, stats.sentSinceLoad = load, slots, now, 0
 }
 
+// RecordLimit records the limit on requests per second that a target's answer names, or that it names none. It reports whether this is new.
+func (picker *Picker) RecordLimit(target *feed.Target, limit float64, hasLimit bool) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	stats := picker.statsOf(target)
+	isNew := stats.hasLimit != hasLimit || (hasLimit && stats.limit != limit)
+	stats.limit, stats.hasLimit = limit, hasLimit
+	return isNew
+}
+
 // InFlight returns the number of this router's requests in flight on the target.
 func (picker *Picker) InFlight(target *feed.Target) int {
 	picker.mutex.Lock()
