--- a/tests/crashing_part_test.go
+++ b/tests/crashing_part_test.go
@@ -105,7 +105,7 @@
 // after all processes were killed.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
 	log := &crashLog{sound: make(map[time.Time]bool)}
-	fleet := newFleet(t, 6, fake.Options{OnArrival: log.arrive, Crashes: log.crash})
+	fleet := newFleet(t, 6, func(int) fake.Options { return fake.Options{OnArrival: log.arrive, Crashes: log.crash} })
 	soundCtx, stopSound := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for caller := range 6 {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -58,8 +58,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, int(fleet.number)+kind, number+1)
 }
 
-// newFleet starts the processes and engines, and returns once all routers are ready. Options holds what all engines have in common.
-func newFleet(t *testing.T, engines int, options fake.Options) *fleet {
+// newFleet starts the processes and engines, and returns once all routers are ready; options returns those of each engine.
+func newFleet(t *testing.T, engines int, options func(number int) fake.Options) *fleet {
 	t.Helper()
 	const addressBlocks = 3
 	fleet := &fleet{t: t, number: siteCount.Add(addressBlocks) - addressBlocks + 1, models: []string{"m0", "m1"}}
@@ -88,7 +88,7 @@
 		fleet.engines.Wait()
 	})
 	for i := range engines {
-		fleet.engines.Go(func() { fleet.runEngine(ctx, i, options) })
+		fleet.engines.Go(func() { fleet.runEngine(ctx, i, options(i)) })
 	}
 	fleet.awaitReady()
 	return fleet
@@ -187,6 +187,12 @@
 
 // stream sends a request for a stream with the given parts of its prompt to a random router, and reports whether it got the whole answer.
 func (fleet *fleet) stream(ctx context.Context, id string, parts ...string) bool {
+	status, body := fleet.request(ctx, id, parts...)
+	return status == http.StatusOK && body == fake.StreamBody(id)
+}
+
+// request sends a request for a stream to a random router and returns status and body of the answer; status 0 stands for a failed call.
+func (fleet *fleet) request(ctx context.Context, id string, parts ...string) (int, string) {
 	const timeout = 2 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -194,7 +200,7 @@
 	request, err := fake.NewRequest(ctx, router.ip+":8149", fake.PathStream, id, fleet.models[rand.IntN(len(fleet.models))], timeout)
 	if err != nil {
 		fleet.t.Error(err)
-		return false
+		return 0, ""
 	}
 	sized := make([]string, 0, len(parts))
 	for _, part := range parts {
@@ -203,9 +209,12 @@
 	request.Header.Set("X-Celerylanding-Prompt-Prefix", strings.Join(sized, ","))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && string(body) == fake.StreamBody(id)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
 }
