--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -19,7 +19,7 @@
 	maxQuarantined = 256
 	// quarantineInterval is the time between two evaluations while there is new evidence or a suspect, and idleQuarantineInterval that between
 	// two checks for fingerprints to release.
-	quarantineInterval     = 50 * time.Millisecond
+	quarantineInterval     = 100 * time.Millisecond
 	idleQuarantineInterval = time.Second
 )
 
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -20,6 +20,8 @@
 	tieTimeout = 500 * time.Millisecond
 	// evidenceTTL is how long a crash is kept.
 	evidenceTTL = 10 * time.Minute
+	// maxRankingAge is how long the order of the keys is kept without a change, before crashes that have become too old are dropped.
+	maxRankingAge = time.Second
 	// maxCrashes bounds the crashes that are kept; the oldest one is dropped first.
 	maxCrashes = 256
 	// maxSuspects bounds the list of suspects, which every reply to a router contains.
@@ -60,6 +62,9 @@
 	// crashes are the recent crashes, oldest first.
 	crashes []*crash
 	blamed  map[Key]bool
+	// ranking holds the candidates as of rankedAt; nil after a change.
+	ranking  []candidate
+	rankedAt time.Time
 	// tiedSince is when the keys with the most crashes were first found to be several; zero if they are not.
 	tiedSince time.Time
 }
@@ -84,14 +89,17 @@
 	}
 	if detector.blamed[evidence.Key] {
 		entry.keys = nil
+		detector.ranking = nil
 		return false
 	}
 	entry.keys[evidence.Key] = evidence.Specificity
+	detector.ranking = nil
 	return true
 }
 
 // RecordAnswered clears a key: a target has answered a request with it and did not crash.
 func (detector *Detector) RecordAnswered(key Key) {
+	detector.ranking = nil
 	for _, entry := range detector.crashes {
 		delete(entry.keys, key)
 	}
@@ -100,6 +108,7 @@
 // MarkBlamed makes all crashes with the key count as explained by it, those that are reported later included.
 func (detector *Detector) MarkBlamed(key Key) {
 	detector.blamed[key] = true
+	detector.ranking = nil
 	for _, entry := range detector.crashes {
 		if _, ok := entry.keys[key]; ok {
 			entry.keys = nil
@@ -122,6 +131,13 @@
 
 // candidates returns the keys of the unexplained crashes, those with the most crashes first, and the most specific first among equals.
 func (detector *Detector) candidates(now time.Time) []candidate {
+	if detector.ranking == nil || now.Sub(detector.rankedAt) > maxRankingAge {
+		detector.ranking, detector.rankedAt = detector.rank(now), now
+	}
+	return detector.ranking
+}
+
+func (detector *Detector) rank(now time.Time) []candidate {
 	detector.crashes = slices.DeleteFunc(detector.crashes, func(entry *crash) bool { return now.Sub(entry.at) > evidenceTTL })
 	byKey := make(map[Key]*candidate)
 	unexplained := 0
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -155,6 +155,18 @@
 	}
 }
 
+// TestOldCrashesAreDropped guards against a part that is blamed for crashes of long ago.
+func TestOldCrashesAreDropped(t *testing.T) {
+	detector := quarantine.NewDetector()
+	crash(detector, start, 0, harmful)
+	crash(detector, start, 1, harmful)
+	assert.Equal(t, len(detector.Suspects(start)), 1)
+	later := start.Add(11 * time.Minute)
+	assert.Equal(t, len(detector.Suspects(later)), 0)
+	crash(detector, later, 2, harmful)
+	assert.Equal(t, len(detector.Decide(later)), 0)
+}
+
 // BenchmarkDecide measures one evaluation in a storm of crashes that nothing explains: 256 targets with 16 requests of three parts each.
 func BenchmarkDecide(b *testing.B) {
 	detector := quarantine.NewDetector()
@@ -164,6 +176,8 @@
 		}
 	}
 	for b.Loop() {
+		detector.RecordAnswered(whole)
+		detector.Decide(start)
 		detector.Suspects(start)
 	}
 }
