Routers keep a target's requests within the limit that it announces

Cause: nothing read the limit. Ruled out by the logs: a limit that is obeyed by each router alone, and one that a restart forgets. Reading it alone would not help, since each router sends a target about one request a second.

Change: routers report limits, demand and sends; the leader publishes limits with the sums; each router lets the share of its requests pass that the rest of the budget is of the demand. Targets without a limit come first; what only limited targets could serve waits for a part of its latency objective, is loaded elsewhere, or is refused at once with a delay. Busy models get replicas on engines without a limit.

Why it works: all routers use the same sums, and the budget counts what was sent, so that few requests of each of many routers add up within it; unknown sends at a change of the leader count as half of the limit.

--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/quorum/wal"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
 )
 
 const (
@@ -77,6 +78,8 @@
 	feed       feedState
 	relay      *relayReports
 	quarantine quarantineState
+	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
+	limits *throttle.Ledger
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
 	handover    handover
@@ -117,6 +120,7 @@
 		planner:    loadplan.New(time.Time{}),
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: newQuarantineState(),
+		limits:     throttle.NewLedger(),
 		relay:      newRelayReports(),
 	}
 	ctl.feed = newFeedState()
--- a/control/feed.go
+++ b/control/feed.go
@@ -61,6 +61,9 @@
 	// are the fingerprints whose answers routers report.
 	quarantined []uint64
 	suspects    []uint64
+	// limits lists the targets with a limit on requests, as of limitsAt; another node than the leader has it from the leader.
+	limits   []feed.TargetLimit
+	limitsAt time.Time
 	// routerTotal is the number of all routers, as the leader has sent it.
 	routerTotal int
 	// relayAddresses are the relays that the leader has named.
@@ -166,6 +169,9 @@
 		ctl.recordCrash(now, crash)
 	}
 	ctl.recordAnswered(args.Node, args.Answered)
+	for _, report := range args.Limits {
+		ctl.recordLimit(now, report)
+	}
 	for _, outcome := range args.Outcomes {
 		node := outcome.Node
 		if node == "" {
@@ -264,6 +270,7 @@
 		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects}
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
+		reply.Limits = ctl.publishedLimits(now)
 		reply.Routers = ctl.feed.countRouters()
 		if args.Router || args.Relay != "" {
 			reply.Relays = ctl.relayCandidates(now)
@@ -271,6 +278,7 @@
 	} else {
 		reply.Relayed, reply.Age = true, now.Sub(ctl.feed.contact)
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
+		reply.Limits = ctl.feed.limits
 	}
 	if withConfiguration {
 		configuration := *ctl.configuration
--- a/control/leader.go
+++ b/control/leader.go
@@ -8,6 +8,7 @@
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/throttle"
 	"celerylanding.example/celerylanding/watch"
 )
 
@@ -103,6 +104,7 @@
 		ctl.planner = loadplan.New(now.Add(time.Duration(startupShare * float64(ctl.options.TargetSilence))))
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
+		ctl.limits = throttle.NewLedger()
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
--- a/control/relay.go
+++ b/control/relay.go
@@ -25,10 +25,12 @@
 	usage    map[feed.Unit]*unitTotal
 	crashes  []feed.Crash
 	answered []uint64
+	limits   map[limitKey]*limitTotal
 	outcomes []feed.Outcome
 	routers  map[celerylanding.NodeID]*routerUsage
 	// sent is the last report, until the leader acknowledges it.
-	sent *feed.WatchArgs
+	sent   *feed.WatchArgs
+	sentAt time.Time
 }
 
 // unitTotal is the sum of the routers' usage of a unit.
@@ -45,7 +47,8 @@
 }
 
 func newRelayReports() *relayReports {
-	return &relayReports{usage: make(map[feed.Unit]*unitTotal), routers: make(map[celerylanding.NodeID]*routerUsage)}
+	return &relayReports{usage: make(map[feed.Unit]*unitTotal), routers: make(map[celerylanding.NodeID]*routerUsage),
+		limits: make(map[limitKey]*limitTotal)}
 }
 
 // add adds the report of a router.
@@ -70,12 +73,56 @@
 			reports.answered = append(reports.answered, fingerprint)
 		}
 	}
+	for _, report := range args.Limits {
+		reports.addLimit(now, report)
+	}
 	for _, outcome := range args.Outcomes {
 		outcome.Node = args.Node
 		reports.outcomes = append(reports.outcomes, outcome)
 	}
 }
 
+// limitKey identifies an incarnation of a target.
+type limitKey struct {
+	target      celerylanding.TargetID
+	incarnation celerylanding.Incarnation
+}
+
+// limitTotal is the sum of the routers' demand for a target, with what its latest answer named.
+type limitTotal struct {
+	feed.LimitReport
+	answeredAt time.Time
+}
+
+// addLimit adds a router's demand for a target, and keeps the latest of the answers.
+func (reports *relayReports) addLimit(now time.Time, report feed.LimitReport) {
+	key := limitKey{report.Target, report.Incarnation}
+	total := reports.limits[key]
+	if total == nil {
+		total = &limitTotal{LimitReport: feed.LimitReport{Target: report.Target, Incarnation: report.Incarnation}}
+		reports.limits[key] = total
+	}
+	total.Wanted += report.Wanted
+	total.Sent += report.Sent
+	answeredAt := now.Add(-report.Age)
+	if report.IsAnswered && !answeredAt.Before(total.answeredAt) {
+		total.IsAnswered, total.HasLimit, total.Limit, total.answeredAt = true, report.HasLimit, report.Limit, answeredAt
+	}
+}
+
+// takeLimits returns the demand since the last call with the age of the answers.
+func (reports *relayReports) takeLimits(now time.Time) []feed.LimitReport {
+	var list []feed.LimitReport
+	for _, total := range reports.limits {
+		if total.IsAnswered {
+			total.Age = now.Sub(total.answeredAt)
+		}
+		list = append(list, total.LimitReport)
+	}
+	clear(reports.limits)
+	return list
+}
+
 func (reports *relayReports) addArrivals(usage feed.Usage) {
 	total := reports.total(usage.Unit)
 	total.Arrivals += usage.Arrivals
@@ -122,7 +169,8 @@
 		}
 		delete(reports.routers, id)
 	}
-	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Routers: len(reports.routers)}
+	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Routers: len(reports.routers),
+		Limits: reports.takeLimits(now)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -134,7 +182,7 @@
 	}
 	// Routers repeat the answered suspects with each report while the leader lists them.
 	reports.crashes, reports.answered, reports.outcomes = nil, nil, nil
-	reports.sent = &args
+	reports.sent, reports.sentAt = &args, now
 	return args
 }
 
@@ -149,6 +197,9 @@
 	}
 	reports.crashes = append(reports.sent.Crashes, reports.crashes...)
 	reports.outcomes = append(reports.sent.Outcomes, reports.outcomes...)
+	for _, report := range reports.sent.Limits {
+		reports.addLimit(reports.sentAt, report)
+	}
 	reports.sent = nil
 }
 
@@ -189,7 +240,7 @@
 	// The leader has answered after the request was sent.
 	ctl.feed.contact = sent
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
-	ctl.feed.quarantined, ctl.feed.suspects = reply.Quarantined, reply.Suspects
+	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Limits
 	if reply.Revision > ctl.feed.revision {
 		ctl.feed.revision = reply.Revision
 		clear(ctl.feed.lists)
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -177,3 +177,27 @@
 		assert.Assert(t, !control.IsSameView(&before, &changed))
 	}
 }
+
+// TestRelaySumsTheDemandForLimitedTargets guards against limits that are exceeded on large sites, whose routers report to relays: demand must
+// not be lost with a reply, and the latest answer of a target counts.
+func TestRelaySumsTheDemandForLimitedTargets(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reports := control.NewRelayReports()
+	report := feed.LimitReport{Target: "t", Incarnation: 1, IsAnswered: true, HasLimit: true, Limit: 2, Wanted: 3, Sent: 1}
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Limits: []feed.LimitReport{report}})
+	ended := feed.LimitReport{Target: "t", Incarnation: 1, IsAnswered: true, Age: time.Second, Wanted: 2, Sent: 2}
+	reports.Add(now, &feed.WatchArgs{Node: "r2", Limits: []feed.LimitReport{ended, {Target: "u", Incarnation: 1, Wanted: 1}}})
+	reports.Collect(now)
+	now = now.Add(100 * time.Millisecond)
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Limits: []feed.LimitReport{{Target: "t", Incarnation: 1, Wanted: 1, Sent: 1}}})
+	limits := reports.Collect(now).Limits
+	assert.Equal(t, len(limits), 2)
+	for _, limit := range limits {
+		if limit.Target == "t" {
+			assert.DeepEqual(t, limit, feed.LimitReport{Target: "t", Incarnation: 1, IsAnswered: true, Age: 100 * time.Millisecond, HasLimit: true,
+				Limit: 2, Wanted: 6, Sent: 4})
+		}
+	}
+	reports.Acknowledge()
+	assert.Equal(t, len(reports.Collect(now).Limits), 0)
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -75,7 +75,7 @@
 func TestLoadIsSpread(t *testing.T) {
 	roster := dispatch.NewRoster()
 	table := roster.Apply(start, reply(1, 1, target("a", 1, "m"), target("b", 1, "m"), target("c", 1, "m")))
-	picker := dispatch.NewPicker("d1")
+	picker := dispatch.NewPicker("n", "d1")
 	counts := make(map[celerylanding.TargetID]int)
 	for i := range 30 {
 		picked, _ := picker.Pick(start, table, dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: fmt.Sprint(i % 5)})
@@ -90,8 +90,8 @@
 	roster := dispatch.NewRoster()
 	table := roster.Apply(start, reply(1, 1, target("a", 1, "m"), target("b", 1, "m"), target("c", 1, "m")))
 	needs := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 6000}
-	first, _ := dispatch.NewPicker("d1").Pick(start, table, needs)
-	second, _ := dispatch.NewPicker("d1").Pick(start, table, needs)
+	first, _ := dispatch.NewPicker("n", "d1").Pick(start, table, needs)
+	second, _ := dispatch.NewPicker("n", "d1").Pick(start, table, needs)
 	assert.Equal(t, first.ID, second.ID, "two routers choose the same target without communicating")
 }
 
@@ -100,7 +100,7 @@
 func TestLateTargetLosesItsAffinity(t *testing.T) {
 	table := dispatch.NewRoster().Apply(start, reply(1, 1, target("t", 1, "m"), target("u", 1, "m")))
 	needs := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 9000}
-	picker := dispatch.NewPicker("d1")
+	picker := dispatch.NewPicker("n", "d1")
 	now := start
 	pick := func() *feed.Target {
 		chosen, _ := picker.Pick(now, table, needs)
@@ -125,7 +125,7 @@
 func TestUnreachableTargetsBackOff(t *testing.T) {
 	roster := dispatch.NewRoster()
 	table := roster.Apply(start, reply(1, 1, target("a", 1)))
-	picker := dispatch.NewPicker("d1")
+	picker := dispatch.NewPicker("n", "d1")
 	picked, _ := picker.Pick(start, table, dispatch.Requirements{Service: "s"})
 	picker.Done(start, picked, dispatch.ResultUnreachable)
 	picked, unreachable := picker.Pick(start.Add(10*time.Millisecond), table, dispatch.Requirements{Service: "s"})
@@ -142,7 +142,7 @@
 func TestFailingTargetsAreAvoided(t *testing.T) {
 	roster := dispatch.NewRoster()
 	table := roster.Apply(start, reply(1, 1, target("a", 1), target("b", 1)))
-	picker := dispatch.NewPicker("d1")
+	picker := dispatch.NewPicker("n", "d1")
 	counts := make(map[celerylanding.TargetID]int)
 	for i := range 40 {
 		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
@@ -192,7 +192,7 @@
 	healthy := feed.Target{ID: "healthy", Incarnation: 1, Service: "s", Slots: 4, Loaded: []feed.LoadedModel{{Model: "m"}}}
 	unit := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}}
 
-	picker := dispatch.NewPicker("d")
+	picker := dispatch.NewPicker("n", "d")
 	for range 8 {
 		target, _ := picker.Pick(now, table(healthy), unit)
 		assert.Equal(t, target.ID, healthy.ID)
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -10,6 +10,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/throttle"
 )
 
 const (
@@ -38,6 +39,9 @@
 	// crossDomainCost is the cost of a target in another failure domain, as a share of its slots: traffic between domains is expensive, and the
 	// domains may be partitioned at any moment.
 	crossDomainCost = 0.12
+	// limitedCost is the cost of a target that announces a limit on requests, as a share of its slots. What it takes is left to the requests that
+	// can't run elsewhere.
+	limitedCost = 0.5
 	// longPrompt is the number of tokens from which the prefill of an uncached prompt takes a large part of the time to the first event.
 	longPrompt = 2000
 	// cacheMissCost and longCacheMissCost are the costs of a target whose prompt cache lacks a short or a long prompt, as shares of its slots.
@@ -55,6 +59,8 @@
 	PromptTokens int
 	// Excluded lists the targets that have refused or failed the request.
 	Excluded []celerylanding.TargetID
+	// AvoidsLimits excludes the targets that announce a limit on requests.
+	AvoidsLimits bool
 }
 
 // targetStats holds this router's observations of one incarnation of a target.
@@ -78,9 +84,6 @@
 	// lateness is the average time to the first byte of an answer, in latency objectives, as of latenessAt.
 	lateness   float64
 	latenessAt time.Time
-	// limit is the number of requests per second that the target takes from all routers together, while hasLimit is set.
-	limit    float64
-	hasLimit bool
 }
 
 // Picker chooses targets; it is safe for concurrent use.
@@ -88,11 +91,12 @@
 	domain celerylanding.FailureDomain
 	mutex  sync.Mutex
 	stats  map[celerylanding.TargetID]*targetStats
+	gate   *throttle.Gate
 }
 
-// NewPicker returns a picker for a router in the failure domain.
-func NewPicker(domain celerylanding.FailureDomain) *Picker {
-	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats)}
+// NewPicker returns a picker for the router of a node in the failure domain.
+func NewPicker(node celerylanding.NodeID, domain celerylanding.FailureDomain) *Picker {
+	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats), gate: throttle.NewGate(node)}
 }
 
 // Pick returns the target with the lowest cost for the request, and counts the request as in flight there until Done. The target is nil if
@@ -104,10 +108,10 @@
 	}
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	target, unreachable = picker.choose(now, table, candidates, needs, false)
+	target, unreachable = picker.chooseWithinLimits(now, table, candidates, needs, false)
 	if target == nil && needs.Unit.Model == "" {
 		// No other target of the plain service is usable, so an outlier is tried.
-		target, _ = picker.choose(now, table, candidates, needs, true)
+		target, _ = picker.chooseWithinLimits(now, table, candidates, needs, true)
 	}
 	if target == nil {
 		return nil, unreachable
@@ -118,6 +122,19 @@
 	return target, nil
 }
 
+// chooseWithinLimits returns the candidate with the lowest cost among those whose limits allow the request, and the candidates that are in
+// backoff, silent or outliers.
+func (picker *Picker) chooseWithinLimits(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (best *feed.Target,
+	unreachable []celerylanding.Endpoint) {
+	for {
+		best, unreachable = picker.choose(now, table, candidates, needs, allowOutliers)
+		if best == nil || picker.gate.Allow(now, best, table.Routers()) {
+			return best, unreachable
+		}
+		needs.Excluded = append(slices.Clip(needs.Excluded), best.ID)
+	}
+}
+
 // choose returns the candidate with the lowest cost, and the candidates that are in backoff, silent or outliers.
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (best *feed.Target,
 	unreachable []celerylanding.Endpoint) {
@@ -129,7 +146,7 @@
 			unreachable = append(unreachable, candidate.Endpoint())
 			continue
 		}
-		if slices.Contains(needs.Excluded, candidate.ID) {
+		if slices.Contains(needs.Excluded, candidate.ID) || (needs.AvoidsLimits && picker.isLimited(now, candidate)) {
 			continue
 		}
 		cost := picker.cost(now, table, candidate, stats)
@@ -232,6 +249,9 @@
 	if target.Domain != picker.domain {
 		cost += crossDomainCost
 	}
+	if picker.isLimited(now, target) {
+		cost += limitedCost
+	}
 	return cost
 }
 
@@ -303,16 +323,6 @@
 	stats.load, stats.slots, stats.loadReportedAt, stats.sentSinceLoad = load, slots, now, 0
 }
 
-// RecordLimit records the limit on requests per second that a target's answer names, or that it names none. It reports whether this is new.
-func (picker *Picker) RecordLimit(target *feed.Target, limit float64, hasLimit bool) bool {
-	picker.mutex.Lock()
-	defer picker.mutex.Unlock()
-	stats := picker.statsOf(target)
-	isNew := stats.hasLimit != hasLimit || (hasLimit && stats.limit != limit)
-	stats.limit, stats.hasLimit = limit, hasLimit
-	return isNew
-}
-
 // InFlight returns the number of this router's requests in flight on the target.
 func (picker *Picker) InFlight(target *feed.Target) int {
 	picker.mutex.Lock()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -112,6 +112,33 @@
 	// and Usage the sum of theirs.
 	Relay   string `cbor:"9,keyasint,omitempty"`
 	Routers int    `cbor:"10,keyasint,omitempty"`
+	// Limits report what targets say of the requests that they take, and the demand for those with a limit.
+	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
+}
+
+// LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
+type LimitReport struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+	// IsAnswered is set if the target has answered lately, Age ago; HasLimit and Limit, in requests per second, are what this answer named.
+	IsAnswered bool          `cbor:"3,keyasint,omitempty"`
+	Age        time.Duration `cbor:"4,keyasint,omitempty"`
+	HasLimit   bool          `cbor:"5,keyasint,omitempty"`
+	Limit      float64       `cbor:"6,keyasint,omitempty"`
+	// Wanted is the number of requests for which the target was the best choice since the last report, and Sent that of those that were sent.
+	Wanted int `cbor:"7,keyasint,omitempty"`
+	Sent   int `cbor:"8,keyasint,omitempty"`
+}
+
+// TargetLimit is the limit on requests that a target announces, and the demand for it.
+type TargetLimit struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+	// Limit and Demand are requests per second of all routers together.
+	Limit  float64 `cbor:"3,keyasint"`
+	Demand float64 `cbor:"4,keyasint"`
+	// Sent is the number of requests that all routers have sent in the last 4 s.
+	Sent int `cbor:"5,keyasint,omitempty"`
 }
 
 // RelayAddress is a control node from which routers can receive the feed.
@@ -156,6 +183,8 @@
 	// Quarantined lists the fingerprints of requests and prompt parts that crash their targets, and Suspects those that may.
 	Quarantined []uint64 `cbor:"9,keyasint,omitempty"`
 	Suspects    []uint64 `cbor:"13,keyasint,omitempty"`
+	// Limits lists the targets that announce a limit on requests.
+	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
 	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
 	Relayed bool          `cbor:"10,keyasint,omitempty"`
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
--- a/loadplan/cost.go
+++ b/loadplan/cost.go
@@ -28,6 +28,11 @@
 	adapterEvictionCost = 0.3
 	// storeLoadCost is the cost in seconds of a load from the store in addition to its time, since all engines share the store.
 	storeLoadCost = 3.0
+	// limitedEngineCost is the cost in seconds for each waiting request of an engine that announces a limit on requests: it may have to be loaded
+	// elsewhere soon, which takes a load from disk and the time to notice.
+	limitedEngineCost = 2.0
+	// maxLimitShare is the share of an engine's limit up to which the requests of one model leave room for the engine's other models.
+	maxLimitShare = 0.25
 )
 
 // victim is a resident that can be evicted.
@@ -122,7 +127,7 @@
 		return 0
 	}
 	urgency := planner.modelUrgency(now, eng.service, id)
-	others := planner.replicas(eng.service, id) - 1
+	others := planner.replicas(now, eng.service, id) - 1
 	cost := 0.0
 	if now.Sub(eng.residents[id].loadedAt) < minResidency {
 		cost = 2
@@ -188,11 +193,12 @@
 	return shortest
 }
 
-// replicas counts the available engines on which the model is loaded and not draining.
-func (planner *Planner) replicas(service celerylanding.ServiceID, id celerylanding.ModelID) int {
+// replicas counts the available engines on which the model is loaded and not draining. An engine that announces a limit counts for a model
+// whose requests take a small part of it.
+func (planner *Planner) replicas(now time.Time, service celerylanding.ServiceID, id celerylanding.ModelID) int {
 	count := 0
 	for _, eng := range planner.index.holders(service, id) {
-		if eng.isAvailable() && !eng.residents[id].draining {
+		if eng.isAvailable() && !eng.residents[id].draining && (!eng.isLimited || planner.modelRate(now, service, id) <= maxLimitShare*eng.limit) {
 			count++
 		}
 	}
--- a/loadplan/engine.go
+++ b/loadplan/engine.go
@@ -36,7 +36,10 @@
 	// sequence is the sequence number of the last announcement whose inventory was applied.
 	sequence uint64
 	// suspect is set when the engine does not answer orders or another target answers at its address, until its next announcement.
-	suspect   bool
+	suspect bool
+	// limit is the number of requests per second that the engine takes, while isLimited is set.
+	limit     float64
+	isLimited bool
 	residents map[celerylanding.ModelID]*resident
 	// cached holds the models whose weights the engine has a local copy of.
 	cached map[celerylanding.ModelID]copyTiers
--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -189,6 +189,14 @@
 	}
 }
 
+// SetLimit records the number of requests per second that an engine takes, or that it announces no limit. Loads then prefer other engines, and a
+// replica of a busy model there does not count.
+func (planner *Planner) SetLimit(id celerylanding.TargetID, limit float64, isLimited bool) {
+	if eng := planner.engines[id]; eng != nil {
+		eng.limit, eng.isLimited = limit, isLimited
+	}
+}
+
 // MarkDiscoveryComplete declares that the engines known so far include all that an earlier leader knew, so that orders need not wait for
 // discovery.
 func (planner *Planner) MarkDiscoveryComplete() { planner.isDiscoveryComplete = true }
--- a/loadplan/step.go
+++ b/loadplan/step.go
@@ -282,7 +282,7 @@
 		if serving == nil {
 			continue
 		}
-		replicas := planner.replicas(key.service, key.unit.Model)
+		replicas := planner.replicas(now, key.service, key.unit.Model)
 		if desired := planner.desiredReplicas(now, serving.spec, key.service, key.unit.Model); replicas < desired {
 			short = append(short, shortage{key, replicas, desired})
 		}
@@ -291,7 +291,8 @@
 		return cmp.Or(cmp.Compare(a.key.service, b.key.service), cmp.Compare(a.key.unit.Model, b.key.unit.Model))
 	})
 	for _, need := range short {
-		for replica := need.replicas; replica < need.desired; replica++ {
+		// Number 0 is the load for waiting requests.
+		for replica := need.replicas + 1; replica <= need.desired; replica++ {
 			planner.queueReplica(now, need.key, replica)
 		}
 	}
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -150,6 +150,9 @@
 		return
 	}
 	cost, ok := search.planner.cost(search.now, eng, search.load, search.lowest)
+	if eng.isLimited {
+		cost += limitedEngineCost * float64(max(1, search.load.count()))
+	}
 	if ok && (cost < search.lowest || (cost == search.lowest && eng.endpoint.Target < search.best.endpoint.Target)) {
 		search.best, search.lowest = eng, cost
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -49,7 +49,7 @@
 	if reply.Slots > 0 {
 		handler.picker.UpdateLoad(handler.options.Clock(), target, reply.Load, reply.Slots)
 	}
-	if handler.picker.RecordLimit(target, reply.Limit, reply.HasLimit) {
+	if handler.picker.RecordLimit(handler.options.Clock(), target, reply.Limit, reply.HasLimit) {
 		handler.options.Log.Info().Str("target", string(target.ID)).Bool("limited", reply.HasLimit).Float64("per_second", reply.Limit).
 			Msg("target changed its limit on requests")
 		handler.options.Metrics.Counter("target_limit_changes").Inc(1)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -77,6 +77,10 @@
 	cause           string
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
+	// wait is the request's wait for its unit to be loaded, or nil.
+	wait *unitWait
+	// throttledUntil is when the request is next tried on targets whose limits have kept it back; zero if none has.
+	throttledUntil time.Time
 	// isTruncated is set when the target's answer ended early after a part of it was sent to the caller.
 	isTruncated bool
 	// hasStarted is set when the header of an answer was sent to the caller.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -66,7 +66,7 @@
 		cancelRequests: cancel,
 		options:        options,
 		state:          newTableState(),
-		picker:         dispatch.NewPicker(options.Domain),
+		picker:         dispatch.NewPicker(options.Node, options.Domain),
 		budget:         dispatch.NewRetryBudget(options.Budget),
 		waker:          newWaker(options.Node, options.Leader, options.Clock),
 		usage:          newUsageCounter(),
@@ -145,6 +145,16 @@
 	handler.crashes.setQuarantine(quarantined, suspects)
 }
 
+// LimitReports returns what targets say of the requests that they take, and the demand for those with a limit since the last call.
+func (handler *Handler) LimitReports(now time.Time) []feed.LimitReport {
+	return handler.picker.LimitReports(now)
+}
+
+// SetLimits records the leader's list of the targets that announce a limit on requests, as of a time.
+func (handler *Handler) SetLimits(at time.Time, limits []feed.TargetLimit) {
+	handler.picker.SetLimits(at, limits)
+}
+
 // InFlight returns the number of requests in flight.
 func (handler *Handler) InFlight() int { return int(handler.inFlight.Load()) }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -14,6 +15,10 @@
 	maxSends = 4
 	// busyRetryDelay is the Retry-After delay when no target accepts a request.
 	busyRetryDelay = 400 * time.Millisecond
+	// limitWaitShare is the share of its latency objective for which a request waits for a target below its limit, and limitRetryInterval the
+	// time between two attempts, in which new figures of the leader arrive.
+	limitWaitShare     = 0.6
+	limitRetryInterval = 250 * time.Millisecond
 	// minRemaining is the remaining time below which a request is not sent any more, since no target could answer in time.
 	minRemaining = 10 * time.Millisecond
 )
@@ -37,51 +42,104 @@
 	}
 }
 
-// findTarget returns the target of the next attempt; it waits for the unit to be loaded if no usable target has it loaded.
+// findTarget returns the target of the next attempt; it waits while no usable target has the unit loaded or may get more requests.
 func (handler *Handler) findTarget(ctx context.Context, call *call) (*feed.Target, *refusal) {
-	var wait *unitWait
-	defer func() {
-		if wait != nil {
-			wait.leave()
-		}
-	}()
+	defer call.leaveWait()
 	for {
 		now := handler.options.Clock()
 		table, changed := handler.state.watch()
-		if refusal := checkAttemptAllowed(now, call); refusal != nil {
+		if refusal := handler.checkAttemptAllowed(now, call); refusal != nil {
 			return nil, refusal
 		}
-		if cause := handler.crashes.quarantineCause(call); cause != "" {
-			return nil, unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
-		}
-		target, unreachable := handler.picker.Pick(now, table, call.requirements())
+		needs := call.requirements()
+		needs.AvoidsLimits = now.Before(call.throttledUntil)
+		target, unreachable := handler.picker.Pick(now, table, needs)
 		if target != nil {
 			return target, nil
 		}
-		if call.unit.Model == "" {
-			return nil, unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
-		}
-		if wait == nil {
-			wait = handler.waker.join(call.service, call.unit)
-		}
-		if refusal := handler.waitForUnit(ctx, call, wait, unreachable, changed); refusal != nil {
+		throttled := handler.picker.Throttled(now, table, needs)
+		if refusal := handler.awaitTarget(ctx, now, call, throttled, unreachable, changed); refusal != nil {
 			return nil, refusal
 		}
 	}
 }
 
+// awaitTarget waits until a request without a target may be tried again, or refuses it.
+func (handler *Handler) awaitTarget(ctx context.Context, now time.Time, call *call, throttled dispatch.Throttled,
+	unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
+	if handler.staysThrottled(now, call, throttled) {
+		return handler.waitForLimit(ctx, now, call, throttled.RetryDelay)
+	}
+	if call.unit.Model == "" {
+		return unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
+	}
+	if call.wait == nil {
+		call.wait = handler.waker.join(call.service, call.unit)
+	}
+	// The leader loads a throttled unit on a target without a limit.
+	return handler.waitForUnit(ctx, call, append(unreachable, throttled.Targets...), changed)
+}
+
+// leaveWait ends the request's wait for a unit, if there is one.
+func (call *call) leaveWait() {
+	if call.wait != nil {
+		call.wait.leave()
+		call.wait = nil
+	}
+}
+
+// staysThrottled reports whether a request without a target waits for the limits of targets or is refused because of them: while it can still be
+// on time, and if no other target could serve it.
+func (handler *Handler) staysThrottled(now time.Time, call *call, throttled dispatch.Throttled) bool {
+	if len(throttled.Targets) == 0 {
+		return false
+	}
+	handler.recordThrottled(now, call)
+	return handler.mayWaitForLimit(call) || call.unit.Model == "" || !throttled.HasAlternative
+}
+
+// recordThrottled records that the limits of all targets of the request keep it back until the next attempt.
+func (handler *Handler) recordThrottled(now time.Time, call *call) {
+	if call.throttledUntil.IsZero() {
+		handler.options.Metrics.Counter("requests_throttled").Inc(1)
+	}
+	if !now.Before(call.throttledUntil) {
+		call.throttledUntil = now.Add(limitRetryInterval)
+	}
+}
+
+// mayWaitForLimit reports whether the answer can still begin within the latency objective if the request is tried once more.
+func (handler *Handler) mayWaitForLimit(call *call) bool {
+	return call.throttledUntil.Sub(call.arrived) <= time.Duration(limitWaitShare*float64(call.route.LatencyObjective)) &&
+		!handler.refusesWaiting.Load()
+}
+
+// waitForLimit waits until the limits of the targets may allow the request. It refuses a request that would be late, with the delay after which
+// its client should return.
+func (handler *Handler) waitForLimit(ctx context.Context, now time.Time, call *call, delay time.Duration) *refusal {
+	if !handler.mayWaitForLimit(call) {
+		return unavailableOrFailed(call, celerylanding.ReasonTargetsLimited, delay, "the targets have reached the limits that they announce")
+	}
+	isDone := !sleep(ctx, call.throttledUntil.Sub(now))
+	call.waited += handler.options.Clock().Sub(now)
+	if isDone {
+		return deadlineExceeded(call)
+	}
+	return nil
+}
+
 // slack returns the time that remains to begin the answer within the latency objective.
 func (call *call) slack(now time.Time) time.Duration {
 	return max(0, call.route.LatencyObjective-now.Sub(call.arrived))
 }
 
-// checkAttemptAllowed refuses a request that has no time or no attempt left.
-func checkAttemptAllowed(now time.Time, call *call) *refusal {
+// checkAttemptAllowed refuses a request that has no time or no attempt left, or that has been quarantined since it arrived.
+func (handler *Handler) checkAttemptAllowed(now time.Time, call *call) *refusal {
 	if call.deadline.Sub(now) < minRemaining {
 		return deadlineExceeded(call)
 	}
-	if call.sends == 0 {
-		return nil
+	if cause := handler.crashes.quarantineCause(call); cause != "" {
+		return unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
 	}
 	if call.sends >= maxSends {
 		return unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, call.cause)
@@ -106,14 +164,13 @@
 }
 
 // waitForUnit asks the leader to load the unit, and waits for a new table or the next poll.
-func (handler *Handler) waitForUnit(ctx context.Context, call *call, wait *unitWait, unreachable []celerylanding.Endpoint,
-	changed <-chan struct{}) *refusal {
+func (handler *Handler) waitForUnit(ctx context.Context, call *call, unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
 	if handler.refusesWaiting.Load() {
 		return unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
 	}
 	now := handler.options.Clock()
 	remaining := call.deadline.Sub(now)
-	reply, err := wait.wake(ctx, now, remaining, call.slack(now), call.refusals, unreachable)
+	reply, err := call.wait.wake(ctx, now, remaining, call.slack(now), call.refusals, unreachable)
 	call.refusals = nil
 	if err != nil {
 		handler.logUnansweredWake(call, err)
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -102,7 +102,7 @@
 		return Result{}, err
 	}
 	sim := &simulation{experiment: experiment, random: rand.New(rand.NewPCG(experiment.Seed, 1)), now: time.Unix(1_700_000_000, 0),
-		planner: loadplan.New(time.Time{}), picker: dispatch.NewPicker("d"), roster: dispatch.NewRoster(), table: &dispatch.Table{},
+		planner: loadplan.New(time.Time{}), picker: dispatch.NewPicker("n", "d"), roster: dispatch.NewRoster(), table: &dispatch.Table{},
 		engines: make(map[celerylanding.TargetID]*engine), waiting: make(map[feed.Unit][]*request),
 		result: Result{Name: experiment.Name, Classes: make(map[string]*ClassResult)}}
 	sim.start()
--- a/verdict.go
+++ b/verdict.go
@@ -47,6 +47,7 @@
 	ReasonNoTarget         Reason = "no_target"
 	ReasonNoQuorum         Reason = "no_quorum"
 	ReasonQuarantined      Reason = "request_quarantined"
+	ReasonTargetsLimited   Reason = "targets_limited"
 	ReasonDraining         Reason = "draining"
 	ReasonTargetFailed     Reason = "target_failed"
 	ReasonTargetRefused    Reason = "target_refused"
@@ -80,7 +81,7 @@
 // RetryAfter returns how long a caller should wait before it retries; zero means that a retry does not help.
 func (reason Reason) RetryAfter() time.Duration {
 	switch reason {
-	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused:
+	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited:
 		return 2 * time.Second
 	case ReasonDraining, ReasonKeyInProgress:
 		return time.Second
