Streams are not held for a model for longer than their callers wait

What callers saw: with limits on all targets, 239 of 1,611 streams of a class with an objective of 0.6 s and a timeout of 10 s were held for 3.2 s and given up by their callers. Cause: the leader was asked whether the model can be loaded within the request's deadline, but callers give up on the first event after four objectives, eight event gaps or 2 s. Now that time is the bound for streams, and a request that can't be served within it is refused at once.

--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -8,6 +8,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
 )
 
 const (
@@ -88,6 +89,17 @@
 	}
 }
 
+// waitEnd returns when a caller gives up on an answer that has not begun.
+func (call *call) waitEnd() time.Time {
+	if call.route.Kind != routing.KindStream {
+		return call.deadline
+	}
+	if end := call.arrived.Add(streamPatience(call.route)); end.Before(call.deadline) {
+		return end
+	}
+	return call.deadline
+}
+
 // staysThrottled reports whether a request without a target waits for the limits of targets or is refused because of them: while it can still be
 // on time, and if no other target could serve it.
 func (handler *Handler) staysThrottled(now time.Time, call *call, throttled dispatch.Throttled) bool {
@@ -169,7 +181,7 @@
 		return unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
 	}
 	now := handler.options.Clock()
-	remaining := call.deadline.Sub(now)
+	remaining := call.waitEnd().Sub(now)
 	reply, err := call.wait.wake(ctx, now, remaining, call.slack(now), call.refusals, unreachable)
 	call.refusals = nil
 	if err != nil {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -12,6 +12,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/upstream"
 )
 
@@ -91,9 +92,14 @@
 	}
 }
 
+// streamPatience returns the time for which callers wait for the next event of a stream, the first one included.
+func streamPatience(route *routing.Route) time.Duration {
+	return max(minStallTimeout, stallObjectives*route.LatencyObjective, stallGaps*route.MaxEventGap)
+}
+
 // stallTimeout returns the time without an event after which the call's stream has stalled.
 func (handler *Handler) stallTimeout(call *call) time.Duration {
-	timeout := max(minStallTimeout, stallObjectives*call.route.LatencyObjective, stallGaps*call.route.MaxEventGap)
+	timeout := streamPatience(call.route)
 	if call.route.Resumable && handler.mayRetry(call) {
 		return time.Duration(resumeStallShare * float64(timeout))
 	}
