--- a/tests/crashing_part_test.go
+++ b/tests/crashing_part_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,7 +32,7 @@
 }
 
 func hasCrashingPart(request *http.Request) bool {
-	return strings.Contains(request.Header.Get("X-Celerylanding-Prompt-Prefix"), crashingPart)
+	return fake.HasPromptPart(request, crashingPart)
 }
 
 func (log *crashLog) arrive(request *http.Request) {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -27,7 +27,7 @@
 	routerCount     = 2
 	// engineRestart is the time after which a crashed engine is back at its address.
 	engineRestart = time.Second
-	// stabilityWindow is the time after a disturbance in which bounds do not hold yet.
+	// stabilityWindow is the time after a fault in which bounds do not hold yet.
 	stabilityWindow = 3 * time.Second
 )
 
@@ -202,11 +202,7 @@
 		fleet.t.Error(err)
 		return 0, ""
 	}
-	sized := make([]string, 0, len(parts))
-	for _, part := range parts {
-		sized = append(sized, part+":100")
-	}
-	request.Header.Set("X-Celerylanding-Prompt-Prefix", strings.Join(sized, ","))
+	fake.SetPromptParts(request, parts...)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, ""
