Nodes of control tests have addresses of their own

It stops nodes and starts them again on their ports of 127.0.0.1, from which connections of other tests get their local ports too. Each node now listens on a loopback address of its own, which no other socket uses. The checks are unchanged.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +54,9 @@
 // leavingEngine is an engine that reports itself as not ready.
 const leavingEngine = "leaving"
 
+// clusterCount numbers the clusters of this process.
+var clusterCount atomic.Int32
+
 // testNode is a control node of a test.
 type testNode struct {
 	ctl    *control.Control
@@ -96,8 +101,10 @@
 	t := cluster.t
 	t.Helper()
 	listeners := make([]net.Listener, 3+extra)
+	number := clusterCount.Add(1)
 	for i := range listeners {
-		listeners[i] = listen(t, "127.0.0.1:0")
+		// While a node is stopped, no connection of another node or test can take its port, since each node has an address of its own.
+		listeners[i] = listen(t, fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, number, i+1))
 		if i < 3 {
 			cluster.seeds = append(cluster.seeds, listeners[i].Addr().String())
 		}
