--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -70,7 +70,7 @@
 		specificity = quarantine.WholeRequest
 	}
 	isNew := ctl.quarantine.detector.RecordCrash(now, quarantine.Evidence{Key: quarantine.Key(crash.Fingerprint), Specificity: specificity,
-		Target: crash.Target, Incarnation: crash.Incarnation})
+		Target: crash.Target, Incarnation: crash.Incarnation, Run: crash.Run})
 	if isNew {
 		ctl.quarantine.isChanged = true
 		ctl.options.Log.Debug().Uint64("fingerprint", crash.Fingerprint).Int("part", crash.Part).Str("target", string(crash.Target)).
@@ -91,7 +91,7 @@
 	state.evaluated, state.isChanged = now, false
 	var command replicated
 	for _, blame := range state.detector.Decide(now) {
-		ctl.options.Log.Warn().Uint64("fingerprint", uint64(blame.Key)).Int("crashes", blame.Crashes).Bool("whole_request", blame.IsWhole).
+		ctl.options.Log.Warn().Uint64("fingerprint", uint64(blame.Key)).Int("crashes", blame.Crashes).Int("runs", blame.Runs).Bool("whole_request", blame.IsWhole).
 			Msg("requests crash their targets; they are refused from now on")
 		ctl.options.Metrics.Counter("requests_quarantined").Inc(1)
 		command.Quarantined = append(command.Quarantined, uint64(blame.Key))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -167,6 +167,8 @@
 	Incarnation celerylanding.Incarnation `cbor:"3,keyasint"`
 	// Part is the position of the part in the prompt, from 1; zero for a whole request.
 	Part int `cbor:"4,keyasint,omitempty"`
+	// Run identifies the exchange that broke off, for a whole request; copies of a request have the same fingerprint and different runs.
+	Run uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // WatchReply holds the changes since the last reply.
--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -28,6 +28,7 @@
 type brokenExchange struct {
 	endpoint     celerylanding.Endpoint
 	fingerprints []uint64
+	run          uint64
 	at           time.Time
 }
 
@@ -87,38 +88,59 @@
 	if len(tracker.suspects) >= maxSuspects {
 		tracker.suspects = tracker.suspects[1:]
 	}
-	tracker.suspects = append(tracker.suspects, brokenExchange{endpoint, call.fingerprints(), now})
+	run := hash(call.metadata.ID, strconv.Itoa(call.sends))
+	tracker.suspects = append(tracker.suspects, brokenExchange{endpoint, call.fingerprints(), run, now})
 }
 
-// confirm records a crash for each recent suspect exchange with the target, after a connection to it was refused. It returns the number of
-// these exchanges, and the number of those with any target that are too old to be confirmed.
-func (tracker *crashTracker) confirm(now time.Time, endpoint celerylanding.Endpoint) (confirmed, expired int) {
+// confirmation is the result of a refused connection to a target.
+type confirmation struct {
+	// crashed are the exchanges with the target that it explains, and copies is the largest number of them with the same request.
+	crashed int
+	copies  int
+	// mostCopied is the fingerprint of that request.
+	mostCopied uint64
+	// expired are the exchanges with any target that are too old to be explained.
+	expired int
+}
+
+// confirm records a crash for each recent suspect exchange with the target, after a connection to it was refused.
+func (tracker *crashTracker) confirm(now time.Time, endpoint celerylanding.Endpoint) confirmation {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	var result confirmation
+	copies := make(map[uint64]int)
 	kept := tracker.suspects[:0]
 	for _, suspect := range tracker.suspects {
 		isSame := suspect.endpoint.Target == endpoint.Target && suspect.endpoint.Incarnation == endpoint.Incarnation
 		switch {
 		case now.Sub(suspect.at) > crashWindow:
-			expired++
+			result.expired++
 		case isSame:
-			confirmed++
+			result.crashed++
+			whole := suspect.fingerprints[0]
+			if copies[whole]++; copies[whole] > result.copies {
+				result.copies, result.mostCopied = copies[whole], whole
+			}
 			tracker.report(suspect)
 		default:
 			kept = append(kept, suspect)
 		}
 	}
 	tracker.suspects = kept
-	return confirmed, expired
+	return result
 }
 
 // report adds a crash for each fingerprint of the request that was not answered recently.
 func (tracker *crashTracker) report(suspect brokenExchange) {
 	for part, fingerprint := range suspect.fingerprints {
-		if !tracker.wasAnswered(fingerprint) {
-			tracker.confirmed = append(tracker.confirmed, feed.Crash{Fingerprint: fingerprint, Target: suspect.endpoint.Target,
-				Incarnation: suspect.endpoint.Incarnation, Part: part})
+		if tracker.wasAnswered(fingerprint) {
+			continue
+		}
+		crash := feed.Crash{Fingerprint: fingerprint, Target: suspect.endpoint.Target, Incarnation: suspect.endpoint.Incarnation, Part: part}
+		if part == 0 {
+			crash.Run = suspect.run
 		}
+		tracker.confirmed = append(tracker.confirmed, crash)
 	}
 }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -128,11 +128,12 @@
 
 // confirmCrash records that the target refused a connection, and logs how many interrupted exchanges this explains.
 func (handler *Handler) confirmCrash(now time.Time, endpoint celerylanding.Endpoint) {
-	confirmed, expired := handler.crashes.confirm(now, endpoint)
-	handler.options.Metrics.Counter("crash_suspects_confirmed").Inc(int64(confirmed))
-	handler.options.Metrics.Counter("crash_suspects_expired").Inc(int64(expired))
-	if confirmed > 0 {
-		handler.options.Log.Warn().Str("target", string(endpoint.Target)).Int("requests", confirmed).
+	result := handler.crashes.confirm(now, endpoint)
+	handler.options.Metrics.Counter("crash_suspects_confirmed").Inc(int64(result.crashed))
+	handler.options.Metrics.Counter("crash_suspects_expired").Inc(int64(result.expired))
+	if result.crashed > 0 {
+		handler.options.Log.Warn().Str("target", string(endpoint.Target)).Int("requests", result.crashed).Int("copies", result.copies).
+			Uint64("fingerprint", result.mostCopied).
 			Msg("target refuses connections after it broke off requests; counted as a crash")
 	}
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -24,6 +24,8 @@
 	maxRankingAge = time.Second
 	// maxCrashes bounds the crashes that are kept; the oldest one is dropped first.
 	maxCrashes = 256
+	// maxRuns bounds the copies of a request that are counted for one crash.
+	maxRuns = 32
 	// maxSuspects bounds the list of suspects, which every reply to a router contains.
 	maxSuspects = 64
 )
@@ -38,6 +40,8 @@
 	Specificity int
 	Target      celerylanding.TargetID
 	Incarnation celerylanding.Incarnation
+	// Run identifies the exchange that broke off, for a whole request; zero for a part of a prompt.
+	Run uint64
 }
 
 // crashID identifies the crash of one incarnation of a target.
@@ -46,12 +50,18 @@
 	incarnation celerylanding.Incarnation
 }
 
-// crash holds the keys of the requests that were running on a target when it crashed, each with its specificity; nil once a blamed key
-// explains the crash.
+// crash holds the keys of the requests that were running on a target when it crashed; nil once a blamed key explains the crash.
 type crash struct {
 	id   crashID
 	at   time.Time
-	keys map[Key]int
+	keys map[Key]involvement
+}
+
+// involvement is the part of a key in a crash.
+type involvement struct {
+	specificity int
+	// runs are the copies of a whole request that ended with the target, at most maxRuns.
+	runs []uint64
 }
 
 // Detector decides which keys are to be quarantined; the owner reports crashes and answers. It is not safe for concurrent use.
@@ -81,10 +91,10 @@
 			detector.crashes = slices.Delete(detector.crashes, 0, 1)
 		}
 		at = len(detector.crashes)
-		detector.crashes = append(detector.crashes, &crash{id: id, at: now, keys: make(map[Key]int)})
+		detector.crashes = append(detector.crashes, &crash{id: id, at: now, keys: make(map[Key]involvement)})
 	}
 	entry := detector.crashes[at]
-	if _, isKnown := entry.keys[evidence.Key]; isKnown || entry.keys == nil {
+	if entry.keys == nil {
 		return false
 	}
 	if detector.blamed[evidence.Key] {
@@ -92,7 +102,16 @@
 		detector.ranking = nil
 		return false
 	}
-	entry.keys[evidence.Key] = evidence.Specificity
+	known, isKnown := entry.keys[evidence.Key]
+	isNewRun := evidence.Run != 0 && len(known.runs) < maxRuns && !slices.Contains(known.runs, evidence.Run)
+	if isKnown && !isNewRun {
+		return false
+	}
+	known.specificity = evidence.Specificity
+	if isNewRun {
+		known.runs = append(known.runs, evidence.Run)
+	}
+	entry.keys[evidence.Key] = known
 	detector.ranking = nil
 	return true
 }
@@ -124,6 +143,7 @@
 	key         Key
 	specificity int
 	crashes     int
+	runs        int
 	// before is the number of unexplained crashes before the first one with the key, and since the number of those from that one on.
 	before int
 	since  int
@@ -145,14 +165,15 @@
 		if entry.keys == nil {
 			continue
 		}
-		for key, specificity := range entry.keys {
+		for key, part := range entry.keys {
 			found := byKey[key]
 			if found == nil {
 				found = &candidate{key: key, before: unexplained}
 				byKey[key] = found
 			}
 			found.crashes++
-			found.specificity = max(found.specificity, specificity)
+			found.runs += len(part.runs)
+			found.specificity = max(found.specificity, part.specificity)
 		}
 		unexplained++
 	}
@@ -184,6 +205,8 @@
 type Blame struct {
 	Key     Key
 	Crashes int
+	// Runs is the number of copies of a whole request that ended in these crashes; zero for a part of a prompt.
+	Runs int
 	// IsWhole is set for a whole request instead of a part of its prompt.
 	IsWhole bool
 }
@@ -210,6 +233,6 @@
 		}
 		detector.tiedSince = time.Time{}
 		detector.MarkBlamed(list[0].key)
-		blames = append(blames, Blame{Key: list[0].key, Crashes: list[0].crashes, IsWhole: list[0].specificity == WholeRequest})
+		blames = append(blames, Blame{Key: list[0].key, Crashes: list[0].crashes, Runs: list[0].runs, IsWhole: list[0].specificity == WholeRequest})
 	}
 }
