--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -25,6 +25,8 @@
 const (
 	controllerCount = 3
 	routerCount     = 2
+	// rareModel is the last model of a fleet, which only requests that name it ask for.
+	rareModel = "rare"
 	// engineRestart is the time after which a crashed engine is back at its address.
 	engineRestart = time.Second
 	// stabilityWindow is the time after a fault in which bounds do not hold yet.
@@ -62,7 +64,7 @@
 func newFleet(t *testing.T, engines int, options func(number int) fake.Options) *fleet {
 	t.Helper()
 	const addressBlocks = 3
-	fleet := &fleet{t: t, number: siteCount.Add(addressBlocks) - addressBlocks + 1, models: []string{"m0", "m1"}}
+	fleet := &fleet{t: t, number: siteCount.Add(addressBlocks) - addressBlocks + 1, models: []string{"m0", "m1", rareModel}}
 	for i := range controllerCount {
 		fleet.controls = append(fleet.controls, fleet.ip(0, i)+":8144")
 	}
@@ -197,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	router := fleet.routers[rand.IntN(len(fleet.routers))]
-	request, err := fake.NewRequest(ctx, router.ip+":8149", fake.PathStream, id, fleet.models[rand.IntN(len(fleet.models))], timeout)
+	request, err := fake.NewRequest(ctx, router.ip+":8149", fake.PathStream, id, fleet.models[rand.IntN(len(fleet.models)-1)], timeout)
 	if err != nil {
 		fleet.t.Error(err)
 		return 0, ""
