Copies of a request that has ended with its targets run one at a time

Cause: the quarantine waits for three crashed targets, and nothing bounded how many copies run until then. Ruled out: lost evidence (each crash was reported by all routers that had a copy on it).

Change: from the second ended run on, the leader lets one copy run at a time, over all routers; an answer frees the others, a crash is evidence and keeps them back until it can have been reported. Held copies are refused as not run when their callers would not wait any longer, or at once when the request is quarantined.

--- a/control/feed.go
+++ b/control/feed.go
@@ -61,6 +61,8 @@
 	// are the fingerprints whose answers routers report.
 	quarantined []uint64
 	suspects    []uint64
+	// trials are the fingerprints of the requests whose copies run one at a time.
+	trials []uint64
 	// limits lists the targets with a limit on requests, as of limitsAt; another node than the leader has it from the leader.
 	limits   []feed.TargetLimit
 	limitsAt time.Time
@@ -267,7 +269,7 @@
 
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
-		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects}
+		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects, Trials: ctl.feed.trials}
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
 		reply.Limits = ctl.publishedLimits(now)
--- a/control/messages.go
+++ b/control/messages.go
@@ -152,6 +152,11 @@
 	return nil
 }
 
+// Trial decides whether a copy of a suspicious request may run if this node leads, or records how it ended.
+func (service *PeerService) Trial(args *feed.TrialArgs, reply *feed.TrialReply) error {
+	return service.postAndWait(func(now time.Time) { *reply = service.control.trial(now, args) })
+}
+
 func (service *PeerService) postAndWait(run func(now time.Time)) error {
 	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
 	defer cancel()
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -17,6 +17,8 @@
 	quarantineTime = time.Hour
 	// maxQuarantined bounds the fingerprints in the replicated state, which every reply to a router contains; the oldest is dropped first.
 	maxQuarantined = 256
+	// newLeaderTrialTime is how long a new leader lets copies of a request run one at a time on the routers' word alone.
+	newLeaderTrialTime = time.Second
 	// quarantineInterval is the time between two evaluations while there is new evidence or a suspect, and idleQuarantineInterval that between
 	// two checks for fingerprints to release.
 	quarantineInterval     = 100 * time.Millisecond
@@ -40,6 +42,7 @@
 // quarantineState is the leader's evidence of requests that crash their targets, and the replicated list of those that are refused.
 type quarantineState struct {
 	detector *quarantine.Detector
+	trials   *quarantine.Trials
 	// fingerprints are replicated, oldest first.
 	fingerprints []uint64
 	// releaseAt holds when the leader releases each fingerprint.
@@ -50,12 +53,12 @@
 }
 
 func newQuarantineState() quarantineState {
-	return quarantineState{detector: quarantine.NewDetector(), releaseAt: make(map[uint64]time.Time)}
+	return quarantineState{detector: quarantine.NewDetector(), trials: quarantine.NewTrials(), releaseAt: make(map[uint64]time.Time)}
 }
 
 // resetEvidence makes a new leader count crashes from the routers' next reports, which repeat the recent ones.
 func (state *quarantineState) resetEvidence() {
-	state.detector = quarantine.NewDetector()
+	state.detector, state.trials = quarantine.NewDetector(), quarantine.NewTrials()
 	for _, fingerprint := range state.fingerprints {
 		state.detector.MarkBlamed(quarantine.Key(fingerprint))
 	}
@@ -106,12 +109,12 @@
 			command.Released = append(command.Released, fingerprint)
 		}
 	}
-	suspects := make([]uint64, 0)
-	for _, key := range state.detector.Suspects(now) {
-		suspects = append(suspects, uint64(key))
-	}
-	if !slices.Equal(suspects, ctl.feed.suspects) {
-		ctl.feed.suspects = suspects
+	suspects, trials := fingerprintsOf(state.detector.Suspects(now)), fingerprintsOf(state.detector.TrialKeys(now))
+	if !slices.Equal(suspects, ctl.feed.suspects) || !slices.Equal(trials, ctl.feed.trials) {
+		if len(trials) != len(ctl.feed.trials) {
+			ctl.options.Log.Info().Uints64("fingerprints", trials).Msg("requests whose copies run one at a time changed")
+		}
+		ctl.feed.suspects, ctl.feed.trials = suspects, trials
 		ctl.feed.advance()
 	}
 	if !command.hasFingerprints() {
@@ -160,6 +163,46 @@
 	return ctl.quarantine.fingerprints
 }
 
+func fingerprintsOf(keys []quarantine.Key) []uint64 {
+	fingerprints := make([]uint64, 0, len(keys))
+	for _, key := range keys {
+		fingerprints = append(fingerprints, uint64(key))
+	}
+	return fingerprints
+}
+
+// trial decides whether a copy of a request may run, or records how one ended.
+func (ctl *Control) trial(now time.Time, args *feed.TrialArgs) feed.TrialReply {
+	if !ctl.leads(now) {
+		return feed.TrialReply{}
+	}
+	state, key := &ctl.quarantine, quarantine.Key(args.Fingerprint)
+	reply := feed.TrialReply{Leads: true}
+	event := ctl.options.Log.Info().Uint64("fingerprint", args.Fingerprint).Str("router", string(args.Node))
+	if args.HasEnded {
+		result := quarantine.TrialBroken
+		switch {
+		case args.Answered:
+			result = quarantine.TrialAnswered
+			state.detector.RecordAnswered(key)
+			state.isChanged = true
+		case args.NotRun:
+			result = quarantine.TrialNotRun
+		}
+		state.trials.End(now, key, args.Run, result)
+		event.Bool("answered", args.Answered).Bool("not_run", args.NotRun).Msg("trial of a suspicious request ended")
+		return reply
+	}
+	reply.IsQuarantined = state.detector.IsBlamed(key)
+	// A new leader learns of the crashes of its predecessor's time from the routers' next reports.
+	isFree := !state.detector.NeedsTrial(now, key) && now.Sub(ctl.leaderSince) > newLeaderTrialTime
+	reply.MayRun = !reply.IsQuarantined && (isFree || state.trials.Begin(now, key, args.Run, args.Longest))
+	if reply.MayRun && !isFree {
+		event.Msg("trial of a suspicious request begins")
+	}
+	return reply
+}
+
 // recordAnswered clears the suspects that targets have answered.
 func (ctl *Control) recordAnswered(node celerylanding.NodeID, fingerprints []uint64) {
 	for _, fingerprint := range fingerprints {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -187,6 +187,8 @@
 	// Quarantined lists the fingerprints of requests and prompt parts that crash their targets, and Suspects those that may.
 	Quarantined []uint64 `cbor:"9,keyasint,omitempty"`
 	Suspects    []uint64 `cbor:"13,keyasint,omitempty"`
+	// Trials lists the fingerprints of the requests whose copies run one at a time, each after the leader's consent.
+	Trials []uint64 `cbor:"15,keyasint,omitempty"`
 	// Limits lists the targets that announce a limit on requests.
 	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
 	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
@@ -199,6 +201,28 @@
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
 func (reply *WatchReply) IsState() bool { return reply.Leads || reply.Relayed }
 
+// TrialArgs ask the leader whether a copy of a request may run, or report how it ended.
+type TrialArgs struct {
+	Node        celerylanding.NodeID `cbor:"1,keyasint"`
+	Fingerprint uint64               `cbor:"2,keyasint"`
+	// Run identifies the copy.
+	Run uint64 `cbor:"3,keyasint"`
+	// Longest is the time after which the copy has ended in any case.
+	Longest time.Duration `cbor:"4,keyasint,omitempty"`
+	// HasEnded is set for a copy that has ended, NotRun if no target has run it, and Answered if one has answered it completely.
+	HasEnded bool `cbor:"5,keyasint,omitempty"`
+	NotRun   bool `cbor:"6,keyasint,omitempty"`
+	Answered bool `cbor:"7,keyasint,omitempty"`
+}
+
+// TrialReply is the leader's decision on a copy of a request.
+type TrialReply struct {
+	Leads bool `cbor:"1,keyasint"`
+	// MayRun is set if the copy may run now; otherwise another one is running, unless IsQuarantined is set.
+	MayRun        bool `cbor:"2,keyasint,omitempty"`
+	IsQuarantined bool `cbor:"3,keyasint,omitempty"`
+}
+
 // WakeArgs ask the leader to load a unit for waiting requests.
 type WakeArgs struct {
 	Node    celerylanding.NodeID    `cbor:"1,keyasint"`
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -228,6 +228,7 @@
 
 // recordAnswer records that the target has answered the request completely.
 func (handler *Handler) recordAnswer(now time.Time, call *call, target *feed.Target) {
+	call.isAnswered = true
 	handler.picker.Done(now, target, dispatch.ResultAnswered)
 	handler.crashes.recordAnswer(now, call)
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -81,6 +81,8 @@
 	wait *unitWait
 	// throttledUntil is when the request is next tried on targets whose limits have kept it back; zero if none has.
 	throttledUntil time.Time
+	// isAnswered is set when a target has answered the request completely.
+	isAnswered bool
 	// isTruncated is set when the target's answer ended early after a part of it was sent to the caller.
 	isTruncated bool
 	// hasStarted is set when the header of an answer was sent to the caller.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -20,6 +20,8 @@
 type Leader interface {
 	// Wake asks for a unit to be loaded; an error means that the leader did not answer.
 	Wake(ctx context.Context, args feed.WakeArgs) (feed.WakeReply, error)
+	// Trial asks whether a copy of a suspicious request may run, or reports how it ended; an error means that the leader did not answer.
+	Trial(ctx context.Context, args feed.TrialArgs) (feed.TrialReply, error)
 }
 
 // Options configure a handler.
@@ -47,7 +49,8 @@
 	waker   *waker
 	usage   *usageCounter
 	crashes *crashTracker
-	// probes are the connection attempts that find out whether a target has crashed.
+	trials  *trialGate
+	// probes are the connection attempts that find out whether a target has crashed, and the reports of ended trials.
 	probes   *tasks.Group
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -71,6 +74,7 @@
 		waker:          newWaker(options.Node, options.Leader, options.Clock),
 		usage:          newUsageCounter(),
 		crashes:        newCrashTracker(),
+		trials:         newTrialGate(),
 		probes:         tasks.New(requestsCtx),
 	}
 }
@@ -146,6 +150,11 @@
 	handler.crashes.setQuarantine(quarantined, suspects)
 }
 
+// SetTrials records the fingerprints of the requests whose copies run one at a time.
+func (handler *Handler) SetTrials(now time.Time, fingerprints []uint64) {
+	handler.trials.update(now, fingerprints)
+}
+
 // LimitReports returns what targets say of the requests that they take, and the demand for those with a limit since the last call.
 func (handler *Handler) LimitReports(now time.Time) []feed.LimitReport {
 	return handler.picker.LimitReports(now)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -33,7 +33,16 @@
 		if refusal != nil {
 			return refusal
 		}
+		trial, refusal := handler.beginTrial(ctx, call)
+		if refusal != nil || !trial.mayRun {
+			handler.picker.Done(handler.options.Clock(), target, dispatch.ResultCanceled)
+			if refusal != nil {
+				return refusal
+			}
+			continue
+		}
 		retry, refusal := handler.attempt(ctx, writer, call, target)
+		handler.endTrial(call, trial)
 		if retry || refusal != nil {
 			handler.logAttempt(call, target, retry)
 		}
--- a/proxy/waker_test.go
+++ b/proxy/waker_test.go
@@ -31,6 +31,11 @@
 	return leader.reply, leader.err
 }
 
+// Trial lets each copy run.
+func (leader *fakeLeader) Trial(context.Context, feed.TrialArgs) (feed.TrialReply, error) {
+	return feed.TrialReply{Leads: true, MayRun: true}, leader.err
+}
+
 var start = time.Unix(1_700_000_000, 0)
 
 // poll lets a waiting request ask each 50 ms for the given time.
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -11,7 +11,8 @@
 const (
 	// crashThreshold is the number of crashed targets from which a key can be quarantined.
 	crashThreshold = 3
-	// suspectThreshold is the number of crashed targets from which a key is a suspect, so that routers report answers to requests with it.
+	// suspectThreshold is the number of crashed targets from which a key is a suspect, so that routers report answers to requests with it; so is
+	// a request with several ended runs.
 	suspectThreshold = 2
 	// minShare is the share of the crashes since its first one that a key must explain. In an outage of many targets, keys that many requests
 	// have in common are found on several of them by chance.
@@ -179,7 +180,7 @@
 	}
 	list := make([]candidate, 0, len(byKey))
 	for _, found := range byKey {
-		if found.crashes >= suspectThreshold {
+		if found.crashes >= suspectThreshold || found.needsTrial() {
 			found.since = unexplained - found.before
 			list = append(list, *found)
 		}
@@ -190,7 +191,32 @@
 	return list
 }
 
-// Suspects returns the keys with several crashes, at most maxSuspects, in ascending order.
+// needsTrial reports whether copies of the request run one at a time: several runs of it have ended with their targets.
+func (found *candidate) needsTrial() bool {
+	return found.specificity == WholeRequest && found.runs >= trialRuns
+}
+
+// TrialKeys returns the requests whose copies must run one at a time, at most maxTrialKeys, in ascending order.
+func (detector *Detector) TrialKeys(now time.Time) []Key {
+	keys := make([]Key, 0)
+	for _, found := range detector.candidates(now) {
+		if found.needsTrial() && len(keys) < maxTrialKeys {
+			keys = append(keys, found.key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// NeedsTrial reports whether copies of the request must run one at a time.
+func (detector *Detector) NeedsTrial(now time.Time, key Key) bool {
+	return slices.ContainsFunc(detector.candidates(now), func(found candidate) bool { return found.key == key && found.needsTrial() })
+}
+
+// IsBlamed reports whether the key is to be refused.
+func (detector *Detector) IsBlamed(key Key) bool { return detector.blamed[key] }
+
+// Suspects returns the keys with several crashes or ended runs, at most maxSuspects, in ascending order.
 func (detector *Detector) Suspects(now time.Time) []Key {
 	list := detector.candidates(now)
 	keys := make([]Key, 0, min(len(list), maxSuspects))
--- /dev/null
+++ b/quarantine/trials.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// trialRuns is the number of ended runs from which copies of a request run one at a time.
+	trialRuns = 2
+	// maxTrialKeys bounds the requests whose copies run one at a time, which every reply to a router lists.
+	maxTrialKeys = 64
+	// maxTrialTime is how long a copy may run before the next one, in case its router is lost.
+	maxTrialTime = 5 * time.Second
+	// evidenceDelay is the time after a broken trial in which routers can report that its target has crashed.
+	evidenceDelay = 1200 * time.Millisecond
+)
+
+// TrialResult is how the trial of a request ended.
+type TrialResult int
+
+const (
+	// TrialBroken means that the target may have crashed.
+	TrialBroken TrialResult = iota
+	// TrialNotRun means that no target has run the request.
+	TrialNotRun
+	// TrialAnswered means that a target has answered the request completely.
+	TrialAnswered
+)
+
+// trial is a copy of a request that runs alone.
+type trial struct {
+	run   uint64
+	until time.Time
+}
+
+// Trials lets one copy of a request run at a time, over all routers; the owner asks it before each copy of a request that Detector.NeedsTrial
+// names. It is not safe for concurrent use.
+type Trials struct{ running map[Key]trial }
+
+// NewTrials returns trials of which none is running.
+func NewTrials() *Trials { return &Trials{running: make(map[Key]trial)} }
+
+// Begin reports whether a run of the request may begin, which then is the only one until End, or until its longest time is over.
+func (trials *Trials) Begin(now time.Time, key Key, run uint64, longest time.Duration) bool {
+	maps.DeleteFunc(trials.running, func(_ Key, other trial) bool { return !now.Before(other.until) })
+	if other, ok := trials.running[key]; ok && other.run != run {
+		return false
+	}
+	trials.running[key] = trial{run: run, until: now.Add(min(longest, maxTrialTime))}
+	return true
+}
+
+// End ends a run. After a broken one the next one waits until its crash can have been reported.
+func (trials *Trials) End(now time.Time, key Key, run uint64, result TrialResult) {
+	switch current, ok := trials.running[key]; {
+	case !ok || current.run != run:
+	case result == TrialBroken:
+		trials.running[key] = trial{run: run, until: now.Add(evidenceDelay)}
+	default:
+		delete(trials.running, key)
+	}
+}
--- a/verdict.go
+++ b/verdict.go
@@ -47,6 +47,7 @@
 	ReasonNoTarget         Reason = "no_target"
 	ReasonNoQuorum         Reason = "no_quorum"
 	ReasonQuarantined      Reason = "request_quarantined"
+	ReasonCopyOnTrial      Reason = "copy_on_trial"
 	ReasonTargetsLimited   Reason = "targets_limited"
 	ReasonDraining         Reason = "draining"
 	ReasonTargetFailed     Reason = "target_failed"
@@ -83,7 +84,7 @@
 	switch reason {
 	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited:
 		return 2 * time.Second
-	case ReasonDraining, ReasonKeyInProgress:
+	case ReasonDraining, ReasonKeyInProgress, ReasonCopyOnTrial:
 		return time.Second
 	}
 	return 0
