--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -153,3 +153,111 @@
 	assert.DeepEqual(t, args.Answered, []uint64{1, 2, 3})
 	assert.Equal(t, len(reports.Collect(now).Answered), 0)
 }
+
+// askTrial calls the leader about a copy of the request with the fingerprint until a leader answers.
+func (cluster *testCluster) askTrial(ctx context.Context, peers *rpc.Peers, args feed.TrialArgs) feed.TrialReply {
+	cluster.t.Helper()
+	args.Fingerprint, args.Longest = crashingPart, 4*time.Second
+	for ctx.Err() == nil {
+		var reply feed.TrialReply
+		if err := peers.Call(ctx, cluster.running().ctl.Leader(), "Peer.Trial", &args, &reply); err == nil && reply.Leads {
+			return reply
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cluster.t.Fatal("no leader answers")
+	return feed.TrialReply{}
+}
+
+// reportRuns reports copies of a request that ended with one target, from two routers.
+func (cluster *testCluster) reportRuns(ctx context.Context, peers *rpc.Peers) {
+	cluster.t.Helper()
+	for run, node := range []celerylanding.NodeID{"r1", "r2"} {
+		args := &feed.WatchArgs{Node: node, Router: true,
+			Crashes: []feed.Crash{{Fingerprint: crashingPart, Target: "t1", Incarnation: 1, Run: uint64(run + 1)}}}
+		for {
+			assert.NilError(cluster.t, ctx.Err())
+			var reply feed.WatchReply
+			if err := peers.Call(ctx, cluster.running().ctl.Leader(), "Peer.Watch", args, &reply); err == nil && reply.Leads {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// awaitTrials waits until the state that nodes publish lists the fingerprints.
+func (cluster *testCluster) awaitTrials(ctx context.Context, peers *rpc.Peers, want ...uint64) {
+	cluster.t.Helper()
+	for ctx.Err() == nil {
+		publishing, listing := 0, 0
+		for _, node := range cluster.nodes {
+			if node.cancel == nil {
+				continue
+			}
+			if reply, err := watchAsRouter(ctx, peers, node, "r3"); err == nil && reply.IsState() {
+				publishing++
+				if slices.Equal(reply.Trials, want) {
+					listing++
+				}
+			}
+		}
+		if publishing > 0 && publishing == listing {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cluster.t.Fatalf("not all nodes that publish the state list %v", want)
+}
+
+// running returns a node that has not been stopped.
+func (cluster *testCluster) running() *testNode {
+	for _, node := range cluster.nodes {
+		if node.cancel != nil {
+			return node
+		}
+	}
+	cluster.t.Fatal("no node is running")
+	return nil
+}
+
+// TestLeaderLetsOneRouterTryARequest guards against copies of a request that several routers send at once after two have ended with a target, also
+// through a change of the leader.
+func TestLeaderLetsOneRouterTryARequest(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	peers := newTestPeers(t)
+	cluster.reportRuns(ctx, peers)
+	cluster.awaitTrials(ctx, peers, crashingPart)
+	assert.Assert(t, cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r1", Run: 11}).MayRun)
+	assert.Assert(t, !cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r2", Run: 12}).MayRun)
+	cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r1", Run: 11, HasEnded: true})
+	assert.Assert(t, !cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r2", Run: 12}).MayRun, "the crash may not have been reported yet")
+
+	cluster.stopLeader()
+	assert.Assert(t, cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r1", Run: 13}).MayRun)
+	assert.Assert(t, !cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r2", Run: 14}).MayRun, "a new leader that has no report yet")
+	cluster.reportRuns(ctx, peers)
+	cluster.awaitTrials(ctx, peers, crashingPart)
+	cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r1", Run: 13, HasEnded: true, Answered: true})
+	cluster.awaitTrials(ctx, peers)
+	time.Sleep(1200 * time.Millisecond)
+	for run := uint64(15); run < 18; run++ {
+		assert.Assert(t, cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r2", Run: run}).MayRun, "an answer frees all copies")
+	}
+}
+
+// TestBlamedRequestGetsNoTrial guards against a copy that runs while the quarantine of the request is on its way to the routers.
+func TestBlamedRequestGetsNoTrial(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	peers := newTestPeers(t)
+	cluster.reportCrashes(ctx, peers)
+	cluster.awaitQuarantine(ctx, peers)
+	reply := cluster.askTrial(ctx, peers, feed.TrialArgs{Node: "r1", Run: 1})
+	assert.Assert(t, !reply.MayRun && reply.IsQuarantined)
+}
