A request for another model keeps its fingerprint

Cause: the fingerprint of a whole request contained the model, so that crashes under each model were counted apart: an identity finer than the cause. Ruled out: copies that run together (each crash was a trial of its own).

Change: the fingerprint consists of host, method, path, prompt parts and body.

TestRequestForAnotherModelKeepsItsFingerprint failed before.

--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -52,15 +52,15 @@
 	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probed: make(map[string]time.Time)}
 }
 
-// fingerprints returns hashes of what requests can have in common: the whole request, which is the same for all attempts, also by its caller,
-// and each part of its prompt but the last, which is the request's own. The first one is that of the whole request.
+// fingerprints returns hashes of what requests can have in common: the whole request, which is the same for all attempts, also by its caller
+// and for another model, and each part of its prompt but the last, which is the request's own. The first one is that of the whole request.
 func (call *call) fingerprints() []uint64 {
 	if call.hashes != nil {
 		return call.hashes
 	}
 	parts := call.metadata.PromptParts
 	shared := parts[:max(0, len(parts)-1)]
-	whole := []string{call.host, call.method, call.requestURI, string(call.metadata.Model)}
+	whole := []string{call.host, call.method, call.requestURI}
 	for _, part := range parts {
 		whole = append(whole, part.ID)
 	}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -97,3 +97,4 @@
 mutate answered-copy-frees-nobody proxy/trial.go ./platform 'Copies|Copy|Suspicious' 's/if isAnswered \{/if false {/'
 mutate trial-of-a-blamed-request control/quarantine.go ./control TestBlamedRequest 's/reply\.IsQuarantined = state\.detector\.IsBlamed\(key\)/reply.IsQuarantined = false/'
 mutate new-leader-frees-copies control/quarantine.go ./control TestLeaderLetsOne 's/newLeaderTrialTime = time\.Second/newLeaderTrialTime = 0/'
+mutate request-counted-by-model proxy/crashes.go ./platform 'TestRequestForAnother' 's/call\.method, call\.requestURI\}/call.method, call.requestURI, string(call.metadata.Model)}/'
