Suspicious requests are tried on targets of their own

Cause: both waited for the same model and were tried at the same moment on the same target, so that they had the same crashes; the choice between equals was made by the fingerprint. Class: evidence that is gathered in such a way that it cannot tell the suspects apart.

Change: the leader lets only one suspicious request at a time be tried on a target; among whole requests with equally many crashes the one with more ended runs is blamed first.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -178,7 +178,8 @@
 	}
 	state, key := &ctl.quarantine, quarantine.Key(args.Fingerprint)
 	reply := feed.TrialReply{Leads: true}
-	event := ctl.options.Log.Info().Uint64("fingerprint", args.Fingerprint).Str("router", string(args.Node))
+	event := ctl.options.Log.Info().Uint64("fingerprint", args.Fingerprint).Str("router", string(args.Node)).
+		Str("target", string(args.Target))
 	if args.HasEnded {
 		result := quarantine.TrialBroken
 		switch {
@@ -196,7 +197,7 @@
 	reply.IsQuarantined = state.detector.IsBlamed(key)
 	// A new leader learns of the crashes of its predecessor's time from the routers' next reports.
 	isFree := !state.detector.NeedsTrial(now, key) && now.Sub(ctl.leaderSince) > newLeaderTrialTime
-	reply.MayRun = !reply.IsQuarantined && (isFree || state.trials.Begin(now, key, args.Run, args.Longest))
+	reply.MayRun = !reply.IsQuarantined && (isFree || state.trials.Begin(now, key, args.Run, args.Target, args.Longest))
 	if reply.MayRun && !isFree {
 		event.Msg("trial of a suspicious request begins")
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -207,8 +207,9 @@
 	Fingerprint uint64               `cbor:"2,keyasint"`
 	// Run identifies the copy.
 	Run uint64 `cbor:"3,keyasint"`
-	// Longest is the time after which the copy has ended in any case.
-	Longest time.Duration `cbor:"4,keyasint,omitempty"`
+	// Target is the target that would get the copy, and Longest the time after which the copy has ended in any case.
+	Target  celerylanding.TargetID `cbor:"8,keyasint,omitempty"`
+	Longest time.Duration          `cbor:"4,keyasint,omitempty"`
 	// HasEnded is set for a copy that has ended, NotRun if no target has run it, and Answered if one has answered it completely.
 	HasEnded bool `cbor:"5,keyasint,omitempty"`
 	NotRun   bool `cbor:"6,keyasint,omitempty"`
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -33,7 +33,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		trial, refusal := handler.beginTrial(ctx, call)
+		trial, refusal := handler.beginTrial(ctx, call, target)
 		if refusal != nil || !trial.mayRun {
 			handler.picker.Done(handler.options.Clock(), target, dispatch.ResultCanceled)
 			if refusal != nil {
--- a/proxy/trial.go
+++ b/proxy/trial.go
@@ -102,7 +102,7 @@
 
 // beginTrial asks the leader for consent if copies of the request have ended with their targets. While another copy runs, it waits for a while and
 // returns without consent; the caller then chooses a target anew.
-func (handler *Handler) beginTrial(ctx context.Context, call *call) (trial, *refusal) {
+func (handler *Handler) beginTrial(ctx context.Context, call *call, target *feed.Target) (trial, *refusal) {
 	if handler.trials.isEmpty() {
 		return trial{mayRun: true}, nil
 	}
@@ -114,7 +114,7 @@
 	if mayAsk {
 		run := hash(string(handler.options.Node), call.metadata.ID, strconv.Itoa(call.sends))
 		reply, err := handler.askLeader(ctx, feed.TrialArgs{Node: handler.options.Node, Fingerprint: fingerprint, Run: run,
-			Longest: call.deadline.Sub(now)})
+			Target: target.ID, Longest: call.deadline.Sub(now)})
 		switch {
 		case reply.MayRun:
 			return trial{mayRun: true, run: run}, nil
@@ -166,7 +166,7 @@
 	}
 	fingerprint := call.fingerprints()[0]
 	handler.trials.end(fingerprint, call.isAnswered)
-	args := feed.TrialArgs{Node: handler.options.Node, Fingerprint: fingerprint, Run: trial.run, HasEnded: true, Answered: call.isAnswered,
+	args := feed.TrialArgs{Node: handler.options.Node, Fingerprint: fingerprint, Run: trial.run, Target: call.lastTarget, HasEnded: true, Answered: call.isAnswered,
 		NotRun: call.verdict == celerylanding.NotRun}
 	handler.probes.Go(func(ctx context.Context) {
 		if _, err := handler.askLeader(ctx, args); err != nil {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -150,7 +150,8 @@
 	since  int
 }
 
-// candidates returns the keys of the unexplained crashes, those with the most crashes first, and the most specific first among equals.
+// candidates returns the keys of the unexplained crashes, those with the most crashes first; among equals the most specific first, then those
+// with the most ended runs.
 func (detector *Detector) candidates(now time.Time) []candidate {
 	if detector.ranking == nil || now.Sub(detector.rankedAt) > maxRankingAge {
 		detector.ranking, detector.rankedAt = detector.rank(now), now
@@ -186,7 +187,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.specificity, a.specificity), cmp.Compare(a.key, b.key))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.specificity, a.specificity), cmp.Compare(b.runs, a.runs),
+			cmp.Compare(a.key, b.key))
 	})
 	return list
 }
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
 )
 
 const (
@@ -30,24 +32,28 @@
 
 // trial is a copy of a request that runs alone.
 type trial struct {
-	run   uint64
-	until time.Time
+	run uint64
+	// target is "" once the copy has ended.
+	target celerylanding.TargetID
+	until  time.Time
 }
 
 // Trials lets one copy of a request run at a time, over all routers; the owner asks it before each copy of a request that Detector.NeedsTrial
-// names. It is not safe for concurrent use.
+// names. Two requests are not tried on one target at a time, since its crash would count against both. It is not safe for concurrent use.
 type Trials struct{ running map[Key]trial }
 
 // NewTrials returns trials of which none is running.
 func NewTrials() *Trials { return &Trials{running: make(map[Key]trial)} }
 
-// Begin reports whether a run of the request may begin, which then is the only one until End, or until its longest time is over.
-func (trials *Trials) Begin(now time.Time, key Key, run uint64, longest time.Duration) bool {
+// Begin reports whether a run of the request may begin on the target, which then is the only one until End, or until its longest time is over.
+func (trials *Trials) Begin(now time.Time, key Key, run uint64, target celerylanding.TargetID, longest time.Duration) bool {
 	maps.DeleteFunc(trials.running, func(_ Key, other trial) bool { return !now.Before(other.until) })
-	if other, ok := trials.running[key]; ok && other.run != run {
-		return false
+	for otherKey, other := range trials.running {
+		if (otherKey == key && other.run != run) || (otherKey != key && other.target == target) {
+			return false
+		}
 	}
-	trials.running[key] = trial{run: run, until: now.Add(min(longest, maxTrialTime))}
+	trials.running[key] = trial{run: run, target: target, until: now.Add(min(longest, maxTrialTime))}
 	return true
 }
 
--- a/quarantine/trials_test.go
+++ b/quarantine/trials_test.go
@@ -63,14 +63,14 @@
 		for run := uint64(1); run <= 60; run++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
 			longest := time.Duration(rapid.IntRange(100, 20_000).Draw(t, "longest")) * time.Millisecond
-			granted := trials.Begin(now, whole, run, longest)
+			granted := trials.Begin(now, whole, run, "t1", longest)
 			if granted != !now.Before(blockedUntil) {
 				t.Fatalf("run %d begins %v at %v, blocked until %v by %d", run, granted, now, blockedUntil, running)
 			}
 			if granted {
 				running, blockedUntil = run, now.Add(min(longest, maxTrialTime))
 			}
-			if !trials.Begin(now, harmful, run, longest) {
+			if !trials.Begin(now, harmful, run, "t2", longest) {
 				t.Fatalf("another request waits for this one")
 			}
 			trials.End(now, harmful, run, quarantine.TrialNotRun)
@@ -90,3 +90,33 @@
 		}
 	})
 }
+
+// TestSuspiciousRequestsAreTriedOnTargetsOfTheirOwn guards against a sound request that is blamed because it ran beside a harmful one on each
+// crashed target.
+func TestSuspiciousRequestsAreTriedOnTargetsOfTheirOwn(t *testing.T) {
+	const sound, other = whole, whole + 1
+	trials := quarantine.NewTrials()
+	assert.Assert(t, trials.Begin(start, other, 1, "t1", time.Second))
+	assert.Assert(t, !trials.Begin(start, sound, 2, "t1", time.Second), "another request is tried on the target")
+	assert.Assert(t, trials.Begin(start, sound, 2, "t2", time.Second))
+	trials.End(start, other, 1, quarantine.TrialBroken)
+	trials.End(start, sound, 2, quarantine.TrialNotRun)
+	assert.Assert(t, trials.Begin(start, sound, 3, "t1", time.Second), "a broken trial has left its target")
+	assert.Assert(t, !trials.Begin(start, other, 4, "t3", time.Second), "its crash may not have been reported yet")
+}
+
+// TestRequestWithMoreEndedRunsIsBlamedFirst guards against a choice by chance between requests that were on the same crashed targets.
+func TestRequestWithMoreEndedRunsIsBlamedFirst(t *testing.T) {
+	const sound, other = whole, whole + 1
+	detector := quarantine.NewDetector()
+	for number, target := range []celerylanding.TargetID{"t1", "t2", "t3"} {
+		for copies := range 2 {
+			detector.RecordCrash(start, quarantine.Evidence{Key: other, Specificity: quarantine.WholeRequest, Target: target, Incarnation: 1,
+				Run: uint64(10*number + copies + 1)})
+		}
+		detector.RecordCrash(start, quarantine.Evidence{Key: sound, Specificity: quarantine.WholeRequest, Target: target, Incarnation: 1,
+			Run: uint64(100 + number)})
+	}
+	assert.Equal(t, len(detector.Decide(start)), 0, "equal keys wait for answers")
+	assert.DeepEqual(t, keys(detector.Decide(start.Add(time.Second))), []quarantine.Key{other})
+}
