--- a/call.go
+++ b/call.go
@@ -25,6 +25,8 @@
 	PromptParts []PromptPart
 	// ResumeAfter names the last event that the caller has, or "".
 	ResumeAfter string
+	// Resumes is the ID of the call that brought the first event of a stream that this call takes up, or "".
+	Resumes string
 }
 
 // Attempt holds the parameters with which a call is sent to one target.
--- a/control/heartbeats.go
+++ b/control/heartbeats.go
@@ -64,8 +64,8 @@
 		pending: make(map[celerylanding.TargetID]UnchangedHeartbeat)}
 }
 
-// announcementDigest returns a hash of the announcement's group, address, failure domain, slots, leaving flag, inventory and cached
-// models.
+// announcementDigest returns a hash of the announcement's group, address, failure domain, software, slots, leaving flag, inventory and
+// cached models.
 func announcementDigest(announcement *celerylanding.Announcement) uint64 {
 	digest := xxhash.New()
 	// A write to a hash never fails.
@@ -73,6 +73,7 @@
 	write(announcement.Group)
 	write(announcement.Address)
 	write(string(announcement.Domain))
+	write(string(announcement.Software))
 	write(strconv.Itoa(announcement.Slots))
 	write(strconv.FormatBool(announcement.Leaving))
 	for _, entry := range announcement.Inventory {
--- a/control/views.go
+++ b/control/views.go
@@ -29,7 +29,7 @@
 		a.Silent == b.Silent && a.Slots == b.Slots && slices.EqualFunc(a.Loaded, b.Loaded, func(x, y feed.LoadedModel) bool {
 		return x.Model == y.Model && x.Draining == y.Draining && slices.Equal(x.Adapters, y.Adapters)
 	}) && a.Domain == b.Domain && slices.Equal(a.OnDisk, b.OnDisk) && slices.Equal(a.InMemory, b.InMemory) && a.Fetching == b.Fetching &&
-		a.Outlier == b.Outlier
+		a.Outlier == b.Outlier && a.Software == b.Software
 }
 
 func (ctl *Control) targetView(now time.Time, target *membership.Target) feed.Target {
@@ -44,6 +44,7 @@
 		Leaving:     announcement.Leaving,
 		Silent:      !target.IsRoutable(),
 		Sequence:    announcement.Sequence,
+		Software:    announcement.Software,
 		Outlier:     ctl.outliers.IsEjected(now, announcement.Target, announcement.Incarnation),
 	}
 	switch {
@@ -104,6 +105,7 @@
 		Leaving:     view.Leaving,
 		Slots:       view.Slots,
 		Fetching:    view.Fetching,
+		Software:    view.Software,
 	}
 	for _, loaded := range view.Loaded {
 		announcement.Inventory = append(announcement.Inventory, celerylanding.LoadedModel{Model: loaded.Model})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -52,6 +52,8 @@
 	Fetching celerylanding.ModelID `cbor:"13,keyasint,omitempty"`
 	// Outlier is set while several routers report that the target fails nearly all requests.
 	Outlier bool `cbor:"14,keyasint,omitempty"`
+	// Software is the version of the target's software.
+	Software celerylanding.SoftwareVersion `cbor:"15,keyasint,omitempty"`
 }
 
 // Endpoint returns the incarnation's endpoint.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -77,6 +77,10 @@
 	cause           string
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
+	// origin is the software of the target that sent the first event to the caller, and isMixed is set when another one has sent events too.
+	origin   celerylanding.SoftwareVersion
+	hasEvent bool
+	isMixed  bool
 	// wait is the request's wait for its unit to be loaded, or nil.
 	wait *unitWait
 	// throttledUntil is when the request is next tried on targets whose limits have kept it back; zero if none has.
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -77,6 +77,16 @@
 	if call.cause != "" {
 		event = event.Str("cause", call.cause)
 	}
+	if call.hasEvent {
+		event = event.Str("software", string(call.origin))
+	}
+	if call.isMixed {
+		event = event.Bool("mixed", true)
+		handler.options.Metrics.Counter("streams_mixed").Inc(1)
+	}
+	if call.metadata.Resumes != "" {
+		event = event.Str("resumes", call.metadata.Resumes)
+	}
 	if call.unansweredWakes > 0 {
 		event = event.Int("unanswered", call.unansweredWakes)
 	}
@@ -118,7 +128,7 @@
 func (handler *Handler) logAttempt(call *call, target *feed.Target, retry bool) {
 	handler.options.Log.Warn().Str("request", call.metadata.ID).Str("target", string(target.ID)).Str("unit", call.unit.String()).
 		Str("verdict", call.verdict.String()).Int("sends", call.sends).Bool("again", retry).Strs("parts", call.partIDs()).Str("cause", call.cause).
-		Msg("attempt failed")
+		Str("software", string(target.Software)).Bool("has_event", call.hasEvent).Msg("attempt failed")
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -140,6 +140,7 @@
 		return nil
 	}
 	call.recordLastEvent(events)
+	call.recordSoftware()
 	if _, err := writer.Write(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
 	}
@@ -154,6 +155,14 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 )
 
+// recordSoftware records the software of the target that has sent an event.
+func (call *call) recordSoftware() {
+	if !call.hasEvent {
+		call.hasEvent, call.origin = true, call.target.Software
+	}
+	call.isMixed = call.isMixed || call.origin != call.target.Software
+}
+
 // recordLastEvent records the ID of the last event, for resuming the stream at another target.
 func (call *call) recordLastEvent(events []byte) {
 	at := bytes.LastIndex(events, []byte("id:"))
--- a/types.go
+++ b/types.go
@@ -67,6 +67,9 @@
 	TierRemote Tier = "remote"
 )
 
+// SoftwareVersion is the version of a target's software. Versions have no order.
+type SoftwareVersion string
+
 // Priority is the priority class of a request; lower values are served first.
 type Priority int
 
@@ -142,6 +145,8 @@
 	Role Role `json:"role,omitempty" cbor:"15,keyasint,omitempty"`
 	// Fetching is the model that an engine is loading from the weight store, set by the node that ordered the load; engines don't report it.
 	Fetching ModelID `json:"fetching,omitempty" cbor:"16,keyasint,omitempty"`
+	// Software is the version of the target's software, or "" if it is not stated.
+	Software SoftwareVersion `json:"software,omitempty" cbor:"17,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of an announcement that changes frequently.
@@ -163,7 +168,7 @@
 	return ann.Target == other.Target && ann.Incarnation == other.Incarnation && ann.Domain == other.Domain &&
 		ann.Group == other.Group && ann.Address == other.Address && ann.Kind == other.Kind && ann.Memory == other.Memory &&
 		ann.Fencing == other.Fencing && ann.Leaving == other.Leaving && ann.Slots == other.Slots && ann.Role == other.Role &&
-		ann.Fetching == other.Fetching && slices.Equal(ann.Inventory, other.Inventory) && slices.Equal(ann.Cached, other.Cached)
+		ann.Fetching == other.Fetching && ann.Software == other.Software && slices.Equal(ann.Inventory, other.Inventory) && slices.Equal(ann.Cached, other.Cached)
 }
 
 // Supersedes reports whether the announcement is newer than another one of the same target.
