Streams go on only at the software version that began them

Callers could see: a stream that broke off went on at any other target, and a caller that took a stream up through another router was sent anywhere, so that a stream could hold events of two software versions, which do not fit together (ORDER). Cause: nothing decoded the version of a target's software or the field Resumes. Class: an attribute of targets that the choice of a target does not know.

Change: a stream is bound to the version that sent its first event, for the choice of targets, the limits of targets and the loads that the leader plans. Routers report the version of each stream that can be resumed with the next watch request, also through relays, and repeat the records of the last minute to a new leader; another router asks the leader. A stream whose origin nobody knows goes on if the service has had one version for two minutes, and is refused as not run otherwise.

--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	"celerylanding.example/celerylanding/quorum"
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/quorum/wal"
+	"celerylanding.example/celerylanding/resume"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/throttle"
 )
@@ -80,6 +81,8 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
+	// origins are the software versions that began streams, as routers have reported them to this leader.
+	origins *resume.Ledger
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
 	handover    handover
@@ -121,6 +124,7 @@
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: newQuarantineState(),
 		limits:     throttle.NewLedger(),
+		origins:    resume.NewLedger(now),
 		relay:      newRelayReports(),
 	}
 	ctl.feed = newFeedState()
--- a/control/feed.go
+++ b/control/feed.go
@@ -174,6 +174,9 @@
 	for _, report := range args.Limits {
 		ctl.recordLimit(now, report)
 	}
+	for _, origin := range args.Origins {
+		ctl.origins.Record(now, origin.Call, origin.Software)
+	}
 	for _, outcome := range args.Outcomes {
 		node := outcome.Node
 		if node == "" {
@@ -191,6 +194,15 @@
 	}
 }
 
+// findOrigin returns the software version that began a stream.
+func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
+	if !ctl.leads(now) {
+		return feed.OriginReply{}
+	}
+	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
+	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software}
+}
+
 // serviceOf returns the service whose engine settings list the model, or "" if there is none.
 func (ctl *Control) serviceOf(id celerylanding.ModelID) celerylanding.ServiceID {
 	if ctl.configuration == nil {
--- a/control/leader.go
+++ b/control/leader.go
@@ -8,6 +8,7 @@
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/resume"
 	"celerylanding.example/celerylanding/throttle"
 	"celerylanding.example/celerylanding/watch"
 )
@@ -105,6 +106,7 @@
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
 		ctl.limits = throttle.NewLedger()
+		ctl.origins = resume.NewLedger(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
@@ -134,6 +136,7 @@
 	if spec := ctl.engineSpec(celerylanding.ServiceID(announcement.Group)); spec != nil {
 		isEjected := ctl.outliers.IsEjected(now, id, announcement.Incarnation)
 		ctl.planner.Observe(now, announcement, spec, target.IsRoutable() && !isEjected)
+		ctl.origins.ObserveVersion(now, celerylanding.ServiceID(announcement.Group), announcement.Software)
 	}
 	ctl.publish(now, target)
 }
@@ -152,6 +155,7 @@
 	}
 	for _, target := range ctl.directory.Targets() {
 		id := target.Announcement().Target
+		ctl.origins.ObserveVersion(now, celerylanding.ServiceID(target.Announcement().Group), target.Announcement().Software)
 		if target.Announcement().Leaving && now.Sub(target.LastSeen()) > departedRetention {
 			ctl.directory.Remove(id, target.Announcement().Incarnation)
 			ctl.planner.Remove(id)
--- a/control/messages.go
+++ b/control/messages.go
@@ -152,6 +152,11 @@
 	return nil
 }
 
+// Origin returns the software version that began a stream if this node leads.
+func (service *PeerService) Origin(args *feed.OriginArgs, reply *feed.OriginReply) error {
+	return service.postAndWait(func(now time.Time) { *reply = service.control.findOrigin(now, args) })
+}
+
 // Trial decides whether a copy of a suspicious request may run if this node leads, or records how it ended.
 func (service *PeerService) Trial(args *feed.TrialArgs, reply *feed.TrialReply) error {
 	return service.postAndWait(func(now time.Time) { *reply = service.control.trial(now, args) })
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -154,6 +154,46 @@
 	assert.Equal(t, len(reports.Collect(now).Answered), 0)
 }
 
+// TestRelayPassesOnOrigins guards against streams that can't go on where routers report to relays.
+func TestRelayPassesOnOrigins(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reports := control.NewRelayReports()
+	origin := feed.Origin{Call: 7, Software: "v1"}
+	reports.Add(now, &feed.WatchArgs{Node: "r1", Origins: []feed.Origin{origin}})
+	assert.DeepEqual(t, reports.Collect(now).Origins, []feed.Origin{origin})
+	assert.DeepEqual(t, reports.Collect(now).Origins, []feed.Origin{origin})
+	reports.Acknowledge()
+	assert.Equal(t, len(reports.Collect(now).Origins), 0)
+}
+
+// TestLeaderKnowsTheOriginOfStreams guards against streams that a caller can't take up after a change of the leader.
+func TestLeaderKnowsTheOriginOfStreams(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	peers := newTestPeers(t)
+	for _, change := range []func(){func() {}, cluster.stopLeader} {
+		change()
+		args := &feed.WatchArgs{Node: "r1", Router: true, Origins: []feed.Origin{{Call: 7, Software: "v2"}}}
+		for {
+			assert.NilError(t, ctx.Err())
+			var watched feed.WatchReply
+			var found feed.OriginReply
+			leader := cluster.running().ctl.Leader()
+			if err := peers.Call(ctx, leader, "Peer.Watch", args, &watched); err != nil || !watched.Leads {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			if err := peers.Call(ctx, leader, "Peer.Origin", &feed.OriginArgs{Service: "s", Call: 7}, &found); err == nil && found.Leads {
+				assert.Assert(t, found.IsKnown)
+				assert.Equal(t, found.Software, celerylanding.SoftwareVersion("v2"))
+				break
+			}
+		}
+	}
+}
+
 // askTrial calls the leader about a copy of the request with the fingerprint until a leader answers.
 func (cluster *testCluster) askTrial(ctx context.Context, peers *rpc.Peers, args feed.TrialArgs) feed.TrialReply {
 	cluster.t.Helper()
--- a/control/relay.go
+++ b/control/relay.go
@@ -17,6 +17,8 @@
 	relayContactTimeout = time.Second
 	// maxPendingCrashes bounds the crashes that a relay keeps until the leader has answered.
 	maxPendingCrashes = 1024
+	// maxPendingOrigins bounds the streams that a relay keeps until the leader has answered.
+	maxPendingOrigins = 8192
 )
 
 // relayReports collects what routers report to a relay until the leader has it; it is safe for concurrent use.
@@ -27,6 +29,7 @@
 	answered []uint64
 	limits   map[limitKey]*limitTotal
 	outcomes []feed.Outcome
+	origins  []feed.Origin
 	routers  map[celerylanding.NodeID]*routerUsage
 	// sent is the last report, until the leader acknowledges it.
 	sent   *feed.WatchArgs
@@ -68,6 +71,9 @@
 	if len(reports.crashes) < maxPendingCrashes {
 		reports.crashes = append(reports.crashes, args.Crashes...)
 	}
+	if len(reports.origins) < maxPendingOrigins {
+		reports.origins = append(reports.origins, args.Origins...)
+	}
 	for _, fingerprint := range args.Answered {
 		if !slices.Contains(reports.answered, fingerprint) {
 			reports.answered = append(reports.answered, fingerprint)
@@ -169,8 +175,9 @@
 		}
 		delete(reports.routers, id)
 	}
-	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Routers: len(reports.routers),
-		Limits: reports.takeLimits(now)}
+	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Origins: reports.origins,
+		Routers: len(reports.routers),
+		Limits:  reports.takeLimits(now)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -181,7 +188,7 @@
 		}
 	}
 	// Routers repeat the answered suspects with each report while the leader lists them.
-	reports.crashes, reports.answered, reports.outcomes = nil, nil, nil
+	reports.crashes, reports.answered, reports.outcomes, reports.origins = nil, nil, nil, nil
 	reports.sent, reports.sentAt = &args, now
 	return args
 }
@@ -197,6 +204,7 @@
 	}
 	reports.crashes = append(reports.sent.Crashes, reports.crashes...)
 	reports.outcomes = append(reports.sent.Outcomes, reports.outcomes...)
+	reports.origins = append(reports.sent.Origins, reports.origins...)
 	for _, report := range reports.sent.Limits {
 		reports.addLimit(reports.sentAt, report)
 	}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -57,7 +57,10 @@
 	var throttled Throttled
 	var limited []*feed.Target
 	for _, candidate := range candidates {
-		if picker.isLimited(now, candidate) && picker.statsOf(candidate).isUsable(now, candidate) && !slices.Contains(needs.Excluded, candidate.ID) {
+		if !needs.allowsSoftware(candidate) || slices.Contains(needs.Excluded, candidate.ID) {
+			continue
+		}
+		if picker.isLimited(now, candidate) && picker.statsOf(candidate).isUsable(now, candidate) {
 			limited = append(limited, candidate)
 			throttled.Targets = append(throttled.Targets, candidate.Endpoint())
 		}
@@ -67,7 +70,7 @@
 	}
 	throttled.RetryDelay = picker.gate.RetryDelay(now, limited, table.Routers())
 	throttled.HasAlternative = slices.ContainsFunc(all, func(target *feed.Target) bool {
-		return !picker.isLimited(now, target) && picker.statsOf(target).isUsable(now, target)
+		return needs.allowsSoftware(target) && !picker.isLimited(now, target) && picker.statsOf(target).isUsable(now, target)
 	})
 	return throttled
 }
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -59,10 +59,17 @@
 	PromptTokens int
 	// Excluded lists the targets that have refused or failed the request.
 	Excluded []celerylanding.TargetID
+	// Software is the version that the target must have, for a stream that has begun; "" for any.
+	Software celerylanding.SoftwareVersion
 	// AvoidsLimits excludes the targets that announce a limit on requests.
 	AvoidsLimits bool
 }
 
+// allowsSoftware reports whether the target has the software version that the request needs.
+func (needs *Requirements) allowsSoftware(target *feed.Target) bool {
+	return needs.Software == "" || needs.Software == target.Software
+}
+
 // targetStats holds this router's observations of one incarnation of a target.
 type targetStats struct {
 	incarnation    celerylanding.Incarnation
@@ -141,6 +148,9 @@
 	preferred := affinityTarget(picker.sameDomain(candidates), needs)
 	lowest := math.Inf(1)
 	for _, candidate := range candidates {
+		if !needs.allowsSoftware(candidate) {
+			continue
+		}
 		stats := picker.statsOf(candidate)
 		if !stats.isUsable(now, candidate) || (!allowOutliers && stats.isOutlier(candidate)) {
 			unreachable = append(unreachable, candidate.Endpoint())
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -116,6 +116,8 @@
 	Routers int    `cbor:"10,keyasint,omitempty"`
 	// Limits report what targets say of the requests that they take, and the demand for those with a limit.
 	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
+	// Origins list the streams that can be resumed and have begun since the last report that a leader has acknowledged.
+	Origins []Origin `cbor:"13,keyasint,omitempty"`
 }
 
 // LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
@@ -151,6 +153,26 @@
 	Domain  celerylanding.FailureDomain `cbor:"2,keyasint"`
 }
 
+// Origin is the software version that sent the first event of a call's stream.
+type Origin struct {
+	// Call is a hash of the call's ID.
+	Call     uint64                        `cbor:"1,keyasint"`
+	Software celerylanding.SoftwareVersion `cbor:"2,keyasint,omitempty"`
+}
+
+// OriginArgs ask the leader which software version began a stream.
+type OriginArgs struct {
+	Service celerylanding.ServiceID `cbor:"1,keyasint"`
+	Call    uint64                  `cbor:"2,keyasint"`
+}
+
+// OriginReply is the version that began a stream, if IsKnown is set.
+type OriginReply struct {
+	Leads    bool                          `cbor:"1,keyasint"`
+	IsKnown  bool                          `cbor:"2,keyasint,omitempty"`
+	Software celerylanding.SoftwareVersion `cbor:"3,keyasint,omitempty"`
+}
+
 // Outcome counts the requests of one router to one incarnation of a target since its last report.
 type Outcome struct {
 	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
@@ -241,6 +263,8 @@
 	Refusals []celerylanding.Endpoint `cbor:"6,keyasint,omitempty"`
 	// Unreachable lists targets that are published as having the unit loaded but that the router can't use.
 	Unreachable []celerylanding.Endpoint `cbor:"7,keyasint,omitempty"`
+	// Software is the version that the target must have, for streams that have begun; "" for any.
+	Software celerylanding.SoftwareVersion `cbor:"9,keyasint,omitempty"`
 }
 
 // WakeReply contains the expected time until the unit is loaded.
--- a/loadplan/engine.go
+++ b/loadplan/engine.go
@@ -32,6 +32,7 @@
 	endpoint celerylanding.Endpoint
 	service  celerylanding.ServiceID
 	spec     *routing.Engine
+	software celerylanding.SoftwareVersion
 	usable   bool
 	// sequence is the sequence number of the last announcement whose inventory was applied.
 	sequence uint64
--- a/loadplan/loadplan_test.go
+++ b/loadplan/loadplan_test.go
@@ -38,6 +38,7 @@
 	accepted map[celerylanding.TargetID]uint64
 	disk     map[celerylanding.TargetID][]celerylanding.ModelID
 	orders   []loadplan.Order
+	software map[celerylanding.TargetID]celerylanding.SoftwareVersion
 }
 
 func newSimulation(t *testing.T, held map[celerylanding.TargetID][]celerylanding.ModelID) *simulation {
@@ -50,7 +51,8 @@
 }
 
 func (sim *simulation) announcement(id celerylanding.TargetID) celerylanding.Announcement {
-	announcement := celerylanding.Announcement{Target: id, Incarnation: 1, Sequence: sim.sequence, Group: "s", Address: "10.0.0.1:1"}
+	announcement := celerylanding.Announcement{Target: id, Incarnation: 1, Sequence: sim.sequence, Group: "s", Address: "10.0.0.1:1",
+		Software: sim.software[id]}
 	for _, model := range sim.held[id] {
 		announcement.Inventory = append(announcement.Inventory, celerylanding.LoadedModel{Model: model})
 	}
--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -68,8 +68,10 @@
 type pendingLoad struct {
 	service celerylanding.ServiceID
 	unit    feed.Unit
-	expiry  time.Time
-	waiting map[celerylanding.NodeID]int
+	// software is the version that the engine must have, for streams that go on; "" for any.
+	software celerylanding.SoftwareVersion
+	expiry   time.Time
+	waiting  map[celerylanding.NodeID]int
 	// latencyDeadline is the time by which the unit must be loaded so that a waiting request can be answered within its latency objective.
 	latencyDeadline time.Time
 	// replica is 0 for a load that requests wait for, prefetchReplica for a prefetch, and otherwise the number of an additional replica.
@@ -92,8 +94,11 @@
 	return incarnationKey{endpoint.Target, endpoint.Incarnation}
 }
 
-// excludes reports whether a waiting router can't reach the engine.
+// excludes reports whether a waiting router can't reach the engine, or the engine has another version than the load needs.
 func (load *pendingLoad) excludes(eng *engine) bool {
+	if load.software != "" && load.software != eng.software {
+		return true
+	}
 	return len(load.unreachable) > 0 && load.unreachable[incarnationKeyOf(eng.endpoint)]
 }
 
@@ -146,6 +151,8 @@
 	service celerylanding.ServiceID
 	unit    feed.Unit
 	replica int
+	// software is that of the load.
+	software celerylanding.SoftwareVersion
 }
 
 // New returns a planner that knows no engines. Before discoveryEnd, by which all live engines have sent a heartbeat, a model without a
@@ -177,7 +184,7 @@
 	}
 	planner.store.isValid = false
 	eng.endpoint = celerylanding.Endpoint{Target: announcement.Target, Incarnation: announcement.Incarnation, Address: announcement.Address}
-	eng.spec = spec
+	eng.spec, eng.software = spec, announcement.Software
 	eng.suspect = false
 	if eng.usable = usable; !usable {
 		planner.clearQueue(eng)
--- a/loadplan/step.go
+++ b/loadplan/step.go
@@ -334,7 +334,7 @@
 }
 
 func (planner *Planner) queueReplica(now time.Time, key demandKey, replica int) {
-	loadKey := pendingKey{key.service, key.unit, replica}
+	loadKey := pendingKey{service: key.service, unit: key.unit, replica: replica}
 	if planner.pending[loadKey] != nil {
 		return
 	}
--- a/loadplan/store.go
+++ b/loadplan/store.go
@@ -176,7 +176,7 @@
 	}
 	load := &pendingLoad{service: key.service, unit: key.unit, expiry: now.Add(replicaLoadTTL), replica: prefetchReplica, engine: best}
 	best.queue = append(best.queue, load)
-	planner.pending[pendingKey{key.service, key.unit, prefetchReplica}] = load
+	planner.pending[pendingKey{service: key.service, unit: key.unit, replica: prefetchReplica}] = load
 }
 
 // nextPrefetch returns the model to prefetch next; the second result is false if there is none or if the store has enough to do.
@@ -226,7 +226,7 @@
 		}
 		copies := planner.diskCopies(key.service, key.unit.Model)
 		if copies >= planner.desiredCopies(now, key) ||
-			planner.pending[pendingKey{key.service, key.unit, prefetchReplica}] != nil {
+			planner.pending[pendingKey{service: key.service, unit: key.unit, replica: prefetchReplica}] != nil {
 			continue
 		}
 		if !isLargeSite && copies > 0 && dem.urgencyRate(now) < busyUrgencyRate {
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -27,10 +27,10 @@
 		planner.dropRefused(refusal, args.Unit)
 	}
 	planner.isWoken = true
-	key := pendingKey{service: args.Service, unit: args.Unit}
+	key := pendingKey{service: args.Service, unit: args.Unit, software: args.Software}
 	load := planner.pending[key]
 	if load == nil {
-		load = &pendingLoad{service: args.Service, unit: args.Unit, waiting: make(map[celerylanding.NodeID]int),
+		load = &pendingLoad{service: args.Service, unit: args.Unit, software: args.Software, waiting: make(map[celerylanding.NodeID]int),
 			unreachable: make(map[incarnationKey]bool)}
 	}
 	planner.excludeUnreachable(load, args.Unreachable)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -77,7 +77,8 @@
 	cause           string
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
-	// origin is the software of the target that sent the first event to the caller, and isMixed is set when another one has sent events too.
+	// origin is the software that sent the first event of the stream, in this call or in the one that it resumes; "" while it is not known.
+	// isMixed is set when another one has sent events too.
 	origin   celerylanding.SoftwareVersion
 	hasEvent bool
 	isMixed  bool
@@ -262,7 +263,8 @@
 
 // requirements returns the requirements of the request on a target.
 func (call *call) requirements() dispatch.Requirements {
-	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded}
+	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded,
+		Software: call.origin}
 	if len(call.metadata.PromptParts) > 0 {
 		needs.PromptKey = call.unit.String() + "/" + call.metadata.PromptParts[0].ID
 	}
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -20,7 +20,7 @@
 type Wait struct{ wait *unitWait }
 
 // Join adds a waiting request.
-func (waker *Waker) Join() *Wait { return &Wait{waker.waker.join("s", feed.Unit{Model: "m"})} }
+func (waker *Waker) Join() *Wait { return &Wait{waker.waker.join("s", feed.Unit{Model: "m"}, "")} }
 
 // HandleNewLeader forgets the replies of the former leader.
 func (waker *Waker) HandleNewLeader() { waker.waker.forgetReplies() }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -13,6 +13,7 @@
 	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/resume"
 	"celerylanding.example/celerylanding/upstream"
 )
 
@@ -20,6 +21,8 @@
 type Leader interface {
 	// Wake asks for a unit to be loaded; an error means that the leader did not answer.
 	Wake(ctx context.Context, args feed.WakeArgs) (feed.WakeReply, error)
+	// Origin asks which software version began a stream; an error means that the leader did not answer.
+	Origin(ctx context.Context, args feed.OriginArgs) (feed.OriginReply, error)
 	// Trial asks whether a copy of a suspicious request may run, or reports how it ended; an error means that the leader did not answer.
 	Trial(ctx context.Context, args feed.TrialArgs) (feed.TrialReply, error)
 }
@@ -50,6 +53,7 @@
 	usage   *usageCounter
 	crashes *crashTracker
 	trials  *trialGate
+	journal *resume.Journal
 	// probes are the connection attempts that find out whether a target has crashed, and the reports of ended trials.
 	probes   *tasks.Group
 	inFlight atomic.Int64
@@ -75,6 +79,7 @@
 		usage:          newUsageCounter(),
 		crashes:        newCrashTracker(),
 		trials:         newTrialGate(),
+		journal:        resume.NewJournal(),
 		probes:         tasks.New(requestsCtx),
 	}
 }
@@ -150,6 +155,14 @@
 	handler.crashes.setQuarantine(quarantined, suspects)
 }
 
+// Origins returns the streams that can be resumed and that the leader does not know.
+func (handler *Handler) Origins(now time.Time) []feed.Origin { return handler.journal.Report(now) }
+
+// AcknowledgeOrigins records that a leader has answered the last report.
+func (handler *Handler) AcknowledgeOrigins(isNewLeader bool) {
+	handler.journal.Acknowledge(isNewLeader)
+}
+
 // SetTrials records the fingerprints of the requests whose copies run one at a time.
 func (handler *Handler) SetTrials(now time.Time, fingerprints []uint64) {
 	handler.trials.update(now, fingerprints)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -28,6 +28,9 @@
 // earlier attempt.
 func (handler *Handler) serve(ctx context.Context, writer http.ResponseWriter, call *call) *refusal {
 	handler.budget.CountRequest(call.arrived, call.service)
+	if refusal := handler.findOrigin(ctx, call); refusal != nil {
+		return refusal
+	}
 	for {
 		target, refusal := handler.findTarget(ctx, call)
 		if refusal != nil {
@@ -84,7 +87,7 @@
 		return unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
 	}
 	if call.wait == nil {
-		call.wait = handler.waker.join(call.service, call.unit)
+		call.wait = handler.waker.join(call.service, call.unit, call.origin)
 	}
 	// The leader loads a throttled unit on a target without a limit.
 	return handler.waitForUnit(ctx, call, append(unreachable, throttled.Targets...), changed)
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	call.recordLastEvent(events)
-	call.recordSoftware()
+	handler.recordSoftware(call)
 	if _, err := writer.Write(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
 	}
@@ -155,11 +155,15 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 )
 
-// recordSoftware records the software of the target that has sent an event.
-func (call *call) recordSoftware() {
-	if !call.hasEvent {
-		call.hasEvent, call.origin = true, call.target.Software
+// recordSoftware records the software of the target that has sent an event, for the caller's next attempt to go on at.
+func (handler *Handler) recordSoftware(call *call) {
+	if call.origin == "" {
+		call.origin = call.target.Software
 	}
+	if !call.hasEvent && call.route.Resumable {
+		handler.journal.Record(handler.options.Clock(), hash(call.metadata.ID), call.origin)
+	}
+	call.hasEvent = true
 	call.isMixed = call.isMixed || call.origin != call.target.Software
 }
 
--- a/proxy/waker.go
+++ b/proxy/waker.go
@@ -28,6 +28,8 @@
 type wakeKey struct {
 	service celerylanding.ServiceID
 	unit    feed.Unit
+	// software is the version that the target must have; "" for any.
+	software celerylanding.SoftwareVersion
 }
 
 // wakeState is the state of the wake requests for one unit.
@@ -80,9 +82,9 @@
 	state *wakeState
 }
 
-// join adds a request to those that wait for the unit; leave ends its wait.
-func (waker *waker) join(service celerylanding.ServiceID, unit feed.Unit) *unitWait {
-	key := wakeKey{service, unit}
+// join adds a request to those that wait for the unit on a target with the software; leave ends its wait.
+func (waker *waker) join(service celerylanding.ServiceID, unit feed.Unit, software celerylanding.SoftwareVersion) *unitWait {
+	key := wakeKey{service, unit, software}
 	waker.mutex.Lock()
 	defer waker.mutex.Unlock()
 	state := waker.units[key]
@@ -129,7 +131,7 @@
 	}
 	state.done = make(chan struct{})
 	state.askedFor = state.waiting
-	args := feed.WakeArgs{Node: waker.node, Service: wait.key.service, Unit: wait.key.unit, Waiting: state.waiting, MaxWait: remaining,
+	args := feed.WakeArgs{Node: waker.node, Service: wait.key.service, Unit: wait.key.unit, Software: wait.key.software, Waiting: state.waiting, MaxWait: remaining,
 		Slack: max(0, state.onTimeUntil.Sub(now)), Refusals: state.refusals, Unreachable: state.unreachable}
 	state.refusals, state.unreachable = nil, nil
 	waker.mutex.Unlock()
--- a/proxy/waker_test.go
+++ b/proxy/waker_test.go
@@ -31,6 +31,11 @@
 	return leader.reply, leader.err
 }
 
+// Origin knows no streams.
+func (leader *fakeLeader) Origin(context.Context, feed.OriginArgs) (feed.OriginReply, error) {
+	return feed.OriginReply{Leads: true}, leader.err
+}
+
 // Trial lets each copy run.
 func (leader *fakeLeader) Trial(context.Context, feed.TrialArgs) (feed.TrialReply, error) {
 	return feed.TrialReply{Leads: true, MayRun: true}, leader.err
--- /dev/null
+++ b/resume/resume_test.go
@@ -0,0 +1,115 @@
+package resume_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/resume"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestStreamOfUnknownOriginNeedsOneVersion guards against a guess between versions, and against streams that are lost where there is only one.
+func TestStreamOfUnknownOriginNeedsOneVersion(t *testing.T) {
+	later := start.Add(5 * time.Second)
+	for name, tc := range map[string]struct {
+		prepare func(ledger *resume.Ledger)
+		now     time.Time
+		want    celerylanding.SoftwareVersion
+		known   bool
+	}{
+		"recorded": {func(ledger *resume.Ledger) {
+			ledger.Record(later, 7, "v2")
+			ledger.ObserveVersion(later, "s", "v1")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "v2", true},
+		"the first record holds":  {func(ledger *resume.Ledger) { ledger.Record(later, 7, "v2"); ledger.Record(later, 7, "v1") }, later, "v2", true},
+		"one version":             {func(ledger *resume.Ledger) { ledger.ObserveVersion(later, "s", "v1") }, later, "v1", true},
+		"one version, new leader": {func(ledger *resume.Ledger) { ledger.ObserveVersion(start, "s", "v1") }, start.Add(time.Second), "", false},
+		"two versions": {func(ledger *resume.Ledger) {
+			ledger.ObserveVersion(later, "s", "v1")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "", false},
+		"another version a minute ago": {func(ledger *resume.Ledger) {
+			ledger.ObserveVersion(start, "s", "v1")
+			ledger.ObserveVersion(start.Add(time.Minute), "s", "v2")
+		}, start.Add(time.Minute), "", false},
+		"another version long ago": {func(ledger *resume.Ledger) {
+			ledger.ObserveVersion(start, "s", "v1")
+			ledger.ObserveVersion(start.Add(3*time.Minute), "s", "v2")
+		}, start.Add(3 * time.Minute), "v2", true},
+		"versions of another service": {func(ledger *resume.Ledger) {
+			ledger.ObserveVersion(later, "other", "v1")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "v2", true},
+		"no target": {func(*resume.Ledger) {}, later, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ledger := resume.NewLedger(start)
+			tc.prepare(ledger)
+			software, isKnown := ledger.Find(tc.now, 7, "s")
+			assert.Equal(t, isKnown, tc.known)
+			assert.Equal(t, software, tc.want)
+		})
+	}
+}
+
+// TestOldRecordsAreForgotten guards against a ledger that grows without bound.
+func TestOldRecordsAreForgotten(t *testing.T) {
+	ledger := resume.NewLedger(start)
+	ledger.Record(start, 1, "v1")
+	ledger.Record(start.Add(2*time.Minute), 2, "v1")
+	_, isKnown := ledger.Find(start.Add(2*time.Minute), 1, "s")
+	assert.Assert(t, !isKnown)
+}
+
+// TestLeadersLearnAllStreamsOfLivingRouters plays lost reports, lost replies and changes of the leader at random.
+func TestLeadersLearnAllStreamsOfLivingRouters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		journal, ledger, now := resume.NewJournal(), resume.NewLedger(start), start
+		isNewLeader := false
+		deliver := func(origins []feed.Origin) {
+			for _, origin := range origins {
+				ledger.Record(now, origin.Call, origin.Software)
+			}
+		}
+		const calls = 40
+		for call := uint64(1); call <= calls; call++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			journal.Record(now, call, "v1")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				ledger, isNewLeader = resume.NewLedger(now), true
+			case 1:
+				journal.Report(now)
+			case 2:
+				deliver(journal.Report(now))
+			default:
+				deliver(journal.Report(now))
+				journal.Acknowledge(isNewLeader)
+				isNewLeader = false
+			}
+		}
+		for range 2 {
+			deliver(journal.Report(now))
+			journal.Acknowledge(isNewLeader)
+			isNewLeader = false
+		}
+		for call := uint64(1); call <= calls; call++ {
+			if _, isKnown := ledger.Find(now, call, "s"); !isKnown {
+				t.Fatalf("the leader does not know call %d", call)
+			}
+			if _, isKnown := journal.Find(call); !isKnown {
+				t.Fatalf("the router has forgotten call %d", call)
+			}
+		}
+		if left := journal.Report(now); len(left) > 0 {
+			t.Fatalf("%d records are reported again", len(left))
+		}
+	})
+}
--- a/verdict.go
+++ b/verdict.go
@@ -48,6 +48,7 @@
 	ReasonNoQuorum         Reason = "no_quorum"
 	ReasonQuarantined      Reason = "request_quarantined"
 	ReasonCopyOnTrial      Reason = "copy_on_trial"
+	ReasonUnknownOrigin    Reason = "unknown_origin"
 	ReasonTargetsLimited   Reason = "targets_limited"
 	ReasonDraining         Reason = "draining"
 	ReasonTargetFailed     Reason = "target_failed"
