Models for streams that have begun are loaded before those for new requests

Cause: the planner knew no difference between a stream that has begun and a new request.

Change: loads for streams that have begun come first on their engine, and their expected time counts only what is ahead of them.

--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -102,6 +102,9 @@
 	return len(load.unreachable) > 0 && load.unreachable[incarnationKeyOf(eng.endpoint)]
 }
 
+// continuesStream reports whether a caller that waits for the load has a part of the answer.
+func (load *pendingLoad) continuesStream() bool { return load.software != "" }
+
 func (load *pendingLoad) count() int {
 	sum := 0
 	for _, waiting := range load.waiting {
--- a/loadplan/software_test.go
+++ b/loadplan/software_test.go
@@ -47,3 +47,27 @@
 	assert.Equal(t, wake("v1").Expected, time.Duration(0))
 	assert.Assert(t, wake("v3").Infeasible, "no engine has the version")
 }
+
+// TestStreamThatHasBegunIsLoadedFirst guards against callers that have a part of an answer and wait behind all loads for new requests.
+func TestStreamThatHasBegunIsLoadedFirst(t *testing.T) {
+	sim := newSimulation(t, map[celerylanding.TargetID][]celerylanding.ModelID{"e1": {}})
+	sim.software = map[celerylanding.TargetID]celerylanding.SoftwareVersion{"e1": "v1"}
+	sim.disk["e1"] = []celerylanding.ModelID{"a", "b", "c", "d"}
+	sim.announce("e1")
+	var last feed.WakeReply
+	for _, model := range []celerylanding.ModelID{"a", "b", "c"} {
+		for _, node := range []celerylanding.NodeID{"n1", "n2", "n3"} {
+			last = sim.planner.Wake(sim.now, feed.WakeArgs{Node: node, Service: "s", Unit: feed.Unit{Model: model}, Waiting: 5, MaxWait: 20 * time.Second,
+				Slack: 20 * time.Second})
+		}
+	}
+	resumed := sim.planner.Wake(sim.now, feed.WakeArgs{Node: "n1", Service: "s", Unit: feed.Unit{Model: "d"}, Waiting: 1, MaxWait: 2500 * time.Millisecond,
+		Software: "v1"})
+	assert.Assert(t, !resumed.Infeasible, "%+v", resumed)
+	assert.Assert(t, resumed.Expected < last.Expected, "expected %v, a new request %v", resumed.Expected, last.Expected)
+	for range 10 {
+		sim.step()
+	}
+	assert.Assert(t, len(sim.orders) > 0)
+	assert.Equal(t, sim.orders[0].Unit.Model, celerylanding.ModelID("d"))
+}
--- a/loadplan/step.go
+++ b/loadplan/step.go
@@ -77,7 +77,7 @@
 // comparePending orders pending loads by the time at which they expire, then by their unit.
 func comparePending(a, b *pendingLoad) int {
 	return cmp.Or(a.expiry.Compare(b.expiry), cmp.Compare(a.service, b.service), cmp.Compare(a.unit.Model, b.unit.Model),
-		cmp.Compare(a.unit.Adapter, b.unit.Adapter), cmp.Compare(a.replica, b.replica))
+		cmp.Compare(a.unit.Adapter, b.unit.Adapter), cmp.Compare(a.replica, b.replica), cmp.Compare(a.software, b.software))
 }
 
 func (planner *Planner) stepEngine(now time.Time, eng *engine, actions *Actions) {
@@ -111,7 +111,7 @@
 }
 
 // chooseOrder returns the next order for the queued loads, or else a preload. Adapters come first, since they load in milliseconds, then
-// the loads with the highest value.
+// the models for streams that have begun, then the loads with the highest value.
 func (planner *Planner) chooseOrder(now time.Time, eng *engine) *Order {
 	if len(eng.queue) == 0 {
 		planner.cancelDrains(eng)
@@ -119,6 +119,7 @@
 	}
 	slices.SortStableFunc(eng.queue, func(a, b *pendingLoad) int {
 		return cmp.Or(boolRank(eng.residents[a.unit.Model] == nil)-boolRank(eng.residents[b.unit.Model] == nil),
+			boolRank(!a.continuesStream())-boolRank(!b.continuesStream()),
 			-cmp.Compare(planner.loadValue(now, eng, a), planner.loadValue(now, eng, b)), a.expiry.Compare(b.expiry))
 	})
 	for _, load := range eng.queue {
--- a/loadplan/wake.go
+++ b/loadplan/wake.go
@@ -208,6 +208,9 @@
 		if ahead == until {
 			break
 		}
+		if until != nil && until.continuesStream() && !ahead.continuesStream() {
+			continue
+		}
 		if counted[ahead.unit.Model] || eng.isLoading(ahead.unit.Model) {
 			sum += adapterTime
 			continue
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -108,3 +108,4 @@
 mutate origins-not-repeated resume/journal.go ./resume . 's/entry\.isAcknowledged = !isNewLeader && /entry.isAcknowledged = /'
 mutate wake-on-any-version loadplan/planner.go ./loadplan TestStreamIsLoaded 's/load\.software != "" && load\.software != eng\.software/false/'
 mutate relay-loses-origins control/relay.go ./control TestRelayPassesOnOrigins 's/\treports\.origins = append\(reports\.sent\.Origins, reports\.origins\.\.\.\)\n//'
+mutate begun-stream-waits-behind loadplan/wake.go ./loadplan TestStreamThatHasBegun 's/if until != nil && until\.continuesStream\(\)/if false/'
