Routers heed targets that say that they leave or want a pause

Two rules in force had no code: requests reached targets whose answers said Server-Leaving, and targets that had asked for a pause with Retry-After in a 503.

Models whose holders are unavailable are loaded elsewhere through the wakes' list of unreachable targets. Plain requests that all targets keep away are refused with a delay beyond the pause.

Not built: the leader's own count of leaving replicas, the fake target and the soak variant of the issue.

--- a/call.go
+++ b/call.go
@@ -56,6 +56,12 @@
 	// Limit is the number of requests per second that the target takes from all nodes together, if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// IsLeaving is set when the target says that it is about to shut down.
+	IsLeaving bool
+	// Pause is the time for which a target that has not run the call wants no calls from this node; zero for none.
+	Pause time.Duration
+	// InvalidFields names the fields that are malformed or out of bounds, and are ignored.
+	InvalidFields []string
 }
 
 // HeaderCodec translates between the header fields of one HTTP API and the metadata of calls.
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -57,7 +57,7 @@
 	var throttled Throttled
 	var limited []*feed.Target
 	for _, candidate := range candidates {
-		if !needs.allowsSoftware(candidate) || slices.Contains(needs.Excluded, candidate.ID) {
+		if needs.excludes(candidate) {
 			continue
 		}
 		if picker.isLimited(now, candidate) && picker.statsOf(candidate).isUsable(now, candidate) {
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -70,6 +70,11 @@
 	return needs.Software == "" || needs.Software == target.Software
 }
 
+// excludes reports whether the target has refused or failed the request, or has another software version than the request needs.
+func (needs *Requirements) excludes(target *feed.Target) bool {
+	return !needs.allowsSoftware(target) || slices.Contains(needs.Excluded, target.ID)
+}
+
 // targetStats holds this router's observations of one incarnation of a target.
 type targetStats struct {
 	incarnation    celerylanding.Incarnation
@@ -91,6 +96,9 @@
 	// lateness is the average time to the first byte of an answer, in latency objectives, as of latenessAt.
 	lateness   float64
 	latenessAt time.Time
+	// isLeaving is set once an answer has said that the target leaves, and pausedUntil is when it wants requests again.
+	isLeaving   bool
+	pausedUntil time.Time
 }
 
 // Picker chooses targets; it is safe for concurrent use.
@@ -148,15 +156,12 @@
 	preferred := affinityTarget(picker.sameDomain(candidates), needs)
 	lowest := math.Inf(1)
 	for _, candidate := range candidates {
-		if !needs.allowsSoftware(candidate) {
-			continue
-		}
 		stats := picker.statsOf(candidate)
 		if !stats.isUsable(now, candidate) || (!allowOutliers && stats.isOutlier(candidate)) {
 			unreachable = append(unreachable, candidate.Endpoint())
 			continue
 		}
-		if slices.Contains(needs.Excluded, candidate.ID) || (needs.AvoidsLimits && picker.isLimited(now, candidate)) {
+		if needs.excludes(candidate) || (needs.AvoidsLimits && picker.isLimited(now, candidate)) {
 			continue
 		}
 		cost := picker.cost(now, table, candidate, stats)
@@ -217,7 +222,7 @@
 }
 
 func (stats *targetStats) isUsable(now time.Time, target *feed.Target) bool {
-	if now.Before(stats.backoffUntil) {
+	if now.Before(stats.backoffUntil) || !stats.wantsRequests(now) {
 		return false
 	}
 	return !target.Silent || now.Sub(stats.answeredAt) < silentGrace
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -54,6 +54,7 @@
 			Msg("target changed its limit on requests")
 		handler.options.Metrics.Counter("target_limit_changes").Inc(1)
 	}
+	handler.recordAvailability(target, reply)
 	if reply.NotRun {
 		return handler.handleNotRun(call, target, response, reply)
 	}
@@ -64,6 +65,29 @@
 	return handler.forwardBuffered(ctx, writer, call, target, response, reply)
 }
 
+// recordAvailability records that the target says that it leaves or wants no requests for a while.
+func (handler *Handler) recordAvailability(target *feed.Target, reply celerylanding.ResponseMetadata) {
+	if len(reply.InvalidFields) > 0 {
+		handler.options.Metrics.Counter("target_fields_invalid").Inc(1)
+		if now := handler.options.Clock(); now.Unix() != handler.invalidLoggedAt.Swap(now.Unix()) {
+			handler.options.Log.Warn().Str("target", string(target.ID)).Strs("fields", reply.InvalidFields).
+				Msg("answer has malformed fields, which are ignored")
+		}
+	}
+	if !reply.IsLeaving && reply.Pause == 0 {
+		return
+	}
+	now := handler.options.Clock()
+	if !handler.picker.RecordAvailability(now, target, dispatch.Availability{IsLeaving: reply.IsLeaving, Pause: reply.Pause}) {
+		return
+	}
+	handler.options.Log.Info().Str("target", string(target.ID)).Bool("leaving", reply.IsLeaving).Dur("pause", reply.Pause).
+		Msg("target wants no more requests")
+	leaving, paused := handler.picker.Unavailable(now)
+	handler.options.Metrics.Gauge("targets_leaving").Update(float64(leaving))
+	handler.options.Metrics.Gauge("targets_paused").Update(float64(paused))
+}
+
 // attemptContext returns the context of one attempt; the first attempt of an idempotent request ends early enough for a second one.
 func (handler *Handler) attemptContext(ctx context.Context, now time.Time, call *call) (context.Context, context.CancelFunc) {
 	if call.route.Kind != routing.KindIdempotent || call.sends > 0 || call.route.MaxAttempts < 2 {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -58,6 +58,8 @@
 	probes   *tasks.Group
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// invalidLoggedAt is the second in which malformed fields of an answer were last logged.
+	invalidLoggedAt atomic.Int64
 	// refusesWaiting is set when requests that wait for a unit to load are refused, so that callers retry at another router.
 	refusesWaiting atomic.Bool
 	// requestsCtx is cancelled to end all requests in flight.
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -84,7 +85,13 @@
 		return handler.waitForLimit(ctx, now, call, throttled.RetryDelay)
 	}
 	if call.unit.Model == "" {
-		return unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
+		pause := handler.picker.PauseRemaining(now, handler.state.table(), call.requirements())
+		if pause == 0 {
+			return unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
+		}
+		// Callers that are refused together return spread over half a pause.
+		return unavailableOrFailed(call, celerylanding.ReasonNoTarget, pause+time.Duration(rand.Float64()*float64(pause)/2),
+			"all targets have asked for a pause")
 	}
 	if call.wait == nil {
 		call.wait = handler.waker.join(call.service, call.unit, call.origin)
