A stream that breaks off waits for as long as its caller does

Cause: the caller's patience was counted from the arrival of the request, while callers count it from the last event. The wait now does too.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -75,8 +75,9 @@
 	unansweredWakes int
 	firstByte       time.Duration
 	cause           string
-	// lastEvent is the ID of the last event that was sent to the caller.
-	lastEvent string
+	// lastEvent is the ID of the last event that was sent to the caller, and lastEventAt when an event was last sent.
+	lastEvent   string
+	lastEventAt time.Time
 	// origin is the software that sent the first event of the stream, in this call or in the one that it resumes; "" while it is not known.
 	// isMixed is set when another one has sent events too.
 	origin   celerylanding.SoftwareVersion
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -108,12 +108,16 @@
 	}
 }
 
-// waitEnd returns when a caller gives up on an answer that has not begun.
+// waitEnd returns when a caller gives up on the next event of a stream, the first one included, or on another answer.
 func (call *call) waitEnd() time.Time {
 	if call.route.Kind != routing.KindStream {
 		return call.deadline
 	}
-	if end := call.arrived.Add(streamPatience(call.route)); end.Before(call.deadline) {
+	since := call.arrived
+	if call.hasEvent {
+		since = call.lastEventAt
+	}
+	if end := since.Add(streamPatience(call.route)); end.Before(call.deadline) {
 		return end
 	}
 	return call.deadline
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	call.recordLastEvent(events)
-	handler.recordSoftware(call)
+	handler.recordEvent(call)
 	if _, err := writer.Write(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
 	}
@@ -155,15 +155,15 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 )
 
-// recordSoftware records the software of the target that has sent an event, for the caller's next attempt to go on at.
-func (handler *Handler) recordSoftware(call *call) {
+// recordEvent records that the target has sent an event, and its software, for the caller's next attempt to go on at.
+func (handler *Handler) recordEvent(call *call) {
 	if call.origin == "" {
 		call.origin = call.target.Software
 	}
 	if !call.hasEvent && call.route.Resumable {
 		handler.journal.Record(handler.options.Clock(), hash(call.metadata.ID), call.origin)
 	}
-	call.hasEvent = true
+	call.hasEvent, call.lastEventAt = true, handler.options.Clock()
 	call.isMixed = call.isMixed || call.origin != call.target.Software
 }
 
