--- a/call.go
+++ b/call.go
@@ -58,7 +58,7 @@
 	HasLimit bool
 	// IsLeaving is set when the target says that it is about to shut down.
 	IsLeaving bool
-	// Pause is the time for which a target that has not run the call wants no calls from this node; zero for none.
+	// Pause is the time for which a target that turned the call away wants no calls from this node; zero for none.
 	Pause time.Duration
 	// InvalidFields names the fields that are malformed or out of bounds, and are ignored.
 	InvalidFields []string
