A stream waits for a new leader's records for as long as for a leader

A leader that had just started did not know any stream, and refused those of lost routers after 0.7 s although the service may have one version only, which it knows after a heartbeat interval. It now says that it is starting, and routers wait for 2 s in all.

--- a/control/feed.go
+++ b/control/feed.go
@@ -200,7 +200,7 @@
 		return feed.OriginReply{}
 	}
 	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
-	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software}
+	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software, IsStarting: ctl.origins.IsStarting(now)}
 }
 
 // serviceOf returns the service whose engine settings list the model, or "" if there is none.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -171,6 +171,8 @@
 	Leads    bool                          `cbor:"1,keyasint"`
 	IsKnown  bool                          `cbor:"2,keyasint,omitempty"`
 	Software celerylanding.SoftwareVersion `cbor:"3,keyasint,omitempty"`
+	// IsStarting is set if the leader is new and may learn of the stream soon.
+	IsStarting bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome counts the requests of one router to one incarnation of a target since its last report.
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -16,7 +16,7 @@
 	// originWait is how long the leader is asked for a stream that it does not know: the time in which another router's report arrives, also
 	// through a relay.
 	originWait = 700 * time.Millisecond
-	// originLeaderWait is how long a stream waits while no leader answers, which covers an election.
+	// originLeaderWait is how long a stream waits while no leader answers, or a new one, which covers an election.
 	originLeaderWait = 2 * time.Second
 )
 
@@ -39,7 +39,7 @@
 		case err == nil && reply.IsKnown:
 			call.origin, call.waited = reply.Software, now.Sub(call.arrived)
 			return nil
-		case err != nil:
+		case err != nil || reply.IsStarting:
 			limit = originLeaderWait
 		}
 		if now.Add(originInterval).After(call.arrived.Add(limit)) || handler.refusesWaiting.Load() {
--- a/resume/ledger.go
+++ b/resume/ledger.go
@@ -14,8 +14,8 @@
 	maxRecords = 1 << 16
 	// versionMemory is how long a version without targets still counts as one that may have begun a stream.
 	versionMemory = 2 * time.Minute
-	// discoveryTime is the time after its start in which a ledger may not have seen all versions.
-	discoveryTime = 3 * time.Second
+	// discoveryTime is the time after its start in which a ledger may not have all records and versions: a heartbeat interval.
+	discoveryTime = 1500 * time.Millisecond
 )
 
 // record is the version that began a stream.
@@ -59,6 +59,9 @@
 	versions[software] = now
 }
 
+// IsStarting reports whether routers and targets may not have reported to the ledger yet.
+func (ledger *Ledger) IsStarting(now time.Time) bool { return now.Sub(ledger.started) < discoveryTime }
+
 // Find returns the version that began the call's stream: the recorded one, or the only one that the service has had lately.
 func (ledger *Ledger) Find(now time.Time, call uint64, service celerylanding.ServiceID) (software celerylanding.SoftwareVersion, isKnown bool) {
 	if entry, ok := ledger.records[call]; ok && now.Sub(entry.at) <= recordTTL {
@@ -66,7 +69,7 @@
 	}
 	versions := ledger.versions[service]
 	maps.DeleteFunc(versions, func(_ celerylanding.SoftwareVersion, seen time.Time) bool { return now.Sub(seen) > versionMemory })
-	if len(versions) != 1 || now.Sub(ledger.started) < discoveryTime {
+	if len(versions) != 1 || ledger.IsStarting(now) {
 		return "", false
 	}
 	for software := range versions {
