--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -116,3 +116,4 @@
 mutate refused-before-the-pause-ends proxy/serve.go ./platform TestPaused 's/pause\+time\.Duration\(rand\.Float64\(\)\*float64\(pause\)\/2\)/busyRetryDelay+0*time.Duration(rand.Float64())/'
 mutate availability-not-read proxy/attempt.go ./platform 'TestPaused|TestLeavingTarget' 's/\thandler\.recordAvailability\(target, reply\)\n//'
 mutate begun-stream-waits-from-its-arrival proxy/serve.go ./platform TestBrokenStreamWaits 's/if call\.hasEvent \{/if false {/'
+mutate stream-taken-up-anywhere proxy/origin.go ./tests TestStreamsTakenUp 's/call\.metadata\.ResumeAfter == "" \{/true {/'
