Review: cases 2 to 4 become 3 to 5, the DRAIN case leaves the five

Five cases at most, the gravest first: a LOST case without any fault takes the place of DRAIN, which needs a kill of all controllers. The stand-in of that case stays (review-lab left-again).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/bin/review-lab resume-id review/3
+exec target/bin/review-lab resume-error review/3
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/bin/review-lab unstamped review/4
+exec target/bin/review-lab resume-id review/4
