Review case 2: a router that stops as planned cuts sound streams that pause

Routers get SIGTERM in turn, nothing else; a quarter of the streams pauses once for 1.9 s (a preempted request). A stream that may be resumed is given up after half of the time that callers wait, and a router that stops does not wait for its model again, so it cuts the stream.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -41,6 +41,7 @@
 	"ran-and-refused": runRanAndRefused,
 	"lost-disk":       runLostDisk,
 	"left-again":      runLeftAgain,
+	"silent-stop":     runSilentStop,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -35,6 +35,8 @@
 	work time.Duration
 	// events returns the events of the stream that answers a request.
 	events func(call *call) []string
+	// preemptedAt returns the number of the event before which a run is preempted and pauses once, 0 for none; it may be nil.
+	preemptedAt func(call *call) int
 	// body returns the answer to a request of a plain service.
 	body func(call *call) []byte
 	// idleTime is the whole number of seconds after which the server closes an idle channel, as its answers say; zero for never.
@@ -371,8 +373,17 @@
 	record.count("runs")
 	server.fleet.ran(call.id)
 	writer.head(http.StatusOK, append(fields, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")...)
-	for _, event := range server.options.events(call)[last:] {
+	preempted := 0
+	if server.options.preemptedAt != nil {
+		preempted = server.options.preemptedAt(call)
+	}
+	for at, event := range server.options.events(call)[last:] {
 		pause(server.fleet.lab.ctx, server.options.work)
+		if last+at+1 == preempted {
+			record.note("server %d preempts %s before event %d", server.number, call.id, preempted)
+			record.count("preempted runs")
+			pause(server.fleet.lab.ctx, silence)
+		}
 		writer.chunk(event)
 		if writer.err != nil {
 			record.note("server %d: the channel of %s ended", server.number, call.id)
