A stream that has begun is continued by a stream only

Cause: Handler.attempt chose the way of forwarding by the new answer alone. An answer that is no stream went to forwardBuffered, which never asked whether the caller had received the head of a stream; writeHeader had no effect any more, and the body was appended.

Change: package delivery holds what the caller has received over all attempts and admits an answer only if it continues that: a stamped stream with status 200. Any other answer counts as a broken attempt, which is retried while the route allows it, and ends the caller's connection otherwise. Related paths: an unstamped stream, 204, 3xx, 404, another content type and a stream with status 500 are rejected in the same place; a stream that can be resumed is sent in chunks, since the length that its first target announced may not be that of the whole.

--- /dev/null
+++ b/delivery/delivery.go
@@ -0,0 +1,57 @@
+package delivery
+
+import (
+	"errors"
+	"net/http"
+)
+
+// ErrNoContinuation means that an answer can't continue the stream that the caller is receiving.
+var ErrNoContinuation = errors.New("answer does not continue the stream that has begun")
+
+// Answer is the head of a target's answer.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// IsStream is set if the body consists of server-sent events.
+	IsStream bool
+	// HasServerStamp is set if the answer is marked as one of a target.
+	HasServerStamp bool
+}
+
+// Delivery is what the caller of a request has received of the answer, over all attempts. It is not safe for concurrent use.
+type Delivery struct {
+	begun *Answer
+	// position is the ID of the last event, from which the stream can be resumed; "" if it can't be.
+	position string
+}
+
+// New returns the delivery of a request that resumes a stream after the event with the given ID, or "" for a new stream or another request.
+func New(resumeAfter string) *Delivery { return &Delivery{position: resumeAfter} }
+
+// HasBegun reports whether the caller has received the head of an answer.
+func (delivery *Delivery) HasBegun() bool { return delivery.begun != nil }
+
+// Status returns the HTTP status that the caller has received, or zero.
+func (delivery *Delivery) Status() int {
+	if delivery.begun == nil {
+		return 0
+	}
+	return delivery.begun.Status
+}
+
+// Position returns the ID of the event after which the next attempt resumes the stream, or "" if it begins the stream.
+func (delivery *Delivery) Position() string { return delivery.position }
+
+// CanContinue reports whether the answer of another attempt can complete what the caller has received.
+func (delivery *Delivery) CanContinue() bool { return delivery.begun == nil || delivery.position != "" }
+
+// Admit returns nil if the answer of a new attempt may be passed on to the caller, or ErrNoContinuation.
+func (delivery *Delivery) Admit(answer Answer) error {
+	if delivery.begun != nil && !(answer.Status == http.StatusOK && answer.IsStream && answer.HasServerStamp) {
+		return ErrNoContinuation
+	}
+	return nil
+}
+
+// Begin records that the head of an admitted answer is sent to the caller.
+func (delivery *Delivery) Begin(answer Answer) { delivery.begun = &answer }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
@@ -59,6 +61,10 @@
 		return handler.handleNotRun(call, target, response, reply)
 	}
 	call.verdict = celerylanding.Ran
+	call.head = answerOf(response, reply)
+	if err := call.delivery.Admit(call.head); err != nil {
+		return handler.endBroken(ctx, call, target, fmt.Errorf("target answered %d: %w", response.Status, err))
+	}
 	if isStream(response) {
 		return handler.forwardStream(ctx, cancel, writer, call, target, response, reply)
 	}
@@ -99,7 +105,7 @@
 func (handler *Handler) targetRequest(now time.Time, call *call, target *feed.Target) *upstream.Request {
 	urgency := min(defaultTargetPriority+call.route.Priority-1, lowestTargetPriority)
 	header := handler.options.HeaderCodec.RequestHeader(call.header, call.metadata, celerylanding.Attempt{Target: target.ID,
-		Timeout: call.deadline.Sub(now), Urgency: max(0, urgency), ResumeAfter: call.lastEvent})
+		Timeout: call.deadline.Sub(now), Urgency: max(0, urgency), ResumeAfter: call.delivery.Position()})
 	return &upstream.Request{
 		Method: call.method,
 		Target: call.requestURI,
@@ -179,6 +185,11 @@
 	return response.Status == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// answerOf returns the head of an answer.
+func answerOf(response *upstream.Response, reply celerylanding.ResponseMetadata) delivery.Answer {
+	return delivery.Answer{Status: response.Status, IsStream: isStream(response), HasServerStamp: reply.HasServerStamp}
+}
+
 // forwardBuffered reads an answer and forwards it once it is complete; an answer over maxBufferedBody is streamed.
 func (handler *Handler) forwardBuffered(ctx context.Context, writer http.ResponseWriter, call *call, target *feed.Target,
 	response *upstream.Response, reply celerylanding.ResponseMetadata) (bool, *refusal) {
@@ -275,8 +286,7 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	writer.WriteHeader(response.Status)
-	call.status = response.Status
-	call.hasStarted = true
+	call.delivery.Begin(call.head)
 	now := handler.options.Clock()
 	call.firstByte = now.Sub(call.arrived)
 	took := now.Sub(call.sentAt)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
@@ -69,14 +70,15 @@
 	// target is the target of the current attempt, and sentAt when the attempt began.
 	target *feed.Target
 	sentAt time.Time
-	status int
+	// head is the head of the current attempt's answer.
+	head   delivery.Answer
 	waited time.Duration
 	// unansweredWakes counts the wake requests that the leader did not answer.
 	unansweredWakes int
 	firstByte       time.Duration
 	cause           string
-	// lastEvent is the ID of the last event that was sent to the caller, and lastEventAt when an event was last sent.
-	lastEvent   string
+	// delivery is what the caller has received of the answer, and lastEventAt when an event was last sent.
+	delivery    *delivery.Delivery
 	lastEventAt time.Time
 	// origin is the software that sent the first event of the stream, in this call or in the one that it resumes; "" while it is not known.
 	// isMixed is set when another one has sent events too.
@@ -91,8 +93,6 @@
 	isAnswered bool
 	// isTruncated is set when the target's answer ended early after a part of it was sent to the caller.
 	isTruncated bool
-	// hasStarted is set when the header of an answer was sent to the caller.
-	hasStarted bool
 }
 
 // refusal is the error response to a request that no target answered.
@@ -112,7 +112,7 @@
 // admit reads a request and finds its route.
 func (handler *Handler) admit(now time.Time, writer http.ResponseWriter, request *http.Request) (*call, *refusal) {
 	call := &call{method: request.Method, requestURI: request.RequestURI, host: request.Host, header: request.Header, arrived: now,
-		verdict: celerylanding.NotRun}
+		verdict: celerylanding.NotRun, delivery: delivery.New("")}
 	metadata, err := handler.options.HeaderCodec.ParseCall(request.Header)
 	call.metadata = metadata
 	if err != nil {
@@ -139,6 +139,9 @@
 			reason: celerylanding.ReasonBadRequest, cause: "header exceeds the limit"}
 	}
 	call.route = route
+	if route.Resumable {
+		call.delivery = delivery.New(metadata.ResumeAfter)
+	}
 	call.version, call.viewAge = table.Routes().Version(), handler.state.sinceContact(now)
 	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -26,7 +26,7 @@
 func (handler *Handler) writeRefusal(writer http.ResponseWriter, request *http.Request, call *call, refusal *refusal) {
 	call.cause = refusal.cause
 	handler.logRequest(call, refusal)
-	if call.hasStarted {
+	if call.delivery.HasBegun() {
 		panic(http.ErrAbortHandler)
 	}
 	if request.Context().Err() != nil {
@@ -90,7 +90,7 @@
 	if call.unansweredWakes > 0 {
 		event = event.Int("unanswered", call.unansweredWakes)
 	}
-	event.Int("answered", call.status).Msg(outcome)
+	event.Int("answered", call.delivery.Status()).Msg(outcome)
 	handler.recordMetrics(call, outcome)
 }
 
@@ -105,7 +105,7 @@
 	}
 	scope := handler.options.Metrics.Tagged(map[string]string{"kind": call.route.Kind.String()})
 	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(handler.options.Clock().Sub(call.arrived))
-	if call.hasStarted {
+	if call.delivery.HasBegun() {
 		scope.Histogram("first_byte_seconds", latencyBuckets).RecordDuration(call.firstByte)
 	}
 	if call.waited > 0 {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -42,22 +41,27 @@
 	if stall.end() && err != nil {
 		err = errors.Join(errStreamStalled, err)
 	}
-	now := handler.options.Clock()
 	if err == nil {
-		handler.recordAnswer(now, call, target)
+		handler.recordAnswer(handler.options.Clock(), call, target)
 		return false, nil
 	}
+	return handler.endBroken(ctx, call, target, err)
+}
+
+// endBroken ends an attempt whose answer broke off or can't be passed on, and decides whether to retry.
+func (handler *Handler) endBroken(ctx context.Context, call *call, target *feed.Target, err error) (bool, *refusal) {
+	now := handler.options.Clock()
 	isDone := ctx.Err() != nil
 	handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultFailed))
-	if !isDone && !errors.Is(err, errCallerDisconnected) {
+	if !isDone && errors.Is(err, errStreamBroken) {
 		handler.suspectCrash(now, call, target.Endpoint())
 	}
 	call.cause = err.Error()
-	if !isDone && handler.mayRetry(call) && (!call.hasStarted || call.lastEvent != "") {
+	if !isDone && handler.mayRetry(call) && call.delivery.CanContinue() {
 		call.exclude(target)
 		return true, nil
 	}
-	if call.hasStarted {
+	if call.delivery.HasBegun() {
 		call.isTruncated = true
 		return false, nil
 	}
@@ -133,13 +137,18 @@
 
 // forwardEvents writes events to the caller and flushes them; the header is sent before the first ones.
 func (handler *Handler) forwardEvents(writer http.ResponseWriter, call *call, response *upstream.Response, events []byte) error {
-	if !call.hasStarted {
-		handler.writeHeader(writer, call, response, response.Length)
+	if !call.delivery.HasBegun() {
+		length := response.Length
+		if call.route.Resumable {
+			// A stream that is resumed may get another length.
+			length = -1
+		}
+		handler.writeHeader(writer, call, response, length)
 	}
 	if len(events) == 0 {
 		return nil
 	}
-	call.recordLastEvent(events)
+	call.delivery.RecordEvents(events)
 	handler.recordEvent(call)
 	if _, err := writer.Write(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
@@ -166,16 +175,3 @@
 	call.hasEvent, call.lastEventAt = true, handler.options.Clock()
 	call.isMixed = call.isMixed || call.origin != call.target.Software
 }
-
-// recordLastEvent records the ID of the last event, for resuming the stream at another target.
-func (call *call) recordLastEvent(events []byte) {
-	at := bytes.LastIndex(events, []byte("id:"))
-	if at < 0 || (at > 0 && events[at-1] != '\n' && events[at-1] != '\r') {
-		return
-	}
-	line := events[at+len("id:"):]
-	if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
-		line = line[:end]
-	}
-	call.lastEvent = string(bytes.TrimSpace(line))
-}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -40,6 +40,7 @@
 mutate platform-repeat-once proxy/attempt.go ./platform TestVerdicts 's/return call\.route\.IsRetryable\(\) && call\.sends/return call.sends/'
 mutate platform-cut-looks-whole proxy/stream.go ./platform TestStreams 's/return errors\.Join\(errStreamBroken, err\)/return nil/'
 mutate platform-events-in-pieces proxy/stream.go ./platform TestStreams 's/whole := completeEvents\(partial\)/whole := len(partial)/'
+mutate stream-continued-by-any-answer delivery/delivery.go ./platform TestResumedStreamIsNot 's/if delivery\.begun != nil && /if false \&\& /'
 mutate platform-unsigned-passes proxy/attempt.go ./platform TestVerdicts 's/isUnstamped := .*\n/isUnstamped := false\n/'
 mutate platform-busy-is-a-promise proxy/attempt.go ./platform TestVerdicts 's/ \|\| guaranteesNotRun\(response\.Status\) \{/ {/'
 mutate platform-lost-answer-is-not-run proxy/attempt.go ./platform 'TestVerdicts|TestHanging' 's/call\.verdict = celerylanding\.MayHaveRun/call.verdict = celerylanding.NotRun/'
