The position of a stream is the ID of its last event

Cause: recordLastEvent searched the last "id:" anywhere in the bytes that were forwarded. If that lay in the text it kept the ID of an earlier event, so the next target was asked to resume too early.

Change: delivery parses events by lines and fields (LF, CR and CRLF, comments, a byte order mark, IDs that are empty, without a colon or with a null character) and takes the ID of the last one. After an event with data and no ID the stream can't be resumed in the same answer, since no ID names that place. The first event of a resumed stream must come after the last one that the caller has; otherwise the attempt has failed. A stream of which the caller has received only comments can begin again at another target. Blank lines of mixed line ends also end an event.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -5,8 +5,12 @@
 	"net/http"
 )
 
-// ErrNoContinuation means that an answer can't continue the stream that the caller is receiving.
-var ErrNoContinuation = errors.New("answer does not continue the stream that has begun")
+var (
+	// ErrNoContinuation means that an answer can't continue the stream that the caller is receiving.
+	ErrNoContinuation = errors.New("answer does not continue the stream that has begun")
+	// ErrRepeatedEvent means that a target resumes a stream at or before the last event that the caller has received.
+	ErrRepeatedEvent = errors.New("resumed stream repeats an event")
+)
 
 // Answer is the head of a target's answer.
 type Answer struct {
@@ -21,8 +25,11 @@
 // Delivery is what the caller of a request has received of the answer, over all attempts. It is not safe for concurrent use.
 type Delivery struct {
 	begun *Answer
-	// position is the ID of the last event, from which the stream can be resumed; "" if it can't be.
+	// position is the ID of the event after which the stream can be resumed, and hasData is set once an event with data was sent.
 	position string
+	hasData  bool
+	// isResuming is set until the first event with an ID of an attempt that resumes the stream.
+	isResuming bool
 }
 
 // New returns the delivery of a request that resumes a stream after the event with the given ID, or "" for a new stream or another request.
@@ -43,13 +50,16 @@
 func (delivery *Delivery) Position() string { return delivery.position }
 
 // CanContinue reports whether the answer of another attempt can complete what the caller has received.
-func (delivery *Delivery) CanContinue() bool { return delivery.begun == nil || delivery.position != "" }
+func (delivery *Delivery) CanContinue() bool {
+	return delivery.begun == nil || delivery.position != "" || !delivery.hasData
+}
 
 // Admit returns nil if the answer of a new attempt may be passed on to the caller, or ErrNoContinuation.
 func (delivery *Delivery) Admit(answer Answer) error {
 	if delivery.begun != nil && !(answer.Status == http.StatusOK && answer.IsStream && answer.HasServerStamp) {
 		return ErrNoContinuation
 	}
+	delivery.isResuming = delivery.position != ""
 	return nil
 }
 
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -28,7 +28,7 @@
 			begun := delivery.New("")
 			assert.NilError(t, begun.Admit(stream))
 			begun.Begin(stream)
-			begun.RecordEvents([]byte("id: 1\ndata: x\n\n"))
+			assert.NilError(t, begun.RecordEvents([]byte("id: 1\ndata: x\n\n")))
 			assert.Assert(t, begun.CanContinue())
 			assert.Equal(t, begun.Position(), "1")
 			err := begun.Admit(tc.answer)
@@ -42,6 +42,6 @@
 	begun := delivery.New("")
 	assert.Assert(t, begun.CanContinue())
 	begun.Begin(stream)
-	begun.RecordEvents([]byte("data: x\n\n"))
+	assert.NilError(t, begun.RecordEvents([]byte("data: x\n\n")))
 	assert.Assert(t, !begun.CanContinue())
 }
--- a/proxy/events.go
+++ b/proxy/events.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/upstream"
 )
 
@@ -38,7 +39,7 @@
 	reader.pending = append(reader.pending[:0], reader.pending[reader.returned:]...)
 	count, err := reader.response.Read(reader.buffer)
 	reader.pending = append(reader.pending, reader.buffer[:count]...)
-	reader.returned = completeEvents(reader.pending)
+	reader.returned = delivery.CompleteEvents(reader.pending)
 	reader.hasEvent = reader.hasEvent || reader.returned > 0
 	rest := reader.pending[reader.returned:]
 	switch {
@@ -65,22 +66,3 @@
 	}
 	return io.EOF
 }
-
-// blankLines end an event, for each of the line ends that a stream may use.
-var blankLines = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
-
-// completeEvents returns the length in bytes of the complete events at the start of the data.
-func completeEvents(data []byte) int {
-	length := 0
-	for _, blank := range blankLines {
-		if at := bytes.LastIndex(data, blank); at >= 0 {
-			length = max(length, at+len(blank))
-		}
-	}
-	return length
-}
-
-// hasData reports whether one of the events has data; comments keep a connection open and are no progress.
-func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:")) || bytes.Contains(events, []byte("\rdata:"))
-}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
@@ -79,7 +80,7 @@
 	for {
 		events, err := reader.next()
 		isEnd := errors.Is(err, io.EOF)
-		if hasData(events) {
+		if delivery.HasData(events) {
 			stall.restart()
 		}
 		if len(events) > 0 || isEnd {
@@ -137,6 +138,9 @@
 
 // forwardEvents writes events to the caller and flushes them; the header is sent before the first ones.
 func (handler *Handler) forwardEvents(writer http.ResponseWriter, call *call, response *upstream.Response, events []byte) error {
+	if err := call.delivery.RecordEvents(events); err != nil {
+		return err
+	}
 	if !call.delivery.HasBegun() {
 		length := response.Length
 		if call.route.Resumable {
@@ -148,7 +152,6 @@
 	if len(events) == 0 {
 		return nil
 	}
-	call.delivery.RecordEvents(events)
 	handler.recordEvent(call)
 	if _, err := writer.Write(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
