A request is sent once on a connection

Cause: an answer is matched to a request by the request's ID, which both sends share. Nothing kept the second send off the connection of the first.

Change: a connection remembers the IDs of its last 128 requests, and the pool passes it over for a request that is among them. The connection stays in the pool for other requests. This also covers callers that use one ID twice. What was weighed: a new connection for each repeat (as many new connections as repeats, and the kept ones closed), and an ID for each send (targets and callers know only that of the request).

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -71,6 +71,7 @@
 mutate large-relay-loses-usage control/relay.go ./control TestRelaySums 's/\t\tfor unit := range router\.inFlight \{\n\t\t\treports\.setInFlight\(router, unit, 0\)\n\t\t\}\n//'
 mutate large-stale-not-found proxy/call.go ./platform TestUnknownRoute 's/maxUnknownRouteAge = time\.Second/maxUnknownRouteAge = time.Hour/'
 mutate late-answer-without-id upstream/exchange.go ./upstream TestLateAnswerWithoutID 's/ && !conn\.namesRequests\)/)/'
+mutate sent-again-on-its-connection upstream/pool.go ./platform TestLateCopyOf 's/requestID != "" && slices/false \&\& slices/'
 mutate endless-stream proxy/events.go ./platform TestEventWithoutEnd 's/maxEventBytes = 256 << 10/maxEventBytes = 64 << 20/'
 mutate stalled-by-comments proxy/stream.go ./platform TestSlowStreams 's/if delivery\.HasData\(events\) \{/if delivery.HasData(events) || len(events) > 0 {/'
 mutate late-target-preferred dispatch/picker.go ./dispatch TestLateTarget 's/latenessCost = 0\.5/latenessCost = 0.05/'
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -78,13 +78,14 @@
 	if request.NewConnection {
 		pool.CloseIdle(address)
 	}
-	conn, isNew, err := pool.get(ctx, now, address)
+	conn, isNew, err := pool.get(ctx, now, address, request.ID)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, ErrConnRefused.Wrap(err, "%s", address)
 	}
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "%s", address)
 	}
+	conn.recordSent(request.ID)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	response, err := conn.exchange(request)
 	if isNew {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -24,6 +26,8 @@
 	// idleMargin is how long before the target's idle timeout a connection is no longer reused, so that no request races with the target's
 	// close.
 	idleMargin = 500 * time.Millisecond
+	// maxSentIDs is the number of requests for which a connection remembers that it was used for them.
+	maxSentIDs = 128
 )
 
 var (
@@ -54,6 +58,9 @@
 	limit *readLimit
 	// namesRequests is set when the last answer on the connection named its request.
 	namesRequests bool
+	// sent holds hashes of the IDs of the last requests, at most maxSentIDs; nextSent is the place of the next one once it is full.
+	sent     []uint64
+	nextSent int
 	// idleSince is when the connection became idle, and expires when it is no longer reused.
 	idleSince time.Time
 	expires   time.Time
@@ -100,10 +107,11 @@
 // connections early.
 func (pool *Pool) IdleLimit(now time.Time) (time.Duration, bool) { return pool.idleLimit.get(now) }
 
-// get returns a usable idle connection, or a new one.
-func (pool *Pool) get(ctx context.Context, now time.Time, address string) (conn *pooledConn, isNew bool, err error) {
+// get returns a usable idle connection, or a new one. A request is not sent twice on one connection, since a late copy of the answer to the first
+// send would be taken for the answer to the second.
+func (pool *Pool) get(ctx context.Context, now time.Time, address, requestID string) (conn *pooledConn, isNew bool, err error) {
 	for {
-		conn := pool.takeIdle(address)
+		conn := pool.takeIdle(address, requestID)
 		if conn == nil {
 			break
 		}
@@ -144,19 +152,39 @@
 	return false
 }
 
-func (pool *Pool) takeIdle(address string) *pooledConn {
+// takeIdle removes and returns the idle connection that was used last, without those on which the request was sent; nil if there is none.
+func (pool *Pool) takeIdle(address, requestID string) *pooledConn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	list := pool.idle[address]
-	if len(list) == 0 {
-		return nil
+	for at := len(list) - 1; at >= 0; at-- {
+		conn := list[at]
+		if conn.hasSent(requestID) {
+			continue
+		}
+		if pool.idle[address] = slices.Delete(list, at, at+1); len(list) == 1 {
+			delete(pool.idle, address)
+		}
+		pool.reused++
+		return conn
 	}
-	conn := list[len(list)-1]
-	if pool.idle[address] = list[:len(list)-1]; len(list) == 1 {
-		delete(pool.idle, address)
+	return nil
+}
+
+// hasSent reports whether a request with the ID is among the last that were sent on the connection.
+func (conn *pooledConn) hasSent(requestID string) bool {
+	return requestID != "" && slices.Contains(conn.sent, xxhash.Sum64String(requestID))
+}
+
+// recordSent records that a request with the ID is sent on the connection.
+func (conn *pooledConn) recordSent(requestID string) {
+	id := xxhash.Sum64String(requestID)
+	if len(conn.sent) < maxSentIDs {
+		conn.sent = append(conn.sent, id)
+		return
 	}
-	pool.reused++
-	return conn
+	conn.sent[conn.nextSent] = id
+	conn.nextSent = (conn.nextSent + 1) % maxSentIDs
 }
 
 // put returns a connection to the pool for the time that its target allows.
