Every answer is checked by its head before any of it is passed on

Cause: each way of forwarding had its own checks. forwardBuffered left answers over its buffer to forwardUnbuffered before checkAnswer, which alone looked at stamp and status; checkAnswer asked for a stamp only below 300 and for a promise only from 500 on.

Change: delivery.Admit decides by the head of each answer, before its length, framing or kind matter: no stamp, a status that promises "not run" without the target's word, and an answer that does not continue a stream are rejected. A rejected attempt is retried while the route allows it; else its caller gets 502. An idempotent request whose target sends a long error is retried as after a short one, and so is a resumable stream without a stamp. checkAnswer is gone.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -6,6 +6,10 @@
 )
 
 var (
+	// ErrUnstamped means that an answer bears no target's stamp, so that its bytes may belong to no request.
+	ErrUnstamped = errors.New("answer lacks the target's server stamp")
+	// ErrFalsePromise means that the status says that the request has not run although the target does not say so.
+	ErrFalsePromise = errors.New("status promises that the request has not run, and the target does not")
 	// ErrNoContinuation means that an answer can't continue the stream that the caller is receiving.
 	ErrNoContinuation = errors.New("answer does not continue the stream that has begun")
 	// ErrRepeatedEvent means that a target resumes a stream at or before the last event that the caller has received.
@@ -54,14 +58,26 @@
 	return delivery.begun == nil || delivery.position != "" || !delivery.hasData
 }
 
-// Admit returns nil if the answer of a new attempt may be passed on to the caller, or ErrNoContinuation.
+// Admit decides by its head whether the answer of a new attempt may be passed on to the caller, whatever its length and framing. The target has not
+// said that the request has not run. The error is ErrUnstamped, ErrFalsePromise or ErrNoContinuation.
 func (delivery *Delivery) Admit(answer Answer) error {
-	if delivery.begun != nil && !(answer.Status == http.StatusOK && answer.IsStream && answer.HasServerStamp) {
+	switch {
+	case !answer.HasServerStamp:
+		return ErrUnstamped
+	case promisesNotRun(answer.Status):
+		return ErrFalsePromise
+	case delivery.begun != nil && !(answer.Status == http.StatusOK && answer.IsStream):
 		return ErrNoContinuation
 	}
 	delivery.isResuming = delivery.position != ""
 	return nil
 }
 
+// promisesNotRun reports whether callers take the status as a promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
 // Begin records that the head of an admitted answer is sent to the caller.
 func (delivery *Delivery) Begin(answer Answer) { delivery.begun = &answer }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -66,9 +67,9 @@
 		return handler.endBroken(ctx, call, target, fmt.Errorf("target answered %d: %w", response.Status, err))
 	}
 	if isStream(response) {
-		return handler.forwardStream(ctx, cancel, writer, call, target, response, reply)
+		return handler.forwardStream(ctx, cancel, writer, call, target, response)
 	}
-	return handler.forwardBuffered(ctx, writer, call, target, response, reply)
+	return handler.forwardBuffered(ctx, writer, call, target, response)
 }
 
 // recordAvailability records that the target says that it leaves or wants no requests for a while.
@@ -190,16 +191,21 @@
 	return delivery.Answer{Status: response.Status, IsStream: isStream(response), HasServerStamp: reply.HasServerStamp}
 }
 
-// forwardBuffered reads an answer and forwards it once it is complete; an answer over maxBufferedBody is streamed.
+// forwardBuffered reads an answer and forwards it once it is complete; an answer over maxBufferedBody is streamed. A status of 500 or higher is
+// forwarded only if no retry is allowed.
 func (handler *Handler) forwardBuffered(ctx context.Context, writer http.ResponseWriter, call *call, target *feed.Target,
-	response *upstream.Response, reply celerylanding.ResponseMetadata) (bool, *refusal) {
+	response *upstream.Response) (bool, *refusal) {
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		return handler.forwardUnbuffered(writer, call, target, response, body)
+	if err != nil {
+		return handler.endBroken(ctx, call, target, errors.Join(errAnswerBroken, err))
 	}
-	if retry, refusal := handler.checkAnswer(ctx, call, target, response, reply, err); retry || refusal != nil {
-		return retry, refusal
+	if response.Status >= http.StatusInternalServerError && ctx.Err() == nil && handler.mayRetry(call) {
+		return handler.endBroken(ctx, call, target, fmt.Errorf("target answered %d", response.Status))
+	}
+	if len(body) > maxBufferedBody {
+		return handler.forwardUnbuffered(writer, call, target, response, body)
 	}
+	handler.endComplete(call, target, response)
 	handler.writeHeader(writer, call, response, int64(len(body)))
 	if _, err := writer.Write(body); err != nil {
 		call.cause = "caller disconnected: " + err.Error()
@@ -207,43 +213,6 @@
 	return false, nil
 }
 
-// checkAnswer decides whether a buffered answer is forwarded, retried or refused. A status of 500 or higher is forwarded only if no retry is
-// allowed, the answer has a server stamp and callers do not take the status as a guarantee that the request has not run.
-// An answer with a status below 300 and without a server stamp is never forwarded.
-func (handler *Handler) checkAnswer(ctx context.Context, call *call, target *feed.Target, response *upstream.Response, reply celerylanding.ResponseMetadata,
-	err error) (bool, *refusal) {
-	now := handler.options.Clock()
-	isUnstamped := response.Status < http.StatusMultipleChoices && !reply.HasServerStamp
-	if err == nil && !isUnstamped && response.Status < http.StatusInternalServerError {
-		handler.recordAnswer(now, call, target)
-		return false, nil
-	}
-	isDone := ctx.Err() != nil
-	handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultFailed))
-	call.cause = "target answered " + strconv.Itoa(response.Status)
-	if err != nil {
-		call.cause = "answer broke off"
-		if !isDone {
-			handler.suspectCrash(now, call, target.Endpoint())
-		}
-	}
-	if !isDone && handler.mayRetry(call) {
-		call.exclude(target)
-		return true, nil
-	}
-	if err != nil || !reply.HasServerStamp || guaranteesNotRun(response.Status) {
-		return false, &refusal{status: http.StatusBadGateway, verdict: celerylanding.MayHaveRun,
-			reason: celerylanding.ReasonAnswerIncomplete, cause: call.cause}
-	}
-	return false, nil
-}
-
-// guaranteesNotRun reports whether callers take the status as a guarantee that the request has not run.
-func guaranteesNotRun(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
-		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
-}
-
 // forwardUnbuffered streams an answer that exceeds maxBufferedBody; prefix holds the bytes that are already read.
 func (handler *Handler) forwardUnbuffered(writer http.ResponseWriter, call *call, target *feed.Target, response *upstream.Response,
 	prefix []byte) (bool, *refusal) {
@@ -257,10 +226,21 @@
 		handler.picker.Done(handler.options.Clock(), target, dispatch.ResultFailed)
 		return false, nil
 	}
-	handler.recordAnswer(handler.options.Clock(), call, target)
+	handler.endComplete(call, target, response)
 	return false, nil
 }
 
+// endComplete records that a whole answer has arrived; a status of 500 or higher counts as a failure of the target.
+func (handler *Handler) endComplete(call *call, target *feed.Target, response *upstream.Response) {
+	now := handler.options.Clock()
+	if response.Status < http.StatusInternalServerError {
+		handler.recordAnswer(now, call, target)
+		return
+	}
+	call.cause = "target answered " + strconv.Itoa(response.Status)
+	handler.picker.Done(now, target, dispatch.ResultFailed)
+}
+
 // recordAnswer records that the target has answered the request completely.
 func (handler *Handler) recordAnswer(now time.Time, call *call, target *feed.Target) {
 	call.isAnswered = true
--- a/proxy/events.go
+++ b/proxy/events.go
@@ -17,6 +17,7 @@
 )
 
 var (
+	errAnswerBroken  = errors.New("answer broke off")
 	errStreamBroken  = errors.New("stream broke off")
 	errEventCutOff   = errors.New("stream ended inside an event")
 	errNoEvent       = errors.New("target closed the connection before the first event")
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -31,12 +31,7 @@
 //
 // stop ends the attempt; it is called when the stream stalls.
 func (handler *Handler) forwardStream(ctx context.Context, stop context.CancelFunc, writer http.ResponseWriter, call *call, target *feed.Target,
-	response *upstream.Response, reply celerylanding.ResponseMetadata) (bool, *refusal) {
-	if !reply.HasServerStamp {
-		handler.picker.Done(handler.options.Clock(), target, dispatch.ResultFailed)
-		return false, &refusal{status: http.StatusBadGateway, verdict: celerylanding.MayHaveRun,
-			reason: celerylanding.ReasonAnswerIncomplete, cause: "answer lacks the target's server stamp"}
-	}
+	response *upstream.Response) (bool, *refusal) {
 	stall := newStallTimer(handler.stallTimeout(call), stop)
 	err := handler.copyEvents(writer, call, response, stall)
 	if stall.end() && err != nil {
@@ -54,7 +49,7 @@
 	now := handler.options.Clock()
 	isDone := ctx.Err() != nil
 	handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultFailed))
-	if !isDone && errors.Is(err, errStreamBroken) {
+	if !isDone && (errors.Is(err, errStreamBroken) || errors.Is(err, errAnswerBroken)) {
 		handler.suspectCrash(now, call, target.Endpoint())
 	}
 	call.cause = err.Error()
