The end of a connection is passed on as such, and that of a killed target as a failure

Cause: a target's stream that has neither a length nor chunks ends with its connection. One whose target was killed between two events ends in the same way (FIN). The router took both for complete and passed them on in chunks with a regular end: it vouched for what it did not know. The same held for plain answers without a length, which got one, and, the other way round, for callers of HTTP/1.0, for whom each broken stream ended with a connection that was closed in order.

Change: - An answer without length and chunks is passed on without them. Until it is complete, the caller's connection is set to be reset when it is closed (SO_LINGER 0), so that a stream that breaks off, a cancelled request and a kill of the router don't look like its end. - When such an answer ends, its target is asked for a connection, which is kept for the next request. One that refuses it has been killed, unless it leaves: the stream is resumed elsewhere if it may be, and else reset. - A caller that already gets chunks is never given a regular end for such an answer: another target is asked to go on after the last event.

What was weighed: to end each unframed stream with an error (each sound one is lost), and to confirm each by another attempt (a run more for each).

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -12,6 +12,8 @@
 	ErrFalsePromise = errors.New("status promises that the request has not run, and the target does not")
 	// ErrNoContinuation means that an answer can't continue the stream that the caller is receiving.
 	ErrNoContinuation = errors.New("answer does not continue the stream that has begun")
+	// ErrEndUnknown means that the connection of an answer without length and chunks has ended, which can't be passed on as a complete body.
+	ErrEndUnknown = errors.New("answer ended with its connection, which does not show that it is complete")
 	// ErrRepeatedEvent means that a target resumes a stream at or before the last event that the caller has received.
 	ErrRepeatedEvent = errors.New("resumed stream repeats an event")
 )
@@ -24,11 +26,16 @@
 	IsStream bool
 	// HasServerStamp is set if the answer is marked as one of a target.
 	HasServerStamp bool
+	// IsUnframed is set if the body has neither a length nor chunks, so that only the end of the connection ends it. A target that is killed ends it
+	// in the same way.
+	IsUnframed bool
 }
 
 // Delivery is what the caller of a request has received of the answer, over all attempts. It is not safe for concurrent use.
 type Delivery struct {
 	begun *Answer
+	// isUnframed is set if the body that the caller gets ends with its connection.
+	isUnframed bool
 	// position is the ID of the event after which the stream can be resumed, and hasData is set once an event with data was sent.
 	position string
 	hasData  bool
@@ -79,5 +86,16 @@
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 }
 
-// Begin records that the head of an admitted answer is sent to the caller.
-func (delivery *Delivery) Begin(answer Answer) { delivery.begun = &answer }
+// Begin records that the head of an admitted answer is sent to the caller; isUnframed says that the end of the caller's connection ends the body.
+func (delivery *Delivery) Begin(answer Answer, isUnframed bool) {
+	delivery.begun, delivery.isUnframed = &answer, isUnframed
+}
+
+// CheckEnd returns nil if the body of the caller may end as the answer has ended, without an error. It returns ErrEndUnknown if the caller would take
+// the body for complete, and the target's answer does not show that it is.
+func (delivery *Delivery) CheckEnd(answer Answer) error {
+	if answer.IsUnframed && !delivery.isUnframed {
+		return ErrEndUnknown
+	}
+	return nil
+}
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -27,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			begun := delivery.New("")
 			assert.NilError(t, begun.Admit(stream))
-			begun.Begin(stream)
+			begun.Begin(stream, false)
 			assert.NilError(t, begun.RecordEvents([]byte("id: 1\ndata: x\n\n")))
 			assert.Assert(t, begun.CanContinue())
 			assert.Equal(t, begun.Position(), "1")
@@ -41,7 +41,29 @@
 func TestStreamWithoutPositionCanNotContinue(t *testing.T) {
 	begun := delivery.New("")
 	assert.Assert(t, begun.CanContinue())
-	begun.Begin(stream)
+	begun.Begin(stream, false)
 	assert.NilError(t, begun.RecordEvents([]byte("data: x\n\n")))
 	assert.Assert(t, !begun.CanContinue())
 }
+
+// TestEndOfAConnectionIsNotVouchedFor guards against a body that looks complete to its caller, although its target's answer does not show that it is.
+func TestEndOfAConnectionIsNotVouchedFor(t *testing.T) {
+	unframed := delivery.Answer{Status: http.StatusOK, IsStream: true, HasServerStamp: true, IsUnframed: true}
+	for name, tc := range map[string]struct {
+		answer     delivery.Answer
+		isUnframed bool
+		isKnown    bool
+	}{
+		"both framed":              {stream, false, true},
+		"only the caller's body":   {unframed, false, false},
+		"neither":                  {unframed, true, true},
+		"only the target's answer": {stream, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := delivery.New("")
+			sent.Begin(tc.answer, tc.isUnframed)
+			err := sent.CheckEnd(tc.answer)
+			assert.Equal(t, err == nil, tc.isKnown, "%v", err)
+		})
+	}
+}
--- a/delivery/events_test.go
+++ b/delivery/events_test.go
@@ -50,7 +50,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			sent := delivery.New("")
-			sent.Begin(stream)
+			sent.Begin(stream, false)
 			assert.NilError(t, sent.RecordEvents([]byte(tc.events)))
 			assert.Equal(t, sent.Position(), tc.position)
 			assert.Equal(t, sent.CanContinue(), tc.position != "")
@@ -61,7 +61,7 @@
 // TestCommentsAloneLeaveAStreamAtItsBegin guards against ending a stream whose target fails before its first event, but after a comment.
 func TestCommentsAloneLeaveAStreamAtItsBegin(t *testing.T) {
 	sent := delivery.New("")
-	sent.Begin(stream)
+	sent.Begin(stream, false)
 	assert.NilError(t, sent.RecordEvents([]byte(": still here\n\n")))
 	assert.Assert(t, sent.CanContinue())
 	assert.Equal(t, sent.Position(), "")
@@ -85,7 +85,7 @@
 			next := []byte("id: " + tc.first + "\ndata: x\n\nid: 99\ndata: x\n\n")
 			sent := delivery.New("")
 			assert.NilError(t, sent.Admit(stream))
-			sent.Begin(stream)
+			sent.Begin(stream, false)
 			assert.NilError(t, sent.RecordEvents([]byte("id: "+tc.last+"\ndata: x\n\n")))
 			assert.NilError(t, sent.Admit(stream))
 			err := sent.RecordEvents(next)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -188,7 +188,8 @@
 
 // answerOf returns the head of an answer.
 func answerOf(response *upstream.Response, reply celerylanding.ResponseMetadata) delivery.Answer {
-	return delivery.Answer{Status: response.Status, IsStream: isStream(response), HasServerStamp: reply.HasServerStamp}
+	return delivery.Answer{Status: response.Status, IsStream: isStream(response), HasServerStamp: reply.HasServerStamp,
+		IsUnframed: response.EndsWithConnection}
 }
 
 // forwardBuffered reads an answer and forwards it once it is complete; an answer over maxBufferedBody is streamed. A status of 500 or higher is
@@ -203,24 +204,52 @@
 		return handler.endBroken(ctx, call, target, fmt.Errorf("target answered %d", response.Status))
 	}
 	if len(body) > maxBufferedBody {
-		return handler.forwardUnbuffered(writer, call, target, response, body)
+		return handler.forwardUnbuffered(ctx, writer, call, target, response, body)
+	}
+	if err := handler.confirmEnd(ctx, call, target); err != nil {
+		return handler.endBroken(ctx, call, target, err)
 	}
 	handler.endComplete(call, target, response)
-	handler.writeHeader(writer, call, response, int64(len(body)))
+	length := int64(len(body))
+	if call.head.IsUnframed {
+		length = -1
+	}
+	handler.writeHeader(writer, call, response, length)
 	if _, err := writer.Write(body); err != nil {
 		call.cause = "caller disconnected: " + err.Error()
 	}
+	if err := call.delivery.CheckEnd(call.head); err != nil {
+		call.isTruncated, call.cause = true, err.Error()
+	}
 	return false, nil
 }
 
+// confirmEnd checks that a target whose answer has ended with its connection has not crashed: a target that is killed ends its connections in the
+// same way, and refuses new ones. A target that leaves may do so as well after its last answer.
+func (handler *Handler) confirmEnd(ctx context.Context, call *call, target *feed.Target) error {
+	if !call.head.IsUnframed {
+		return nil
+	}
+	if handler.picker.IsLeaving(handler.state.table(), target) {
+		return nil
+	}
+	if sleep(ctx, probeDelay) && handler.options.Pool.RefusesConnections(ctx, handler.options.Clock(), target.Address) {
+		return errors.Join(errAnswerBroken, errTargetGone)
+	}
+	return nil
+}
+
 // forwardUnbuffered streams an answer that exceeds maxBufferedBody; prefix holds the bytes that are already read.
-func (handler *Handler) forwardUnbuffered(writer http.ResponseWriter, call *call, target *feed.Target, response *upstream.Response,
-	prefix []byte) (bool, *refusal) {
+func (handler *Handler) forwardUnbuffered(ctx context.Context, writer http.ResponseWriter, call *call, target *feed.Target,
+	response *upstream.Response, prefix []byte) (bool, *refusal) {
 	handler.writeHeader(writer, call, response, response.Length)
 	_, err := writer.Write(prefix)
 	if err == nil {
 		_, err = io.Copy(writer, response)
 	}
+	if err == nil {
+		err = handler.checkEnd(ctx, call, target)
+	}
 	if err != nil {
 		call.isTruncated, call.cause = true, err.Error()
 		handler.picker.Done(handler.options.Clock(), target, dispatch.ResultFailed)
@@ -230,6 +259,14 @@
 	return false, nil
 }
 
+// checkEnd checks that the caller's body may end as the target's answer has ended.
+func (handler *Handler) checkEnd(ctx context.Context, call *call, target *feed.Target) error {
+	if err := handler.confirmEnd(ctx, call, target); err != nil {
+		return err
+	}
+	return call.delivery.CheckEnd(call.head)
+}
+
 // endComplete records that a whole answer has arrived; a status of 500 or higher counts as a failure of the target.
 func (handler *Handler) endComplete(call *call, target *feed.Target, response *upstream.Response) {
 	now := handler.options.Clock()
@@ -262,11 +299,15 @@
 			header[name] = nil
 		}
 	}
+	isUnframed := false
 	if length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	} else if isUnframed = (call.head.IsUnframed || !call.hasChunks) && call.caller.beginBody(); isUnframed {
+		// net/http then ends the body with the connection.
+		header.Set("Transfer-Encoding", "identity")
 	}
 	writer.WriteHeader(response.Status)
-	call.delivery.Begin(call.head)
+	call.delivery.Begin(call.head, isUnframed)
 	now := handler.options.Clock()
 	call.firstByte = now.Sub(call.arrived)
 	took := now.Sub(call.sentAt)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -77,6 +77,9 @@
 	unansweredWakes int
 	firstByte       time.Duration
 	cause           string
+	// caller is the connection of the caller, and hasChunks is set if its protocol has chunked bodies.
+	caller    *callerConn
+	hasChunks bool
 	// delivery is what the caller has received of the answer, and lastEventAt when an event was last sent.
 	delivery    *delivery.Delivery
 	lastEventAt time.Time
@@ -112,7 +115,8 @@
 // admit reads a request and finds its route.
 func (handler *Handler) admit(now time.Time, writer http.ResponseWriter, request *http.Request) (*call, *refusal) {
 	call := &call{method: request.Method, requestURI: request.RequestURI, host: request.Host, header: request.Header, arrived: now,
-		verdict: celerylanding.NotRun, delivery: delivery.New("")}
+		verdict: celerylanding.NotRun, delivery: delivery.New(""),
+		caller: newCallerConn(request.Context()), hasChunks: request.ProtoAtLeast(1, 1)}
 	metadata, err := handler.options.HeaderCodec.ParseCall(request.Header)
 	call.metadata = metadata
 	if err != nil {
--- a/proxy/events.go
+++ b/proxy/events.go
@@ -20,6 +20,7 @@
 	errAnswerBroken  = errors.New("answer broke off")
 	errStreamBroken  = errors.New("stream broke off")
 	errEventCutOff   = errors.New("stream ended inside an event")
+	errTargetGone    = errors.New("target refuses connections since it has closed that of its answer")
 	errNoEvent       = errors.New("target closed the connection before the first event")
 	errEventTooLarge = errors.New("event of the stream exceeds the limit")
 )
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -221,6 +221,11 @@
 		handler.writeRefusal(writer, request, call, refusal)
 		return
 	}
+	if !call.isTruncated {
+		if err := call.caller.endBody(); err != nil {
+			call.isTruncated, call.cause = true, err.Error()
+		}
+	}
 	handler.logRequest(call, nil)
 	if call.isTruncated {
 		// Aborts the connection, so that the partial answer does not look complete to the caller.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -37,6 +37,9 @@
 	if stall.end() && err != nil {
 		err = errors.Join(errStreamStalled, err)
 	}
+	if err == nil {
+		err = handler.checkEnd(ctx, call, target)
+	}
 	if err == nil {
 		handler.recordAnswer(handler.options.Clock(), call, target)
 		return false, nil
