A router that stops leaves a stream that pauses where it is

Cause: a stream that can be resumed is given up after half of the time that its caller waits, whether or not another target could go on with it. At other times it then waits for its model and is sent to the same target again; a router that stops refuses all waiting requests, so the stream was cut.

Change: while a router stops, a stream without a new event stays at its target for as long as its caller waits, unless another target is usable now. A stream that has begun may wait for a target also while the router stops; its wait is bounded by the caller's patience and the grace period.

Measured: TestStoppingRouterLeavesAPausingStreamWhereItIs and TestStoppingRouterLetsABegunStreamWait failed before (unexpected EOF). Stalled streams still end (TestStoppingRouterEndsAStalledStream) or move (TestStoppingRouterMovesAStalledStream).

--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -137,6 +137,18 @@
 	return target, nil
 }
 
+// HasTarget reports whether a target is usable for the request, whatever the limits that targets announce.
+func (picker *Picker) HasTarget(now time.Time, table *Table, needs Requirements) bool {
+	candidates := table.Targets(needs.Service)
+	if needs.Unit.Model != "" {
+		candidates = table.TargetsForUnit(needs.Service, needs.Unit)
+	}
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	target, _ := picker.choose(now, table, candidates, needs, false)
+	return target != nil
+}
+
 // chooseWithinLimits returns the candidate with the lowest cost among those whose limits allow the request, and the candidates that are in
 // backoff, silent or outliers.
 func (picker *Picker) chooseWithinLimits(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (best *feed.Target,
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -186,7 +186,7 @@
 // Drain asks callers to close their connections, so that they send their next request to another node.
 func (handler *Handler) Drain() { handler.draining.Store(true) }
 
-// RefuseWaiting refuses all requests that wait for a unit to load, including those that arrive later.
+// RefuseWaiting refuses all requests that wait for a unit to load, including those that arrive later, but for streams that have begun.
 func (handler *Handler) RefuseWaiting() { handler.refusesWaiting.Store(true) }
 
 // CancelRequests cancels all requests in flight. A request whose answer has not begun gets an error status that depends on its verdict.
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -200,7 +200,7 @@
 
 // waitForUnit asks the leader to load the unit, and waits for a new table or the next poll.
 func (handler *Handler) waitForUnit(ctx context.Context, call *call, unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
-	if handler.refusesWaiting.Load() {
+	if handler.refusesWaiting.Load() && !call.delivery.HasBegun() {
 		return unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
 	}
 	now := handler.options.Clock()
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -5,7 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -32,7 +33,7 @@
 // stop ends the attempt; it is called when the stream stalls.
 func (handler *Handler) forwardStream(ctx context.Context, stop context.CancelFunc, writer http.ResponseWriter, call *call, target *feed.Target,
 	response *upstream.Response) (bool, *refusal) {
-	stall := newStallTimer(handler.stallTimeout(call), stop)
+	stall := handler.newStallTimer(call, target, stop)
 	err := handler.copyEvents(writer, call, response, stall)
 	if stall.end() && err != nil {
 		err = errors.Join(errStreamStalled, err)
@@ -100,38 +101,64 @@
 	return max(minStallTimeout, stallObjectives*route.LatencyObjective, stallGaps*route.MaxEventGap)
 }
 
-// stallTimeout returns the time without an event after which the call's stream has stalled.
-func (handler *Handler) stallTimeout(call *call) time.Duration {
-	timeout := streamPatience(call.route)
+// newStallTimer returns the timer of a stream's attempt. A stream that can be resumed moves to another target before its caller gives up, except that a
+// router that stops leaves it where it is if no other target is usable.
+func (handler *Handler) newStallTimer(call *call, target *feed.Target, stop context.CancelFunc) *stallTimer {
+	stall := &stallTimer{patience: streamPatience(call.route), stop: stop}
+	stall.timeout = stall.patience
 	if call.route.Resumable && handler.mayRetry(call) {
-		return time.Duration(resumeStallShare * float64(timeout))
+		stall.timeout = time.Duration(resumeStallShare * float64(stall.patience))
+		needs := call.requirements()
+		needs.Excluded = append(slices.Clone(needs.Excluded), target.ID)
+		needs.Software = target.Software
+		stall.mayMove = func() bool {
+			return !handler.draining.Load() || handler.picker.HasTarget(handler.options.Clock(), handler.state.table(), needs)
+		}
 	}
-	return timeout
+	stall.timer = time.AfterFunc(stall.timeout, stall.expire)
+	return stall
 }
 
 // stallTimer ends an attempt whose stream makes no progress.
 type stallTimer struct {
-	timeout time.Duration
-	timer   *time.Timer
-	fired   atomic.Bool
+	// timeout is the time without an event after which the attempt ends if mayMove, and patience that after which it ends in any case.
+	timeout, patience time.Duration
+	mayMove           func() bool
+	stop              context.CancelFunc
+	mutex             sync.Mutex
+	timer             *time.Timer
+	// isExtended is set between the timeout and the end of the patience.
+	isExtended bool
+	fired      bool
 }
 
-func newStallTimer(timeout time.Duration, stop context.CancelFunc) *stallTimer {
-	stall := &stallTimer{timeout: timeout}
-	stall.timer = time.AfterFunc(timeout, func() {
-		stall.fired.Store(true)
-		stop()
-	})
-	return stall
+func (stall *stallTimer) expire() {
+	mayMove := stall.mayMove == nil || stall.mayMove()
+	stall.mutex.Lock()
+	defer stall.mutex.Unlock()
+	if !mayMove && !stall.isExtended {
+		stall.isExtended = true
+		stall.timer.Reset(stall.patience - stall.timeout)
+		return
+	}
+	stall.fired = true
+	stall.stop()
 }
 
 // restart restarts the timeout after an event.
-func (stall *stallTimer) restart() { stall.timer.Reset(stall.timeout) }
+func (stall *stallTimer) restart() {
+	stall.mutex.Lock()
+	defer stall.mutex.Unlock()
+	stall.isExtended = false
+	stall.timer.Reset(stall.timeout)
+}
 
 // end stops the timer and reports whether the stream had stalled.
 func (stall *stallTimer) end() bool {
+	stall.mutex.Lock()
+	defer stall.mutex.Unlock()
 	stall.timer.Stop()
-	return stall.fired.Load()
+	return stall.fired
 }
 
 // forwardEvents writes events to the caller and flushes them; the header is sent before the first ones.
