A departure outlasts a restart of all controllers

The cache of engines was written every 2 s and not at a departure. A follower whose directory held the engine's last announcement took no notice when the leader listed it as leaving, since a DELETE brings no new sequence number.

The cache is also written when its last engine has left.

--- a/control/enginecache.go
+++ b/control/enginecache.go
@@ -22,7 +22,8 @@
 	// engineCacheFile is the file that holds the engines last known to a node.
 	engineCacheFile = "engines.cache"
 	// engineCacheInterval is the time between two writes of the file. Inspections after a restart find what has changed since the last
-	// write, so the interval only bounds how many new engines are missing.
+	// write, so the interval only bounds how many new engines are missing. A departure is written at once, since an engine that has left may still
+	// answer.
 	engineCacheInterval = 2 * time.Second
 )
 
@@ -98,15 +99,15 @@
 		return
 	}
 	ctl.engineCache.saveDue = now.Add(engineCacheInterval)
-	var engines []feed.Target
+	if ctl.directory.Len() == 0 {
+		return
+	}
+	engines := []feed.Target{}
 	for _, target := range ctl.directory.Targets() {
 		if view := ctl.targetView(now, target); ctl.engineSpec(view.Service) != nil && !view.Leaving {
 			engines = append(engines, view)
 		}
 	}
-	if len(engines) == 0 {
-		return
-	}
 	ctl.engineCache.saving = true
 	ctl.tasks.Go(func(ctx context.Context) {
 		err := SaveEngines(ctl.options.DataFolder, engines)
--- a/control/failover_test.go
+++ b/control/failover_test.go
@@ -96,6 +96,43 @@
 	assert.Equal(t, targets[0].Address, "127.0.0.1:1")
 }
 
+// TestDepartureOutlastsARestartOfAllNodes guards against an engine whose departure was acknowledged and that is in use again after all nodes have
+// restarted: it still answers, and does not say that it leaves.
+func TestDepartureOutlastsARestartOfAllNodes(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	_, err := cluster.nodes[0].ctl.Submit(ctx, withEngine(1))
+	assert.NilError(t, err)
+	cached := func(node *testNode) int {
+		engines, err := control.LoadEngines(node.folder)
+		assert.NilError(t, err)
+		return len(engines)
+	}
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	cluster.announceUntilAccepted(ctx, announcement("t2", 1, false))
+	for _, node := range cluster.nodes {
+		for ; cached(node) < 2; time.Sleep(20 * time.Millisecond) {
+			assert.NilError(t, ctx.Err(), "the engine cache was not written in time")
+		}
+	}
+	cluster.announceUntilAccepted(ctx, &control.AnnounceArgs{Leaving: "t2", Incarnation: announcement("t2", 1, false).Announcement.Incarnation})
+	// The controllers are killed 0.3 s later.
+	time.Sleep(300 * time.Millisecond)
+	for _, node := range cluster.nodes {
+		assert.Equal(t, cached(node), 1, "the departure is on disk")
+	}
+	for _, node := range cluster.nodes {
+		cluster.stop(node)
+	}
+	for _, node := range cluster.nodes {
+		cluster.start(node, nil, false)
+	}
+	targets := cluster.awaitTargets(ctx)
+	assert.Equal(t, len(targets), 1)
+	assert.Equal(t, targets[0].ID, celerylanding.TargetID("t1"))
+}
+
 // TestTruncatedEngineCacheIsRejected guards against an engine cache that is truncated by a crash and still accepted.
 func TestTruncatedEngineCacheIsRejected(t *testing.T) {
 	folder := t.TempDir()
--- a/control/leader.go
+++ b/control/leader.go
@@ -182,9 +182,11 @@
 		changed = ctl.directory.Observe(now, *args.Announcement)
 		if args.Announcement.Leaving && !wasLeaving {
 			ctl.options.Log.Info().Str("target", string(id)).Msg("target is leaving")
+			ctl.engineCache.saveDue = time.Time{}
 		}
 	} else if changed = ctl.directory.MarkLeaving(now, id, args.Incarnation); changed {
 		ctl.options.Log.Info().Str("target", string(id)).Msg("target has left")
+		ctl.engineCache.saveDue = time.Time{}
 	}
 	if changed {
 		ctl.observeTarget(now, id)
@@ -266,7 +268,11 @@
 // applyTargets updates the directory with targets published by the leader.
 func (ctl *Control) applyTargets(now time.Time, targets []feed.Target) {
 	for i := range targets {
-		ctl.directory.Observe(now, announcementOf(&targets[i]))
+		known, ok := ctl.directory.Target(targets[i].ID)
+		wasLeaving := ok && known.Announcement().Leaving
+		if ctl.directory.Observe(now, announcementOf(&targets[i])) && targets[i].Leaving && !wasLeaving {
+			ctl.engineCache.saveDue = time.Time{}
+		}
 		if targets[i].Silent {
 			ctl.directory.MarkSilent(targets[i].ID)
 		}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -58,11 +58,12 @@
 	return &Directory{chart: targetChart, silenceTimeout: silenceTimeout, targets: make(map[celerylanding.TargetID]*Target)}, nil
 }
 
-// Observe applies an announcement and reports whether it was new; old and repeated ones change nothing.
+// Observe applies an announcement and reports whether it was new; old and repeated ones change nothing, but for one that says that the incarnation
+// leaves, which is final.
 func (directory *Directory) Observe(now time.Time, announcement celerylanding.Announcement) bool {
 	known, ok := directory.targets[announcement.Target]
 	if ok && !announcement.Supersedes(known.announcement) {
-		return false
+		return announcement.Leaving && announcement.Incarnation != 0 && directory.MarkLeaving(now, announcement.Target, announcement.Incarnation)
 	}
 	state := directory.chart.Initial()
 	if ok && known.announcement.Incarnation == announcement.Incarnation {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -101,3 +101,24 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, len(changed), 2, "its earlier incarnation is removed")
 }
+
+// TestDepartureWithoutANewAnnouncementIsObserved guards against a target that another node lists as leaving, after it has left between two
+// announcements, and that stays in use.
+func TestDepartureWithoutANewAnnouncementIsObserved(t *testing.T) {
+	directory, err := membership.NewDirectory(time.Second)
+	assert.NilError(t, err)
+	now := time.Unix(1000, 0)
+	known := celerylanding.Announcement{Target: "t", Incarnation: 7, Sequence: 5}
+	assert.Assert(t, directory.Observe(now, known))
+	left := known
+	left.Leaving = true
+	assert.Assert(t, directory.Observe(now, left))
+	target, _ := directory.Target("t")
+	assert.Assert(t, !target.IsRoutable() && target.Announcement().Leaving)
+	assert.Assert(t, !directory.Observe(now, left), "not new")
+	other := celerylanding.Announcement{Target: "t", Incarnation: 8, Sequence: 1}
+	assert.Assert(t, directory.Observe(now, other))
+	assert.Assert(t, !directory.Observe(now, left), "an older incarnation")
+	target, _ = directory.Target("t")
+	assert.Assert(t, target.IsRoutable())
+}
