A node that stops answers the calls of its peers

Cause: its goroutine stacks, which a test now prints when a process does not exit, show PeerService.Deliver waiting. A call that is posted after the last turn of the control goroutine is never handled, and it waited with the context of the whole program, which has no end; the server of peers waits for its calls, so the node never ended. Ruled out: the platform's controllers, whose calls of peers have a timeout.

Change: calls of peers end when the server of peers is told to end.

--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,10 @@
 
 // Run serves until the context ends or the node has drained.
 func (node *Node) Run(ctx context.Context) error {
-	peerServer, err := rpc.NewServer(node.options.Listeners.Peers, &PeerService{ctx: ctx, control: node.control,
+	// Calls of peers end with this context: those that the control goroutine has not handled when it ends get no other answer.
+	callsCtx, endCalls := context.WithCancel(ctx)
+	defer endCalls()
+	peerServer, err := rpc.NewServer(node.options.Listeners.Peers, &PeerService{ctx: callsCtx, control: node.control,
 		dispatcher: node.dispatcher, status: node.status}, node.clock, node.counters)
 	if err != nil {
 		return err
@@ -193,7 +196,7 @@
 	// The first actor to return stops all others; in a regular shutdown that is the drain.
 	add(node.drain)
 	add(node.control.run)
-	add(peerServer.Run)
+	group.Add(func() error { return peerServer.Run(callsCtx) }, func(error) { endCalls() })
 	add(node.reportDemand)
 	add(node.watchReadiness)
 	for _, server := range []struct {
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -239,7 +239,7 @@
 func (process *process) printLog() {
 	text, err := os.ReadFile(filepath.Join(process.site.folder, process.name+".log"))
 	if err == nil && len(text) > 0 {
-		process.site.t.Logf("log of %s:\n%s", process.name, text[max(0, len(text)-3000):])
+		process.site.t.Logf("log of %s:\n%s", process.name, text[max(0, len(text)-200_000):])
 	}
 }
 
@@ -259,6 +259,12 @@
 	select {
 	case <-process.ended:
 	case <-time.After(awaitTimeout):
+		// The log then ends with the stacks of all goroutines.
+		process.signal(syscall.SIGQUIT)
+		select {
+		case <-process.ended:
+		case <-time.After(time.Second):
+		}
 		process.site.t.Fatalf("%s did not exit", process.name)
 	}
 	return process.command.ProcessState.ExitCode()
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -129,3 +129,4 @@
 mutate availability-not-read proxy/attempt.go ./platform 'TestPaused|TestLeavingTarget' 's/\thandler\.recordAvailability\(target, reply\)\n//'
 mutate begun-stream-waits-from-its-arrival proxy/serve.go ./platform TestBrokenStreamWaits 's/if call\.hasEvent \{/if false {/'
 mutate stream-taken-up-anywhere proxy/origin.go ./tests TestStreamsTakenUp 's/call\.metadata\.ResumeAfter == "" \{/true {/'
+mutate peer-calls-without-end node/node.go ./tests TestStopUnderCallsOfPeers 's/PeerService\{ctx: callsCtx,/PeerService{ctx: context.WithoutCancel(ctx),/'
--- a/tests/traffic_test.go
+++ b/tests/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,7 +15,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"celerylanding.example/celerylanding/common/hlc"
+	"celerylanding.example/celerylanding/common/rpccodec"
 	"celerylanding.example/celerylanding/node"
+	"celerylanding.example/celerylanding/quorum"
+	"celerylanding.example/celerylanding/quorum/rpc"
 )
 
 // TestCrashingRequestIsQuarantined repeatedly sends a request that crashes any engine, through all nodes and next to other requests.
@@ -181,6 +186,35 @@
 	assert.Equal(t, drained.awaitExit(), 0)
 }
 
+// TestStopUnderCallsOfPeers guards against a node that never exits, because calls of peers that arrive while it stops are never answered.
+func TestStopUnderCallsOfPeers(t *testing.T) {
+	const callers = 64
+	site := newSite(t, 1, fastFlags...)
+	site.init().startAll()
+	process := site.nodes[0]
+	process.awaitReady()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var calls sync.WaitGroup
+	for range callers {
+		calls.Go(func() {
+			peers := rpc.NewPeers(ctx, rpc.Options{Clock: hlc.New(time.Minute), Counters: &rpccodec.Counters{}})
+			defer peers.Close()
+			for ctx.Err() == nil {
+				// The node does not know the sender; what counts is that it answers.
+				_ = peers.Call(ctx, process.address(peerPort), "Peer.Deliver", &node.DeliverArgs{Messages: []quorum.Message{{}}}, &node.Empty{})
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	process.signal(syscall.SIGTERM)
+	assert.Equal(t, process.awaitExit(), 0)
+	assert.Assert(t, time.Since(began) < 5*time.Second, "took %v", time.Since(began))
+	cancel()
+	calls.Wait()
+}
+
 // TestDrainOfANodeWithoutLease stops nodes of which only one holds the executor lease of their common failure domain. Each node must
 // exit promptly, also those without the lease.
 func TestDrainOfANodeWithoutLease(t *testing.T) {
