A restarted process is no proof that its predecessor gave no order

Cause: the last order is known to the process alone, and handleLastOrder took the "none" of one that had just started for proof.

Change: the reply says how long ago the process started; "none" counts as an order at that time where engines don't check fencing tokens. The decision is a function of its own, earliestOrder.

The mutation restart-taken-for-proof is noticed.

--- a/control/control.go
+++ b/control/control.go
@@ -83,6 +83,8 @@
 	limits *throttle.Ledger
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
+	// started is when this process started.
+	started time.Time
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
 	handover    handover
@@ -112,6 +114,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ctl := &Control{
 		options:    options,
+		started:    now,
 		clock:      hlc.New(maxClockOffset),
 		stop:       stop,
 		tasks:      tasks.New(ctx),
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -47,3 +47,8 @@
 
 // IsSameView reports whether two states of a target are published as one.
 func IsSameView(a, b *feed.Target) bool { return isSameView(a, b) }
+
+// EarliestOrder returns when a new leader may send its first order, by the reply of one member.
+func EarliestOrder(now, wholeLease time.Time, lease time.Duration, isFenced bool, reply *LastOrderReply, err error) time.Time {
+	return earliestOrder(now, wholeLease, lease, isFenced, reply, err)
+}
--- a/control/handover.go
+++ b/control/handover.go
@@ -23,8 +23,9 @@
 
 // LastOrderReply reports when a member last sent an order to an engine.
 type LastOrderReply struct {
-	// NoOrder is set when the process has sent no order since its start.
-	NoOrder bool `cbor:"1,keyasint"`
+	// NoOrder is set when the process has sent no order since its start, which was Uptime ago; the process before it may have sent one until then.
+	NoOrder bool          `cbor:"1,keyasint"`
+	Uptime  time.Duration `cbor:"6,keyasint,omitempty"`
 	// Age is the time since the last order.
 	Age time.Duration `cbor:"2,keyasint"`
 	// Leads is set when the member has sent an order and is still the leader by its own view.
@@ -79,14 +80,8 @@
 	}
 	ctl.handover.pendingReplies--
 	ctl.addInheritedTargets(now, reply.Targets)
-	switch {
-	case err != nil && !ctl.options.Fencing, err == nil && reply.Leads:
-		ctl.handover.earliest = later(ctl.handover.earliest, ctl.handover.notBefore)
-	case err == nil && reply.Stopping && ctl.options.Fencing:
-		// The stopping member sends no more orders, and engines reject those still in flight by their fencing token.
-	case err == nil && !reply.NoOrder:
-		ctl.handover.earliest = later(ctl.handover.earliest, now.Add(ctl.options.LeaseTime+maxClockDrift-reply.Age))
-	}
+	required := earliestOrder(now, ctl.handover.notBefore, ctl.options.LeaseTime, ctl.options.Fencing, &reply, err)
+	ctl.handover.earliest = later(ctl.handover.earliest, required)
 	if ctl.handover.pendingReplies > 0 {
 		return
 	}
@@ -94,6 +89,27 @@
 	ctl.options.Log.Info().Dur("wait", ctl.handover.notBefore.Sub(now)).Msg("orders taken over")
 }
 
+// earliestOrder returns when a new leader may send its first order, as far as the reply of one member to its call decides that; the zero time stands
+// for at once. wholeLease is the end of the lease that the former leader may hold at most.
+func earliestOrder(now, wholeLease time.Time, lease time.Duration, isFenced bool, reply *LastOrderReply, err error) time.Time {
+	sinceOrder := reply.Age
+	switch {
+	case err != nil && !isFenced, err == nil && reply.Leads:
+		return wholeLease
+	case err != nil:
+		return time.Time{}
+	case reply.Stopping && isFenced:
+		// The stopping member sends no more orders, and engines reject those still in flight by their fencing token.
+		return time.Time{}
+	case reply.NoOrder && isFenced:
+		// Engines reject the orders of a process that has ended by their fencing token.
+		return time.Time{}
+	case reply.NoOrder:
+		sinceOrder = reply.Uptime
+	}
+	return now.Add(lease + maxClockDrift - sinceOrder)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -150,7 +166,7 @@
 
 // lastOrderReply builds the reply to a new leader's LastOrder call.
 func (ctl *Control) lastOrderReply(now time.Time, args *LastOrderArgs) LastOrderReply {
-	reply := LastOrderReply{NoOrder: ctl.lastOrder.IsZero(), Stopping: ctl.stopping}
+	reply := LastOrderReply{NoOrder: ctl.lastOrder.IsZero(), Uptime: now.Sub(ctl.started), Stopping: ctl.stopping}
 	if !reply.NoOrder {
 		reply.Age, reply.Leads = now.Sub(ctl.lastOrder), ctl.core.Role() == quorum.Leader
 	}
--- a/control/unfenced_test.go
+++ b/control/unfenced_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"celerylanding.example/celerylanding/common/boottime"
+	"celerylanding.example/celerylanding/control"
 )
 
 // TestUnfencedHandoverWaitsForTheLease guards against orders of two leaders within a lease where engines do not check fencing tokens: the new
@@ -34,3 +37,37 @@
 	}
 	t.Fatal("only one leader has sent orders")
 }
+
+// TestRestartedProcessIsNoProofThatNothingWasOrdered guards against orders of two leaders within a lease where engines do not check fencing tokens: the
+// former leader has restarted, perhaps without its disk, and knows no order of its predecessor.
+func TestRestartedProcessIsNoProofThatNothingWasOrdered(t *testing.T) {
+	const lease = 3 * time.Second
+	now := time.Unix(1000, 0)
+	wholeLease := now.Add(2 * time.Second)
+	// The zero time is further away than a duration can say.
+	const atOnce = time.Duration(math.MinInt64)
+	failed := errors.New("no reply")
+	for name, tc := range map[string]struct {
+		isFenced bool
+		reply    control.LastOrderReply
+		err      error
+		// earliest is the time until the first order at least, and latest at most.
+		earliest, latest time.Duration
+	}{
+		"restarted just now":              {false, control.LastOrderReply{NoOrder: true}, nil, lease, lease + time.Second},
+		"restarted a while ago":           {false, control.LastOrderReply{NoOrder: true, Uptime: time.Second}, nil, 2 * time.Second, 3 * time.Second},
+		"restarted more than a lease ago": {false, control.LastOrderReply{NoOrder: true, Uptime: time.Minute}, nil, -time.Hour, 0},
+		"restarted, fenced":               {true, control.LastOrderReply{NoOrder: true}, nil, atOnce, 0},
+		"order a while ago":               {false, control.LastOrderReply{Age: time.Second, Uptime: time.Minute}, nil, 2 * time.Second, 3 * time.Second},
+		"no reply":                        {false, control.LastOrderReply{}, failed, 2 * time.Second, 2 * time.Second},
+		"no reply, fenced":                {true, control.LastOrderReply{}, failed, atOnce, 0},
+		"still leads":                     {true, control.LastOrderReply{Leads: true}, nil, 2 * time.Second, 2 * time.Second},
+		"stops, fenced":                   {true, control.LastOrderReply{Stopping: true, Age: time.Millisecond}, nil, atOnce, 0},
+		"stops":                           {false, control.LastOrderReply{Stopping: true, Age: time.Millisecond}, nil, lease - time.Millisecond, lease + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := control.EarliestOrder(now, wholeLease, lease, tc.isFenced, &tc.reply, tc.err).Sub(now)
+			assert.Assert(t, got >= tc.earliest && got <= tc.latest, "%v", got)
+		})
+	}
+}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -130,3 +130,4 @@
 mutate begun-stream-waits-from-its-arrival proxy/serve.go ./platform TestBrokenStreamWaits 's/if call\.hasEvent \{/if false {/'
 mutate stream-taken-up-anywhere proxy/origin.go ./tests TestStreamsTakenUp 's/call\.metadata\.ResumeAfter == "" \{/true {/'
 mutate peer-calls-without-end node/node.go ./tests TestStopUnderCallsOfPeers 's/PeerService\{ctx: callsCtx,/PeerService{ctx: context.WithoutCancel(ctx),/'
+mutate restart-taken-for-proof control/handover.go ./control TestRestartedProcess 's/sinceOrder = reply\.Uptime/return time.Time{}/'
