Tests of late copies of any kind, and a fuzz target for events

On the caller's side of the router, pipelined requests and callers that go away are not tested here.

--- a/delivery/events_test.go
+++ b/delivery/events_test.go
@@ -1,6 +1,7 @@
 package delivery_test
 
 import (
+	"bytes"
 	"flag"
 	"os"
 	"strings"
@@ -131,3 +132,32 @@
 		assert.Equal(t, strings.Trim(string(pending), "\r\n"), "")
 	})
 }
+
+// FuzzEvents guards against events of any content that are lost, made up or taken for others, depending on where reads split the stream.
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{"id: 1\ndata: x\n\n", "id:1\r\ndata: paid: 3\r\n\r\n", "\xef\xbb\xbfid\r\r", ": id: 2\n\n\n", "data\n\nid: \x00\n\n"} {
+		f.Add([]byte(seed), 3)
+	}
+	f.Fuzz(func(t *testing.T, stream []byte, split int) {
+		complete := delivery.CompleteEvents(stream)
+		assert.Assert(t, complete >= 0 && complete <= len(stream))
+		assert.Equal(t, delivery.CompleteEvents(stream[:complete]), complete)
+		whole := delivery.New("")
+		assert.NilError(t, whole.RecordEvents(stream[:complete]))
+		if split < 0 || split > len(stream) || bytes.HasSuffix(stream[:split], []byte("\r")) {
+			// A CR at the end of a read may be half of a line end.
+			return
+		}
+		first := delivery.CompleteEvents(stream[:split])
+		rest := stream[first:]
+		assert.Equal(t, first+delivery.CompleteEvents(rest), complete)
+		if bytes.Contains(rest, []byte("\xef\xbb\xbf")) {
+			// A byte order mark counts at the start of a stream only.
+			return
+		}
+		parts := delivery.New("")
+		assert.NilError(t, parts.RecordEvents(stream[:first]))
+		assert.NilError(t, parts.RecordEvents(rest[:complete-first]))
+		assert.Equal(t, parts.Position(), whole.Position())
+	})
+}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -131,3 +131,4 @@
 mutate stream-taken-up-anywhere proxy/origin.go ./tests TestStreamsTakenUp 's/call\.metadata\.ResumeAfter == "" \{/true {/'
 mutate peer-calls-without-end node/node.go ./tests TestStopUnderCallsOfPeers 's/PeerService\{ctx: callsCtx,/PeerService{ctx: context.WithoutCancel(ctx),/'
 mutate restart-taken-for-proof control/handover.go ./control TestRestartedProcess 's/sinceOrder = reply\.Uptime/return time.Time{}/'
+mutate late-copy-answers-another upstream/exchange.go ./upstream TestLateCopyNever 's/if named == request\.ID \|\| /if true || /'
