--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -52,7 +52,12 @@
 func (handler *Handler) endBroken(ctx context.Context, call *call, target *feed.Target, err error) (bool, *refusal) {
 	now := handler.options.Clock()
 	isDone := ctx.Err() != nil
-	handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultFailed))
+	result := dispatch.ResultFailed
+	if errors.Is(err, delivery.ErrEndUnknown) {
+		// The target has done nothing wrong.
+		result = dispatch.ResultAnswered
+	}
+	handler.picker.Done(now, target, resultOf(isDone, result))
 	if !isDone && (errors.Is(err, errStreamBroken) || errors.Is(err, errAnswerBroken)) {
 		handler.suspectCrash(now, call, target.Endpoint())
 	}
