A node without a configuration leaves the engine cache as it is

A node that has just started and knows targets, but no configuration yet, knows none as an engine and emptied its cache; a second kill of all nodes within that time would have lost the engines.

Change: the cache is written only while a configuration is known.

--- a/control/enginecache.go
+++ b/control/enginecache.go
@@ -99,7 +99,8 @@
 		return
 	}
 	ctl.engineCache.saveDue = now.Add(engineCacheInterval)
-	if ctl.directory.Len() == 0 {
+	if ctl.configuration == nil || ctl.directory.Len() == 0 {
+		// Without a configuration no target is known to be an engine.
 		return
 	}
 	engines := []feed.Target{}
--- a/control/failover_test.go
+++ b/control/failover_test.go
@@ -133,6 +133,26 @@
 	assert.Equal(t, targets[0].ID, celerylanding.TargetID("t1"))
 }
 
+// TestEngineCacheOutlastsATimeWithoutConfiguration guards against a cache that a node empties after its start, while it knows targets, but no
+// configuration that says which of them are engines.
+func TestEngineCacheOutlastsATimeWithoutConfiguration(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	saved := []feed.Target{{ID: "t1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 2}}
+	for _, node := range cluster.nodes {
+		assert.NilError(t, control.SaveEngines(node.folder, saved))
+	}
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	// The cache is written every 2 s.
+	time.Sleep(2500 * time.Millisecond)
+	for _, node := range cluster.nodes {
+		engines, err := control.LoadEngines(node.folder)
+		assert.NilError(t, err)
+		assert.Equal(t, len(engines), 1)
+	}
+}
+
 // TestTruncatedEngineCacheIsRejected guards against an engine cache that is truncated by a crash and still accepted.
 func TestTruncatedEngineCacheIsRejected(t *testing.T) {
 	folder := t.TempDir()
