A crash right after a lost answer is noticed

Callers saw nothing; a request that crashes its targets was not counted. A router probes a target whose exchange broke off, to see whether it refuses connections. After a probe that found it alive the next one was due a second later only, and exchanges that broke off meanwhile were too old by then to count as evidence. So a harmful request was not suspected where connections also break for other reasons, such as resets.

Now an exchange that breaks off after a probe has connected causes another probe, 250 ms after the last one at the earliest.

--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	crashWindow = time.Second
 	// probeDelay is the time between an interrupted exchange and the probe of its target, in which the other exchanges break off too.
 	probeDelay = 20 * time.Millisecond
+	// probeInterval is the shortest time between two probes of a target that is alive.
+	probeInterval = 250 * time.Millisecond
 	// maxSuspects is the largest number of interrupted exchanges that are kept.
 	maxSuspects = 1024
 	// answerMemory is the time for which an answered fingerprint is not blamed for a crash; it is kept for up to twice as long.
@@ -44,12 +47,20 @@
 	// answered and answeredBefore hold the fingerprints of answered requests since rotatedAt and in the answerMemory before it.
 	answered, answeredBefore map[uint64]bool
 	rotatedAt                time.Time
-	// probed maps the addresses of probed targets to when they may be probed again.
-	probed map[string]time.Time
+	// probes holds the probes by the address of the target.
+	probes map[string]*targetProbe
+}
+
+// targetProbe is the state of the probes of one target.
+type targetProbe struct {
+	// isRunning is set while a goroutine probes the target, and isDue if an exchange has broken off since its last connection was begun.
+	isRunning, isDue bool
+	// allowedAt is when the target may be probed again.
+	allowedAt time.Time
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probed: make(map[string]time.Time)}
+	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probes: make(map[string]*targetProbe)}
 }
 
 // fingerprints returns hashes of what requests can have in common: the whole request, which is the same for all attempts, also by its caller
@@ -144,30 +155,44 @@
 	}
 }
 
-// beginProbe reports whether the target at an address is to be probed: not while a probe runs, nor soon after one that found it alive.
-func (tracker *crashTracker) beginProbe(now time.Time, address string) bool {
+// beginProbe records that an exchange with the target at an address has broken off. It reports whether the caller has to start a probe, and
+// after which delay; otherwise the probe that runs covers this exchange too.
+func (tracker *crashTracker) beginProbe(now time.Time, address string) (delay time.Duration, isNeeded bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if now.Before(tracker.probed[address]) {
-		return false
+	probe := tracker.probes[address]
+	if probe != nil && probe.isRunning {
+		probe.isDue = true
+		return 0, false
 	}
-	for other, until := range tracker.probed {
-		if !now.Before(until) {
-			delete(tracker.probed, other)
-		}
+	maps.DeleteFunc(tracker.probes, func(_ string, other *targetProbe) bool { return !other.isRunning && !now.Before(other.allowedAt) })
+	delay = probeDelay
+	if probe != nil {
+		delay = max(delay, probe.allowedAt.Sub(now))
 	}
-	tracker.probed[address] = now.Add(crashWindow)
-	return true
+	tracker.probes[address] = &targetProbe{isRunning: true}
+	return delay, true
 }
 
-// endProbe records the result of a probe. A target that refuses connections may be probed again at once, for exchanges that broke off late.
-func (tracker *crashTracker) endProbe(now time.Time, address string, isRefused bool) {
+// beginConnection records that a probe connects to the target now: an exchange that breaks off later needs another one.
+func (tracker *crashTracker) beginConnection(address string) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	tracker.probed[address] = now
-	if !isRefused {
-		tracker.probed[address] = now.Add(crashWindow)
+	tracker.probes[address].isDue = false
+}
+
+// endConnection records the result of a probe, and reports whether the target must be probed again. A target that refuses connections may be
+// probed again at once, for exchanges that broke off late.
+func (tracker *crashTracker) endConnection(now time.Time, address string, isRefused bool) (isDue bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	probe := tracker.probes[address]
+	if isRefused {
+		probe.isRunning, probe.allowedAt = false, now
+		return false
 	}
+	probe.isRunning, probe.allowedAt = probe.isDue, now.Add(probeInterval)
+	return probe.isDue
 }
 
 // collect returns the confirmed crashes since the last call, and the fingerprints that the leader suspects although requests with them were
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -109,22 +109,35 @@
 // suspectCrash records an interrupted exchange as a possible crash.
 func (handler *Handler) suspectCrash(now time.Time, call *call, endpoint celerylanding.Endpoint) {
 	handler.crashes.suspect(now, call, endpoint)
-	if !handler.crashes.beginProbe(now, endpoint.Address) {
+	delay, isNeeded := handler.crashes.beginProbe(now, endpoint.Address)
+	if !isNeeded {
 		return
 	}
 	// Without a probe, only the next request to the target would show that it has crashed; on a large site that takes seconds.
 	handler.probes.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, crashWindow)
-		defer cancel()
-		isRefused := sleep(ctx, probeDelay) && handler.options.Pool.RefusesConnections(ctx, handler.options.Clock(), endpoint.Address)
-		now := handler.options.Clock()
-		handler.crashes.endProbe(now, endpoint.Address, isRefused)
-		if isRefused {
-			handler.confirmCrash(now, endpoint)
+		for isDue := true; isDue; delay = probeInterval {
+			isDue = handler.probe(ctx, endpoint, delay)
 		}
 	})
 }
 
+// probe connects to a target after a delay to find out whether it has crashed, and reports whether the target must be probed again.
+func (handler *Handler) probe(ctx context.Context, endpoint celerylanding.Endpoint, delay time.Duration) (isDue bool) {
+	isRefused := false
+	if sleep(ctx, delay) {
+		handler.crashes.beginConnection(endpoint.Address)
+		dialCtx, cancel := context.WithTimeout(ctx, crashWindow)
+		isRefused = handler.options.Pool.RefusesConnections(dialCtx, handler.options.Clock(), endpoint.Address)
+		cancel()
+	}
+	now := handler.options.Clock()
+	isDue = handler.crashes.endConnection(now, endpoint.Address, isRefused)
+	if isRefused {
+		handler.confirmCrash(now, endpoint)
+	}
+	return isDue && ctx.Err() == nil
+}
+
 // sleep waits for a time; it returns false if the context ends first.
 func sleep(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
