A new leader does not underestimate the demand for limited targets

Targets got more than they had announced in rare plays with 118 routers. Cause: a leader that had counted for a fraction of the window divided its count by the whole window, so that routers took the demand for small and let nearly every request pass (traces of two plays: 12 of 8 a second within 1.3 s of the change).

Now the demand is counted over the time that the leader has counted. TestNewLeaderKnowsTheDemandSoon failed before (2.7 a second of 8).

--- a/throttle/ledger.go
+++ b/throttle/ledger.go
@@ -65,6 +65,12 @@
 	return entry.sent.count(now) + int(math.Ceil(assumedShare*entry.limit*unknown.Seconds()))
 }
 
+// demandRate returns the requests a second for the target, over the time that this leader has counted where that is shorter than the window.
+func (entry *ledgerEntry) demandRate(now time.Time) float64 {
+	counted := min(max(bucketTime, now.Sub(entry.since)), budgetTime)
+	return max(entry.demand.rate(now), float64(entry.demand.count(now))/counted.Seconds())
+}
+
 // Limits returns the limits in force with the demand for their targets, by target.
 func (ledger *Ledger) Limits(now time.Time) []feed.TargetLimit {
 	var limits []feed.TargetLimit
@@ -74,7 +80,7 @@
 			continue
 		}
 		if entry.hasLimit {
-			limits = append(limits, feed.TargetLimit{Target: id, Incarnation: entry.incarnation, Limit: entry.limit, Demand: entry.demand.rate(now),
+			limits = append(limits, feed.TargetLimit{Target: id, Incarnation: entry.incarnation, Limit: entry.limit, Demand: entry.demandRate(now),
 				Sent: entry.totalSent(now), Age: now.Sub(entry.answeredAt)})
 		}
 	}
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -246,3 +246,31 @@
 	most = wld.most(start.Add(settle))
 	assert.Check(t, most <= allowed(1), "%d in 4 s, allowed %d", most, allowed(1))
 }
+
+// TestNewLeaderKnowsTheDemandSoon guards against a new leader that divides the few requests it has counted by the whole window, so that routers
+// let nearly all of their requests pass.
+func TestNewLeaderKnowsTheDemandSoon(t *testing.T) {
+	ledger := throttle.NewLedger()
+	// Eight requests a second for half a second.
+	for number := range 4 {
+		ledger.Add(start.Add(time.Duration(number)*125*time.Millisecond), feed.LimitReport{Target: "t", Incarnation: 1, IsAnswered: true,
+			HasLimit: true, Limit: 1, Wanted: 1})
+	}
+	limits := ledger.Limits(start.Add(500 * time.Millisecond))
+	assert.Equal(t, len(limits), 1)
+	assert.Assert(t, limits[0].Demand >= 8, "%v", limits[0].Demand)
+}
+
+// TestLimitAfterRareLeaderChanges guards against windows over a limit after a change of the leader, in two of 6,000 plays.
+func TestLimitAfterRareLeaderChanges(t *testing.T) {
+	for _, seed := range []uint64{1057, 2088} {
+		wld := newWorld(seed, 118, 1, 400*time.Millisecond)
+		wld.play(8*time.Second, 8)
+		wld.isLeading = false
+		wld.play(1500*time.Millisecond, 8)
+		wld.isLeading, wld.ledger, wld.published = true, throttle.NewLedger(), nil
+		wld.play(6*time.Second, 8)
+		most := wld.most(start.Add(settle))
+		assert.Check(t, most <= allowed(1), "seed %d: %d in 4 s, allowed %d", seed, most, allowed(1))
+	}
+}
