--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -187,11 +187,14 @@
 			result = quarantine.TrialAnswered
 			state.detector.RecordAnswered(key)
 			state.isChanged = true
+		case args.Refused:
+			result = quarantine.TrialRefused
 		case args.NotRun:
 			result = quarantine.TrialNotRun
 		}
 		state.trials.End(now, key, args.Run, result)
-		event.Bool("answered", args.Answered).Bool("not_run", args.NotRun).Msg("trial of a suspicious request ended")
+		event.Bool("answered", args.Answered).Bool("not_run", args.NotRun).Bool("refused", args.Refused).
+			Msg("trial of a suspicious request ended")
 		return reply
 	}
 	reply.IsQuarantined = state.detector.IsBlamed(key)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -236,10 +236,12 @@
 	// Target is the target that would get the copy, and Longest the time after which the copy has ended in any case.
 	Target  celerylanding.TargetID `cbor:"8,keyasint,omitempty"`
 	Longest time.Duration          `cbor:"4,keyasint,omitempty"`
-	// HasEnded is set for a copy that has ended, NotRun if no target has run it, and Answered if one has answered it completely.
+	// HasEnded is set for a copy that has ended, NotRun if no target has run it, Refused if one has got it nevertheless, and Answered if one has
+	// answered it completely.
 	HasEnded bool `cbor:"5,keyasint,omitempty"`
 	NotRun   bool `cbor:"6,keyasint,omitempty"`
 	Answered bool `cbor:"7,keyasint,omitempty"`
+	Refused  bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TrialReply is the leader's decision on a copy of a request.
--- a/proxy/trial.go
+++ b/proxy/trial.go
@@ -96,8 +96,9 @@
 // trial is the leader's consent to one attempt.
 type trial struct {
 	mayRun bool
-	// run is zero for a request that needs no consent.
-	run uint64
+	// run is zero for a request that needs no consent, and sends is how often the request had been sent before the attempt.
+	run   uint64
+	sends int
 }
 
 // beginTrial asks the leader for consent if copies of the request have ended with their targets. While another copy runs, it waits for a while and
@@ -117,7 +118,7 @@
 			Target: target.ID, Longest: call.deadline.Sub(now)})
 		switch {
 		case reply.MayRun:
-			return trial{mayRun: true, run: run}, nil
+			return trial{mayRun: true, run: run, sends: call.sends}, nil
 		case reply.IsQuarantined:
 			handler.trials.end(fingerprint, false)
 			return trial{}, unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, "the request has crashed the targets that ran it")
@@ -167,7 +168,7 @@
 	fingerprint := call.fingerprints()[0]
 	handler.trials.end(fingerprint, call.isAnswered)
 	args := feed.TrialArgs{Node: handler.options.Node, Fingerprint: fingerprint, Run: trial.run, Target: call.lastTarget, HasEnded: true, Answered: call.isAnswered,
-		NotRun: call.verdict == celerylanding.NotRun}
+		NotRun: call.verdict == celerylanding.NotRun, Refused: call.verdict == celerylanding.NotRun && call.sends > trial.sends}
 	handler.probes.Go(func(ctx context.Context) {
 		if _, err := handler.askLeader(ctx, args); err != nil {
 			handler.options.Log.Warn().Uint64("fingerprint", fingerprint).Err(err).Msg("leader did not take the result of a trial")
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -16,6 +16,8 @@
 	maxTrialTime = 5 * time.Second
 	// evidenceDelay is the time after a broken trial in which routers can report that its target has crashed.
 	evidenceDelay = 1200 * time.Millisecond
+	// refusalDelay is the time after a trial that its target has refused: each copy that reaches a target counts, whether it runs or not.
+	refusalDelay = evidenceDelay
 )
 
 // TrialResult is how the trial of a request ended.
@@ -24,8 +26,10 @@
 const (
 	// TrialBroken means that the target may have crashed.
 	TrialBroken TrialResult = iota
-	// TrialNotRun means that no target has run the request.
+	// TrialNotRun means that no target has got the request.
 	TrialNotRun
+	// TrialRefused means that a target has got the request and has not run it.
+	TrialRefused
 	// TrialAnswered means that a target has answered the request completely.
 	TrialAnswered
 )
@@ -57,12 +61,15 @@
 	return true
 }
 
-// End ends a run. After a broken one the next one waits until its crash can have been reported.
+// End ends a run. After a broken one the next one waits until its crash can have been reported, and after one that a target has refused until
+// the routers can know a better target.
 func (trials *Trials) End(now time.Time, key Key, run uint64, result TrialResult) {
 	switch current, ok := trials.running[key]; {
 	case !ok || current.run != run:
 	case result == TrialBroken:
 		trials.running[key] = trial{run: run, until: now.Add(evidenceDelay)}
+	case result == TrialRefused:
+		trials.running[key] = trial{run: run, until: now.Add(refusalDelay)}
 	default:
 		delete(trials.running, key)
 	}
--- a/quarantine/trials_test.go
+++ b/quarantine/trials_test.go
@@ -79,11 +79,12 @@
 			}
 			// A result of an earlier run, whose time was over, changes nothing.
 			trials.End(now, whole, running-1, quarantine.TrialAnswered)
-			result := rapid.SampledFrom([]quarantine.TrialResult{quarantine.TrialBroken, quarantine.TrialNotRun, quarantine.TrialAnswered}).Draw(t, "result")
+			result := rapid.SampledFrom([]quarantine.TrialResult{quarantine.TrialBroken, quarantine.TrialNotRun, quarantine.TrialRefused,
+				quarantine.TrialAnswered}).Draw(t, "result")
 			if now.Before(blockedUntil) {
 				trials.End(now, whole, running, result)
 				blockedUntil = now
-				if result == quarantine.TrialBroken {
+				if result == quarantine.TrialBroken || result == quarantine.TrialRefused {
 					blockedUntil = now.Add(evidenceDelay)
 				}
 			}
