The soak's targets leave, pause and send malformed fields in their answers

A checker of its own records what each router was told and reports requests that arrive in spite of it; faults of the router, and for pauses those of connections, excuse it.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"celerylanding.example/celerylanding/platform/fake"
 )
 
 const (
@@ -34,19 +36,25 @@
 	}
 	for end := time.Now().Add(run.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		freeze := time.Duration(run.random.Int64N(int64(maxFreeze)))
-		switch choice := run.random.IntN(4); choice {
+		switch choice := run.random.IntN(5); choice {
 		case 0:
 			proc, fault := run.controllers[run.random.IntN(len(run.controllers))], run.random.IntN(4)
 			inject(fmt.Sprintf("%s, fault %d", proc.ip, fault), func() error { return injectProcessFault(&run.controllerFault, proc, fault, freeze, true) })
 		case 1:
 			number, fault := run.random.IntN(len(run.routers)), run.random.IntN(3)
 			inject(fmt.Sprintf("%s, fault %d", run.routers[number].ip, fault), func() error {
+				run.available.excuse(run.routers[number].ip)
+				defer run.available.excuse(run.routers[number].ip)
 				return injectProcessFault(&routerFaults[number], run.routers[number], fault, freeze, false)
 			})
+		case 2:
+			run.injectAvailability(inject)
 		default:
 			prox, next := run.proxies[run.random.IntN(len(run.proxies))], mode(run.random.IntN(int(modeCount)))
 			duration := time.Duration(run.random.Int64N(int64(maxProxyFault)))
 			inject(fmt.Sprintf("connections to %s, mode %d", prox.target, next), func() error {
+				run.available.excuse("")
+				defer run.available.excuse("")
 				prox.setMode(next)
 				time.Sleep(duration)
 				prox.setMode(modeForward)
@@ -59,6 +67,31 @@
 	return errors.Join(errs...)
 }
 
+// injectAvailability makes a target leave, ask for pauses or send malformed fields in its answers, for a time.
+func (run *runner) injectAvailability(inject func(name string, fault func() error)) {
+	number := run.random.IntN(len(run.servers))
+	server, choice := run.servers[number], run.random.IntN(3)
+	length := drainTime + time.Duration(run.random.Int64N(int64(drainTime)))
+	says := fake.Availability{IsMalformed: true}
+	if choice == 1 {
+		says = fake.Availability{Pause: pauseTolerance + time.Duration(run.random.Int64N(int64(maxTargetPause-pauseTolerance)))}
+	}
+	inject(fmt.Sprintf("target %d, says %d", number, choice), func() error {
+		if !run.targetFaults[number].TryLock() {
+			return nil
+		}
+		defer run.targetFaults[number].Unlock()
+		if choice == 0 {
+			server.leave(length)
+			return nil
+		}
+		server.say(says)
+		time.Sleep(length)
+		server.say(fake.Availability{})
+		return nil
+	})
+}
+
 // The faults of a process, printed by number. All but faultFreeze restart it; faultWipe also empties its disk.
 const (
 	faultFreeze = iota
--- a/soak/load.go
+++ b/soak/load.go
@@ -33,8 +33,10 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		id := fmt.Sprintf("c%d-%d", caller, number)
 		kind := requestKind(random.IntN(3))
+		router := run.routers[random.IntN(len(run.routers))].ip
 		run.checker.recordSent(id, kind)
-		run.sendRequest(client, id, kind, run.routers[random.IntN(len(run.routers))].ip, random)
+		run.available.recordSent(id, router)
+		run.sendRequest(client, id, kind, router, random)
 		pause(ctx, time.Duration(random.Int64N(int64(2*callerInterval))))
 	}
 }
@@ -62,6 +64,9 @@
 		run.checker.recordAnswer(id, 0, "", "")
 		return
 	}
+	if response.Header.Get("Server-Leaving") == "1" {
+		run.available.recordAnswer(id)
+	}
 	run.checker.recordAnswer(id, response.StatusCode, string(body), want)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,15 +62,19 @@
 	controllers []*process
 	routers     []*process
 	proxies     []*proxy
+	servers     []*target
 	models      []string
+	available   *availabilityChecker
 	targets     sync.WaitGroup
 	// controllerFault is locked while a controller has a fault, so that no two have one at the same time.
 	controllerFault sync.Mutex
+	// targetFaults are locked while the target with that number says something of itself.
+	targetFaults [engineCount + plainServerCount]sync.Mutex
 }
 
 // Run starts the system, injects the faults of one seed and stops it; it returns ErrViolation if a guarantee was violated.
 func Run(ctx context.Context, options Options) error {
-	run := &runner{options: options, checker: newChecker(), random: rand.New(rand.NewPCG(options.Seed, 1))}
+	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), random: rand.New(rand.NewPCG(options.Seed, 1))}
 	for i := range modelCount {
 		run.models = append(run.models, fmt.Sprintf("m%d", i))
 	}
@@ -143,16 +147,28 @@
 		if i < engineCount {
 			options.Service, options.Models, options.MaxModels = fake.ServiceEngines, run.models, modelsPerEngine
 		}
-		server := fake.New(options, options.Models)
-		run.targets.Go(func() {
-			if err := server.Run(ctx); err != nil {
-				run.checker.reportViolation(err.Error())
-			}
-		})
+		run.startTarget(ctx, options)
 	}
 	return nil
 }
 
+// startTarget starts a fake server whose answers say what the faults make it say.
+func (run *runner) startTarget(ctx context.Context, options fake.Options) {
+	server := &target{options: options, address: options.Listener.Addr().String()}
+	server.options.Availability = server.availability
+	server.options.OnArrival = func(request *http.Request) {
+		if violation := run.available.recordArrival(server, request); violation != "" {
+			run.checker.reportViolation(violation)
+		}
+	}
+	run.servers = append(run.servers, server)
+	run.targets.Go(func() {
+		if err := server.run(ctx); err != nil {
+			run.checker.reportViolation(err.Error())
+		}
+	})
+}
+
 // awaitReady submits the first configuration and waits until all routers report that they are ready.
 func (run *runner) awaitReady() error {
 	client := &http.Client{Timeout: operatorTimeout}
