explain lists the targets that wanted no requests

A request that was refused or waited since its only targets leave or asked for a pause did not show why, if they had said so more than the lookback before it. TestHistoryNamesTargetsThatWantNoRequests failed before.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -95,7 +95,7 @@
 func (history *History) Cause() string { return history.cause }
 
 // NewHistory collects the lines of a request and, from lookback before its arrival until its end, the lines about its model, its targets,
-// its router and changes of the leader.
+// its router and changes of the leader. Earlier lines are those about targets that its router did not choose, since they wanted no requests.
 func NewHistory(request string, lines []Line) (*History, error) {
 	requestLines := slices.DeleteFunc(slices.Clone(lines), func(line Line) bool { return line.text("request") != request })
 	if len(requestLines) == 0 {
@@ -116,7 +116,7 @@
 	for _, line := range lines {
 		isRequestLine := line.text("request") == request
 		isInWindow := !line.time.Before(from) && !line.time.After(to) && line.text("request") == ""
-		if isRequestLine || (isInWindow && isRelevant(&line, model, targets, last.node)) {
+		if isRequestLine || (isInWindow && isRelevant(&line, model, targets, last.node)) || (line.node == last.node && line.ruledOut(from, to)) {
 			history.lines = append(history.lines, line)
 		}
 	}
@@ -124,6 +124,17 @@
 	return history, nil
 }
 
+// ruledOut reports whether the line says that a target wants no requests, and still holds at some time after from; a target that leaves wants none
+// for the rest of its incarnation.
+func (line *Line) ruledOut(from, to time.Time) bool {
+	if line.message != "target wants no more requests" || line.time.After(to) {
+		return false
+	}
+	isLeaving, _ := line.fields["leaving"].(bool)
+	pause, _ := line.fields["pause"].(float64)
+	return isLeaving || line.time.Add(time.Duration(pause*float64(time.Millisecond))).After(from)
+}
+
 // statusOf returns the status that the router logged for a refused request, or else the status of the answer.
 func statusOf(line Line) any {
 	if status, ok := line.fields["status"]; ok {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -43,3 +43,25 @@
 	_, err = explain.NewHistory("r9", lines)
 	assert.Assert(t, err != nil)
 }
+
+// TestHistoryNamesTargetsThatWantNoRequests guards against a refusal whose cause lies long before the request: a target that leaves, or a pause
+// that has not ended; pauses that have ended, and what other routers were told, don't matter.
+func TestHistoryNamesTargetsThatWantNoRequests(t *testing.T) {
+	const told = `{"node":"edge-1","target":"t7","leaving":true,"pause":0,"time":"2026-01-01T09:00:00.000Z","message":"target wants no more requests"}
+{"node":"edge-1","target":"t8","leaving":false,"pause":300000,"time":"2026-01-01T09:58:00.000Z","message":"target wants no more requests"}
+{"node":"edge-1","target":"t9","leaving":false,"pause":2000,"time":"2026-01-01T09:58:00.000Z","message":"target wants no more requests"}
+{"node":"edge-2","target":"t6","leaving":true,"pause":0,"time":"2026-01-01T09:00:00.000Z","message":"target wants no more requests"}
+{"node":"edge-1","target":"t5","leaving":true,"pause":0,"time":"2026-01-01T10:00:09.000Z","message":"target wants no more requests"}
+`
+	lines, _, err := explain.Read(strings.NewReader(told + routerLog))
+	assert.NilError(t, err)
+	history, err := explain.NewHistory("r1", lines)
+	assert.NilError(t, err)
+	var text strings.Builder
+	for _, line := range history.Lines() {
+		text.WriteString(line.String() + "\n")
+	}
+	for target, isNamed := range map[string]bool{"t5": false, "t6": false, "t7": true, "t8": true, "t9": false} {
+		assert.Equal(t, strings.Contains(text.String(), "target="+target), isNamed, "%s: %s", target, text.String())
+	}
+}
