--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -62,6 +62,11 @@
 
 // newFleet starts the processes and engines, and returns once all routers are ready; options returns those of each engine.
 func newFleet(t *testing.T, engines int, options func(number int) fake.Options) *fleet {
+	t.Helper()
+	return newFleetWithRouters(t, routerCount, engines, options)
+}
+
+func newFleetWithRouters(t *testing.T, routers, engines int, options func(number int) fake.Options) *fleet {
 	t.Helper()
 	const addressBlocks = 3
 	fleet := &fleet{t: t, number: siteCount.Add(addressBlocks) - addressBlocks + 1, models: []string{"m0", "m1", rareModel}}
@@ -80,7 +85,7 @@
 	for i := range controllerCount {
 		fleet.controllers = append(fleet.controllers, add("controller", fleet.ip(0, i), i))
 	}
-	for i := range routerCount {
+	for i := range routers {
 		fleet.routers = append(fleet.routers, add("router", fleet.ip(1, i), i))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
