--- a/soak/availability.go
+++ b/soak/availability.go
@@ -117,7 +117,7 @@
 
 // recordArrival records that a request has reached a target, and returns the violation that this is, or "".
 func (check *availabilityChecker) recordArrival(target *target, request *http.Request) string {
-	id, name, says, now := request.Header.Get("X-Celerylanding-Attempt-Id"), target.name(), target.availability(), time.Now()
+	id, name, says, now := fake.AttemptID(request), target.name(), target.availability(), time.Now()
 	check.mutex.Lock()
 	defer check.mutex.Unlock()
 	at := link{check.routers[id], name}
--- a/soak/load.go
+++ b/soak/load.go
@@ -64,7 +64,7 @@
 		run.checker.recordAnswer(id, 0, "", "")
 		return
 	}
-	if response.Header.Get("Server-Leaving") == "1" {
+	if fake.LeavingServer(response) != "" {
 		run.available.recordAnswer(id)
 	}
 	run.checker.recordAnswer(id, response.StatusCode, string(body), want)
--- a/tests/availability_test.go
+++ b/tests/availability_test.go
@@ -79,9 +79,9 @@
 func (avail *availabilityFleet) arrive(engine int, request *http.Request) {
 	avail.mutex.Lock()
 	defer avail.mutex.Unlock()
-	id, now := request.Header.Get("X-Celerylanding-Attempt-Id"), time.Now()
+	id, now := fake.AttemptID(request), time.Now()
 	at := link{routerOf(id), engine}
-	if request.Header.Get("X-Celerylanding-Model") == rareModel {
+	if fake.Model(request) == rareModel {
 		avail.ranRare[engine]++
 	}
 	if told, isTold := avail.toldLeaving[at]; isTold && avail.sentAt[id].Sub(told) > drainTime {
@@ -143,9 +143,7 @@
 		if err == nil {
 			status = response.StatusCode
 		}
-		if response.Header.Get("Server-Leaving") == "1" {
-			leaving = response.Header.Get("X-Celerylanding-Server-Stamp")
-		}
+		leaving = fake.LeavingServer(response)
 	}
 	avail.mutex.Lock()
 	defer avail.mutex.Unlock()
--- a/tests/software_version_test.go
+++ b/tests/software_version_test.go
@@ -68,7 +68,7 @@
 	const streams = 24
 	log := &versionLog{versions: make(map[string][]string)}
 	isFirst := func(request *http.Request) bool {
-		return strings.HasSuffix(request.Header.Get("X-Celerylanding-Attempt-Id"), ".1")
+		return strings.HasSuffix(fake.AttemptID(request), ".1")
 	}
 	fleet := newFleet(t, 4, func(number int) fake.Options {
 		version := fmt.Sprintf("v%d", number%2)
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -44,7 +44,7 @@
 func (log *stopLog) arrive(request *http.Request) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
-	log.arrived[request.Header.Get("X-Celerylanding-Attempt-Id")] = true
+	log.arrived[fake.AttemptID(request)] = true
 }
 
 // slowBody returns the text in two parts with a pause in between, and the time when the last byte was read.
--- a/tests/unframed_test.go
+++ b/tests/unframed_test.go
@@ -45,7 +45,7 @@
 	const streams = 40
 	fleet := newFleet(t, 6, func(int) fake.Options {
 		return fake.Options{HasAllLoaded: true, IsUnframed: true, CrashesAfter: func(request *http.Request) int {
-			if strings.HasPrefix(request.Header.Get("X-Celerylanding-Attempt-Id"), "crash-") {
+			if strings.HasPrefix(fake.AttemptID(request), "crash-") {
 				return 2
 			}
 			return 0
