An outage of many targets does not blame the part that a class's prompts begin with

Cause (replay with logs): eleven targets end within 30 ms at 2.66 s; the part with which all prompts of the class begin was running on three of them at routers that had no answer to it yet, and 0.15 s later the leader blamed it for an hour, before other routers could report their answers. Class of fault: a verdict that does not wait for the evidence against it.

A part of prompts is now blamed 0.5 s after the crash that suffices at the earliest, as was so between equal parts already; the routers are asked for answers from its second crash on. Whole requests are blamed at once, as before: their copies run one at a time.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -19,6 +19,9 @@
 	minShare = 0.25
 	// tieTimeout is how long a decision between keys with equally many crashes waits for answers that clear some of them.
 	tieTimeout = 500 * time.Millisecond
+	// partTimeout is the same for a part of prompts, from the crash that suffices on: in an outage of many targets it may be the part that all
+	// requests of a class begin with.
+	partTimeout = 500 * time.Millisecond
 	// evidenceTTL is how long a crash is kept.
 	evidenceTTL = 10 * time.Minute
 	// maxRankingAge is how long the order of the keys is kept without a change, before crashes that have become too old are dropped.
@@ -145,6 +148,8 @@
 	specificity int
 	crashes     int
 	runs        int
+	// sufficientAt is the time of the crash with which the key has reached crashThreshold; zero before.
+	sufficientAt time.Time
 	// before is the number of unexplained crashes before the first one with the key, and since the number of those from that one on.
 	before int
 	since  int
@@ -173,7 +178,9 @@
 				found = &candidate{key: key, before: unexplained}
 				byKey[key] = found
 			}
-			found.crashes++
+			if found.crashes++; found.crashes == crashThreshold {
+				found.sufficientAt = entry.at
+			}
 			found.runs += len(part.runs)
 			found.specificity = max(found.specificity, part.specificity)
 		}
@@ -259,6 +266,9 @@
 				return blames
 			}
 		}
+		if list[0].specificity != WholeRequest && now.Sub(list[0].sufficientAt) < partTimeout {
+			return blames
+		}
 		detector.tiedSince = time.Time{}
 		detector.MarkBlamed(list[0].key)
 		blames = append(blames, Blame{Key: list[0].key, Crashes: list[0].crashes, Runs: list[0].runs, IsWhole: list[0].specificity == WholeRequest})
