--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -137,3 +137,4 @@
 mutate demand-over-the-whole-window throttle/ledger.go ./throttle TestNewLeaderKnows 's/counted := min\(max\(bucketTime, now\.Sub\(entry\.since\)\), budgetTime\)/counted := budgetTime/'
 mutate connections-closed-by-a-stop platform/router.go ./tests TestPlannedStops 's/err := router\.server\.Shutdown\(shutdownCtx\); err != nil/err := router.server.Close(); err != nil || shutdownCtx.Err() != nil/'
 mutate pause-not-heeded-by-processes dispatch/availability.go ./tests TestPausedEngines 's/return !stats\.isLeaving && !now\.Before\(stats\.pausedUntil\)/return !stats.isLeaving/'
+mutate part-blamed-at-once quarantine/detector.go ./quarantine . 's/partTimeout = 500 \* time\.Millisecond/partTimeout = 0/'
