--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -258,15 +258,7 @@
 			detector.tiedSince = time.Time{}
 			return blames
 		}
-		if len(list) > 1 && list[1].crashes == list[0].crashes {
-			if detector.tiedSince.IsZero() {
-				detector.tiedSince = now
-			}
-			if now.Sub(detector.tiedSince) < tieTimeout {
-				return blames
-			}
-		}
-		if list[0].specificity != WholeRequest && now.Sub(list[0].sufficientAt) < partTimeout {
+		if detector.awaitsAnswers(now, list) {
 			return blames
 		}
 		detector.tiedSince = time.Time{}
@@ -274,3 +266,16 @@
 		blames = append(blames, Blame{Key: list[0].key, Crashes: list[0].crashes, Runs: list[0].runs, IsWhole: list[0].specificity == WholeRequest})
 	}
 }
+
+// awaitsAnswers reports whether answers may still clear the first candidate, or decide between it and an equal one.
+func (detector *Detector) awaitsAnswers(now time.Time, list []candidate) bool {
+	if len(list) > 1 && list[1].crashes == list[0].crashes {
+		if detector.tiedSince.IsZero() {
+			detector.tiedSince = now
+		}
+		if now.Sub(detector.tiedSince) < tieTimeout {
+			return true
+		}
+	}
+	return list[0].specificity != WholeRequest && now.Sub(list[0].sufficientAt) < partTimeout
+}
