--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -269,13 +269,15 @@
 
 // awaitsAnswers reports whether answers may still clear the first candidate, or decide between it and an equal one.
 func (detector *Detector) awaitsAnswers(now time.Time, list []candidate) bool {
-	if len(list) > 1 && list[1].crashes == list[0].crashes {
-		if detector.tiedSince.IsZero() {
-			detector.tiedSince = now
-		}
-		if now.Sub(detector.tiedSince) < tieTimeout {
-			return true
-		}
+	isTied := len(list) > 1 && list[1].crashes == list[0].crashes
+	switch {
+	case !isTied:
+		detector.tiedSince = time.Time{}
+	case detector.tiedSince.IsZero():
+		detector.tiedSince = now
+	}
+	if isTied && now.Sub(detector.tiedSince) < tieTimeout {
+		return true
 	}
 	return list[0].specificity != WholeRequest && now.Sub(list[0].sufficientAt) < partTimeout
 }
