--- a/call.go
+++ b/call.go
@@ -27,6 +27,8 @@
 	ResumeAfter string
 	// Resumes is the ID of the call that brought the first event of a stream that this call takes up, or "".
 	Resumes string
+	// Key is the key that the caller sent, or "" if it sent none that can be read.
+	Key Key
 }
 
 // Attempt holds the parameters with which a call is sent to one target.
@@ -38,6 +40,10 @@
 	Urgency int
 	// ResumeAfter names the last event that the caller has, or "".
 	ResumeAfter string
+	// SetsWorkspace is set if the configuration has workspaces: then the caller's key and the workspace that it names are not forwarded, and
+	// Workspace is sent unless it is "".
+	SetsWorkspace bool
+	Workspace     WorkspaceID
 }
 
 // ResponseMetadata holds the attributes of a target's response that its status and header carry.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -222,6 +222,9 @@
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
 	// Relays lists the nodes that pass on the leader's state, where there are too many routers for the leader alone.
 	Relays []RelayAddress `cbor:"12,keyasint,omitempty"`
+	// Version is the version of the newest configuration, as of Age before the reply. A router that has it, or a later one, knows that no key had
+	// been withdrawn by then that it still accepts.
+	Version uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
--- a/interfaces.go
+++ b/interfaces.go
@@ -68,6 +68,12 @@
 	Release(ctx context.Context, endpoint Endpoint, fingerprint uint64)
 }
 
+// PromptCache knows which parts of prompts the targets keep.
+type PromptCache interface {
+	// CachedTokens returns the number of tokens of the prompt's leading parts that the target is believed to keep for the model and adapter.
+	CachedTokens(now time.Time, endpoint Endpoint, model ModelID, adapter string, parts []PromptPart) int
+}
+
 // Event is one entry of the timeline.
 type Event struct {
 	Kind    string
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -56,6 +56,8 @@
 	// MaxAttempts is the largest number of targets that one request may run on.
 	MaxAttempts int     `cbor:"10,keyasint"`
 	Shares      []Share `cbor:"11,keyasint"`
+	// Public is set if callers need no key although the configuration has workspaces.
+	Public bool `cbor:"12,keyasint,omitempty"`
 }
 
 // IsRetryable reports whether a request of the route may run a second time.
@@ -142,6 +144,8 @@
 	Limits   Limits    `cbor:"4,keyasint"`
 	// Source is the text that the operator submitted; the operator interface returns it.
 	Source []byte `cbor:"5,keyasint,omitempty"`
+	// Workspaces lists the groups of callers; without any, callers need no key.
+	Workspaces []Workspace `cbor:"6,keyasint,omitempty"`
 }
 
 // Service finds a service by its identifier.
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,6 +15,8 @@
 	hosts    map[string][]*Route
 	services map[celerylanding.ServiceID]*Service
 	models   map[celerylanding.ModelID]bool
+	// workspaces holds the workspace of each key.
+	workspaces map[celerylanding.KeyDigest]*Workspace
 }
 
 // NewTable returns the table of a configuration, which must be valid.
@@ -24,6 +26,13 @@
 		hosts:         make(map[string][]*Route),
 		services:      make(map[celerylanding.ServiceID]*Service),
 		models:        make(map[celerylanding.ModelID]bool),
+		workspaces:    make(map[celerylanding.KeyDigest]*Workspace),
+	}
+	for i := range configuration.Workspaces {
+		workspace := &configuration.Workspaces[i]
+		for _, digest := range workspace.Keys {
+			table.workspaces[digest] = workspace
+		}
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -68,6 +77,14 @@
 // Services returns all services.
 func (table *Table) Services() []Service { return table.configuration.Services }
 
+// HasWorkspaces reports whether callers need a key, except on public routes.
+func (table *Table) HasWorkspaces() bool { return len(table.configuration.Workspaces) > 0 }
+
+// WorkspaceOf returns the workspace that a key belongs to, or nil if the key is unknown.
+func (table *Table) WorkspaceOf(digest celerylanding.KeyDigest) *Workspace {
+	return table.workspaces[digest]
+}
+
 // Match returns the route of the host whose prefix is the longest one that the path starts with.
 func (table *Table) Match(host, path string) (*Route, bool) {
 	for _, route := range table.hosts[hostKey(host)] {
