A caller that stops reading is cut one second after its deadline

Cause: writes to callers had no deadline. A caller that keeps its connection open and reads nothing blocked the write, and with it a goroutine, the connection to the target with its slot, and all buffers, until TCP gave up. Change: while a request is served, writes to its caller have a deadline one second after that of the request; a connection that is closed early keeps it.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"time"
 )
 
 // lingerer is a connection that can be reset instead of closed in order.
@@ -10,6 +12,21 @@
 	SetLinger(seconds int) error
 }
 
+// writeGrace is the time after a request's deadline in which a caller may still read what was sent to it before.
+const writeGrace = time.Second
+
+// limitWrites ends the writing of an answer that its caller does not read: a blocked write keeps the connection to the target, a goroutine and
+// their buffers. A connection that is to be closed keeps the limit, since closing it writes what is still buffered.
+func limitWrites(writer http.ResponseWriter, remaining time.Duration) {
+	// Connections whose writes have no deadline keep the limits of the server.
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(remaining + writeGrace))
+}
+
+// liftWriteLimit ends the limit on writes, since the connection may carry further requests.
+func liftWriteLimit(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Time{})
+}
+
 type callerConnKey struct{}
 
 // ConnContext makes the connections of callers known to a Handler; it is for the field of the same name of an HTTP server. Without it, an answer that
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -222,8 +222,10 @@
 		handler.writeRefusal(writer, request, call, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(handler.options.Clock()))
+	remaining := call.deadline.Sub(handler.options.Clock())
+	ctx, cancel := context.WithTimeout(request.Context(), remaining)
 	defer cancel()
+	limitWrites(writer, remaining)
 	defer context.AfterFunc(handler.requestsCtx, cancel)()
 	// Unknown model names are not counted, since their number is unbounded.
 	if handler.state.table().Routes().HasModel(call.unit.Model) {
@@ -231,6 +233,7 @@
 	}
 	refusal = handler.serve(ctx, writer, call)
 	if refusal != nil {
+		liftWriteLimit(writer)
 		handler.writeRefusal(writer, request, call, refusal)
 		return
 	}
@@ -244,4 +247,5 @@
 		// Aborts the connection, so that the partial answer does not look complete to the caller.
 		panic(http.ErrAbortHandler)
 	}
+	liftWriteLimit(writer)
 }
