Keys: requests belong to workspaces, by keys that routers accept only with a proof of freshness

Cause: nothing knew a workspace; the key went to the target and a withdrawn key was served for good. Change: the platform's document lists workspaces and public routes; package access decides by the routes in force and the time as of which all acknowledged configurations are in force, counted from the sending of the watch request and through relays; the codec replaces the caller's fields.

--- a/control/feed.go
+++ b/control/feed.go
@@ -43,11 +43,13 @@
 // feedState is the state of the feed: on the leader its own, on another node what the leader has sent.
 type feedState struct {
 	// term is the term of the leader whose state this is, and contact when that state was in force at the latest; on the leader both are unused.
-	term     uint64
-	contact  time.Time
-	revision uint64
-	targets  map[celerylanding.TargetID]*publishedTarget
-	watchers []watcher
+	term    uint64
+	contact time.Time
+	// newestVersion is the version of the newest configuration as of contact, or zero if the leader has not said; on the leader it is unused.
+	newestVersion uint64
+	revision      uint64
+	targets       map[celerylanding.TargetID]*publishedTarget
+	watchers      []watcher
 	// routers holds the time of the last watch request of each router that watches this node.
 	routers map[celerylanding.NodeID]time.Time
 	// relays holds the control nodes that pass the feed on.
@@ -279,18 +281,28 @@
 	return isPushDue && (args.Router || args.Relay != "") && args.Revision < ctl.feed.revision
 }
 
+// newestVersion returns the version of the newest configuration that any member may have acknowledged, or zero while committed entries
+// are not applied yet, as after a failed write. It may be called only while this node leads.
+func (ctl *Control) newestVersion() uint64 {
+	if ctl.index < ctl.core.CommitIndex() {
+		return 0
+	}
+	return ctl.version()
+}
+
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
 		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects, Trials: ctl.feed.trials}
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
+		reply.Version = ctl.newestVersion()
 		reply.Limits = ctl.publishedLimits(now)
 		reply.Routers = ctl.feed.countRouters()
 		if args.Router || args.Relay != "" {
 			reply.Relays = ctl.relayCandidates(now)
 		}
 	} else {
-		reply.Relayed, reply.Age = true, now.Sub(ctl.feed.contact)
+		reply.Relayed, reply.Age, reply.Version = true, now.Sub(ctl.feed.contact), ctl.feed.newestVersion
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
 		reply.Limits = ctl.feed.limits
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -231,7 +231,6 @@
 // watchLeader keeps a follower's directory up to date, so that it can take over and pass the leader's state on to routers.
 func (ctl *Control) watchLeader(ctx context.Context) error {
 	var term, revision uint64
-	var sent time.Time
 	watcher := watch.New(watch.Options{
 		Direct: true,
 		Clock:  ctl.options.Clock,
@@ -243,21 +242,19 @@
 			return nil
 		},
 		NextArgs: func() feed.WatchArgs {
-			sent = ctl.options.Clock()
-			args := ctl.relay.collect(sent)
+			args := ctl.relay.collect(ctl.options.Clock())
 			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
 			return args
 		},
-		Apply: func(reply *feed.WatchReply) {
+		Apply: func(sent time.Time, reply *feed.WatchReply) {
 			ctl.relay.acknowledge()
 			if reply.Term != term {
 				ctl.relay.repeatAll()
 			}
 			term, revision = reply.Term, reply.Revision
-			contact := sent
-			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, contact, reply) })
+			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, sent, reply) })
 		},
 		IsPaused: func() bool { return ctl.Leader() == "" || ctl.Leader() == ctl.member.Address },
 		Log:      ctl.options.Log,
--- a/control/relay.go
+++ b/control/relay.go
@@ -246,7 +246,7 @@
 	}
 	ctl.feed.forgetSilent(now)
 	// The leader has answered after the request was sent.
-	ctl.feed.contact = sent
+	ctl.feed.contact, ctl.feed.newestVersion = sent, reply.Version
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
 	if reply.Revision > ctl.feed.revision {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -222,8 +222,8 @@
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
 	// Relays lists the nodes that pass on the leader's state, where there are too many routers for the leader alone.
 	Relays []RelayAddress `cbor:"12,keyasint,omitempty"`
-	// Version is the version of the newest configuration, as of Age before the reply. A router that has it, or a later one, knows that no key had
-	// been withdrawn by then that it still accepts.
+	// Version is the version of the newest configuration that can have been acknowledged Age before the node handled the request, or zero if the
+	// node can't say. A router that has it, or a later one, in force knows that no key had been withdrawn by then that it still accepts.
 	Version uint64 `cbor:"16,keyasint,omitempty"`
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -104,9 +104,9 @@
 }
 
 func (handler *Handler) targetRequest(now time.Time, call *call, target *feed.Target) *upstream.Request {
-	urgency := min(defaultTargetPriority+call.route.Priority-1, lowestTargetPriority)
 	header := handler.options.HeaderCodec.RequestHeader(call.header, call.metadata, celerylanding.Attempt{Target: target.ID,
-		Timeout: call.deadline.Sub(now), Urgency: max(0, urgency), ResumeAfter: call.delivery.Position()})
+		Timeout: call.deadline.Sub(now), Urgency: urgencyAt(handler.state.table().Routes(), call), ResumeAfter: call.delivery.Position(),
+		SetsWorkspace: call.hidesKey, Workspace: celerylanding.WorkspaceID(call.workspaceName())})
 	return &upstream.Request{
 		Method: call.method,
 		Target: call.requestURI,
@@ -120,6 +120,20 @@
 	}
 }
 
+// urgencyAt returns the urgency of the request at a target, from 0 to lowestTargetPriority. Where the configuration has workspaces and more classes
+// of urgency than targets tell apart, neighbouring classes share an urgency.
+func urgencyAt(routes *routing.Table, call *call) int {
+	if !call.hidesKey {
+		return max(0, min(defaultTargetPriority+call.route.Priority-1, lowestTargetPriority))
+	}
+	const levels = lowestTargetPriority + 1
+	rank, count := routes.Rank(call.workspace, call.route)
+	if count > levels {
+		return rank * levels / count
+	}
+	return min(defaultTargetPriority-1, levels-count) + rank
+}
+
 // handleFailure handles an exchange without an answer: it records the result and decides whether to retry.
 func (handler *Handler) handleFailure(ctx context.Context, call *call, target *feed.Target, err error) (bool, *refusal) {
 	now := handler.options.Clock()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -55,6 +55,15 @@
 	version uint64
 	viewAge time.Duration
 
+	// received is when the whole request had arrived, and key the digest of the caller's key if hasKey is set.
+	received time.Time
+	key      celerylanding.KeyDigest
+	hasKey   bool
+	// workspace is nil for a caller that needs no key and has proved none. hidesKey is set once a configuration has workspaces: from then on
+	// the caller's key and the workspace that it names are not forwarded.
+	workspace *routing.Workspace
+	hidesKey  bool
+
 	// hashes are the fingerprints, once they are computed.
 	hashes []uint64
 
@@ -119,6 +128,10 @@
 		caller: newCallerConn(request.Context()), hasChunks: request.ProtoAtLeast(1, 1)}
 	metadata, err := handler.options.HeaderCodec.ParseCall(request.Header)
 	call.metadata = metadata
+	if metadata.Key != "" {
+		call.key, call.hasKey = metadata.Key.Digest(), true
+		call.metadata.Key = ""
+	}
 	if err != nil {
 		return call, &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
 			cause: celerylanding.MessageOf(err)}
@@ -150,6 +163,10 @@
 	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
+	call.received = handler.options.Clock()
+	if refusal := handler.checkAccess(call); refusal != nil {
+		return call, refusal
+	}
 	if cause := handler.crashes.quarantineCause(call); cause != "" {
 		return call, unavailable(celerylanding.ReasonQuarantined, 0, cause)
 	}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
@@ -35,6 +36,8 @@
 	Pool        *upstream.Pool
 	Leader      Leader
 	Budget      dispatch.RetryBudgetSettings
+	// KeyBounds apply where the configuration has workspaces.
+	KeyBounds access.Bounds
 	// Started is the start time of this process, by Clock.
 	Started time.Time
 	// Clock returns the current time; its clock also advances while the machine is suspended.
@@ -92,6 +95,12 @@
 // RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
 func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
 
+// RecordProof extends the proof of freshness after a reply to a watch request that was sent at a time, unless a version newer than the one in
+// force may have been acknowledged age before the request was handled.
+func (handler *Handler) RecordProof(sent time.Time, age time.Duration, newest uint64) {
+	handler.state.extendProof(sent, age, newest)
+}
+
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
 
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -33,6 +33,9 @@
 		// The caller has disconnected.
 		panic(http.ErrAbortHandler)
 	}
+	if refusal.status == http.StatusUnauthorized {
+		writer.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	if seconds := retrySeconds(handler.options.Clock(), call, refusal); seconds > 0 {
 		writer.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 2, 64))
 	}
@@ -71,6 +74,9 @@
 	case call.isTruncated:
 		outcome = "cut"
 	}
+	if call.workspace != nil {
+		event = event.Str("workspace", call.workspaceName())
+	}
 	if refusal != nil || call.isTruncated {
 		event = event.Strs("parts", call.partIDs())
 	}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -173,6 +173,9 @@
 	if call.deadline.Sub(now) < minRemaining {
 		return deadlineExceeded(call)
 	}
+	if refusal := handler.recheckAccess(call); refusal != nil {
+		return refusal
+	}
 	if cause := handler.crashes.quarantineCause(call); cause != "" {
 		return unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
 	}
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/dispatch"
 )
 
@@ -14,6 +15,8 @@
 	changed chan struct{}
 	// lastContact is the time of the leader's last answer.
 	lastContact time.Time
+	// proof covers the configuration of the current table.
+	proof access.Proof
 }
 
 func newTableState() *tableState {
@@ -26,6 +29,22 @@
 	return state.current
 }
 
+// proven returns the table and the proof of its freshness.
+func (state *tableState) proven() (*dispatch.Table, access.Proof) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.current, state.proof
+}
+
+// extendProof extends the proof for the table in force.
+func (state *tableState) extendProof(sent time.Time, age time.Duration, newest uint64) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	if routes := state.current.Routes(); routes != nil {
+		state.proof = state.proof.Extend(sent, age, newest, routes.Version())
+	}
+}
+
 // watch returns the table and a channel that is closed when the table is replaced.
 func (state *tableState) watch() (*dispatch.Table, <-chan struct{}) {
 	state.mutex.Lock()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -144,8 +144,10 @@
 	Limits   Limits    `cbor:"4,keyasint"`
 	// Source is the text that the operator submitted; the operator interface returns it.
 	Source []byte `cbor:"5,keyasint,omitempty"`
-	// Workspaces lists the groups of callers; without any, callers need no key.
+	// Workspaces lists the groups of callers. Callers need a key if there are any, or if NeedsKeys is set: a list that has become empty lets
+	// nobody in.
 	Workspaces []Workspace `cbor:"6,keyasint,omitempty"`
+	NeedsKeys  bool        `cbor:"7,keyasint,omitempty"`
 }
 
 // Service finds a service by its identifier.
--- a/routing/table.go
+++ b/routing/table.go
@@ -17,6 +17,7 @@
 	models   map[celerylanding.ModelID]bool
 	// workspaces holds the workspace of each key.
 	workspaces map[celerylanding.KeyDigest]*Workspace
+	ranks      ranks
 }
 
 // NewTable returns the table of a configuration, which must be valid.
@@ -27,6 +28,7 @@
 		services:      make(map[celerylanding.ServiceID]*Service),
 		models:        make(map[celerylanding.ModelID]bool),
 		workspaces:    make(map[celerylanding.KeyDigest]*Workspace),
+		ranks:         newRanks(configuration),
 	}
 	for i := range configuration.Workspaces {
 		workspace := &configuration.Workspaces[i]
@@ -77,8 +79,10 @@
 // Services returns all services.
 func (table *Table) Services() []Service { return table.configuration.Services }
 
-// HasWorkspaces reports whether callers need a key, except on public routes.
-func (table *Table) HasWorkspaces() bool { return len(table.configuration.Workspaces) > 0 }
+// NeedsKeys reports whether callers need a key, except on public routes.
+func (table *Table) NeedsKeys() bool {
+	return table.configuration.NeedsKeys || len(table.configuration.Workspaces) > 0
+}
 
 // WorkspaceOf returns the workspace that a key belongs to, or nil if the key is unknown.
 func (table *Table) WorkspaceOf(digest celerylanding.KeyDigest) *Workspace {
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -28,6 +28,45 @@
 		}
 		keys[key] = route.Name
 	}
+	return configuration.validateWorkspaces()
+}
+
+// validateWorkspaces returns an error that names the field and the workspaces, but no key.
+func (configuration *Configuration) validateWorkspaces() error {
+	names := make(map[celerylanding.WorkspaceID]bool, len(configuration.Workspaces))
+	owners := make(map[celerylanding.KeyDigest]celerylanding.WorkspaceID)
+	for i := range configuration.Workspaces {
+		workspace := &configuration.Workspaces[i]
+		field := fmt.Sprintf("workspaces[%d]", i)
+		if workspace.ID == "" || names[workspace.ID] {
+			return celerylanding.NewFieldError(field+".name", "%q must be a unique name", workspace.ID)
+		}
+		names[workspace.ID] = true
+		if err := workspace.Allowance.validate(); err != nil {
+			return celerylanding.ErrBadField.New("%s (%s): %s", field, workspace.ID, celerylanding.MessageOf(err))
+		}
+		for at, digest := range workspace.Keys {
+			if owner, ok := owners[digest]; ok && owner != workspace.ID {
+				return celerylanding.NewFieldError(fmt.Sprintf("%s.keys[%d]", field, at), "workspace %q has a key of workspace %q", workspace.ID, owner)
+			}
+			owners[digest] = workspace.ID
+		}
+	}
+	return nil
+}
+
+func (allowance Allowance) validate() error {
+	// The negated comparisons also refuse NaN.
+	switch {
+	case allowance.Unit != AllowanceRequests && allowance.Unit != AllowanceTokens:
+		return celerylanding.NewFieldError("unit", "%d is unknown", allowance.Unit)
+	case !(allowance.Rate >= 0):
+		return celerylanding.NewFieldError("rate", "%v must not be negative", allowance.Rate)
+	case !(allowance.Burst >= 0):
+		return celerylanding.NewFieldError("burst", "%v must not be negative", allowance.Burst)
+	case allowance.DefaultTokens < 0:
+		return celerylanding.NewFieldError("default_tokens", "%d must not be negative", allowance.DefaultTokens)
+	}
 	return nil
 }
 
--- a/verdict.go
+++ b/verdict.go
@@ -57,6 +57,8 @@
 	ReasonKeyInProgress    Reason = "idempotency_key_in_progress"
 	ReasonKeyReused        Reason = "idempotency_key_reused"
 	ReasonCallerGone       Reason = "caller_gone"
+	ReasonUnknownKey       Reason = "unknown_key"
+	ReasonKeysNotFresh     Reason = "keys_not_fresh"
 )
 
 // Status returns the HTTP status code for the reason.
@@ -64,6 +66,8 @@
 	switch reason {
 	case ReasonBadRequest:
 		return http.StatusBadRequest
+	case ReasonUnknownKey:
+		return http.StatusUnauthorized
 	case ReasonUnknownModel, ReasonUnknownService:
 		return http.StatusNotFound
 	case ReasonQueueFull:
@@ -83,7 +87,7 @@
 // RetryAfter returns how long a caller should wait before it retries; zero means that a retry does not help.
 func (reason Reason) RetryAfter() time.Duration {
 	switch reason {
-	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited:
+	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited, ReasonKeysNotFresh:
 		return 2 * time.Second
 	case ReasonDraining, ReasonKeyInProgress, ReasonCopyOnTrial:
 		return time.Second
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -45,8 +45,8 @@
 	Seeds func() []string
 	// NextArgs returns the arguments of the next watch request.
 	NextArgs func() feed.WatchArgs
-	// Apply handles a reply of the leader.
-	Apply func(reply *feed.WatchReply)
+	// Apply handles a reply with the leader's state; sent is a time before the request was sent.
+	Apply func(sent time.Time, reply *feed.WatchReply)
 	// IsPaused reports whether the client must send no requests now; nil means never.
 	IsPaused func() bool
 	Log      zerolog.Logger
@@ -133,12 +133,13 @@
 func (client *Client) watchOnce(ctx context.Context, address string, timeout time.Duration) bool {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sent := client.options.Clock()
 	args := client.options.NextArgs()
 	var reply feed.WatchReply
 	err := client.options.Peers.Call(callCtx, address, "Peer.Watch", &args, &reply)
 	if err == nil && reply.IsState() {
 		client.recordState(address, &reply)
-		client.options.Apply(&reply)
+		client.options.Apply(sent, &reply)
 		return true
 	}
 	return client.recordFailure(address, &reply, err)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	peers := rpc.NewPeers(ctx, rpc.Options{Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
 	client := watch.New(watch.Options{Node: "r", Domain: "d1", Clock: time.Now, Peers: peers, Seeds: func() []string { return []string{seed} },
-		NextArgs: func() feed.WatchArgs { return feed.WatchArgs{Node: "r", Router: true} }, Apply: func(*feed.WatchReply) {}, Log: zerolog.Nop()})
+		NextArgs: func() feed.WatchArgs { return feed.WatchArgs{Node: "r", Router: true} }, Apply: func(time.Time, *feed.WatchReply) {}, Log: zerolog.Nop()})
 	done := make(chan error, 1)
 	go func() { done <- client.Run(ctx) }()
 	t.Cleanup(func() {
