--- a/access/access_test.go
+++ b/access/access_test.go
@@ -53,7 +53,7 @@
 		"public route, unknown, old proof": {old, "x", true, access.CauseNone, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			proof := access.Proof{}.Extend(start.Add(-tc.age), 0, 1, 1)
+			proof := access.Proof{}.Extend(access.NewWord(start.Add(-tc.age), 0, 1), 1)
 			request := access.Request{Received: start, IsPublic: tc.isPublic, Digest: tc.key.Digest(), HasKey: tc.key != ""}
 			decision := bounds.Check(table(1, "k"), proof, request)
 			assert.Equal(t, decision.Cause, tc.want)
@@ -79,7 +79,7 @@
 
 // TestWaitingRequestIsCheckedAgain guards against a request that runs with a key that was withdrawn, or moved, while it waited.
 func TestWaitingRequestIsCheckedAgain(t *testing.T) {
-	proof := access.Proof{}.Extend(start, 0, 1, 1)
+	proof := access.Proof{}.Extend(access.NewWord(start, 0, 1), 1)
 	request := access.Request{Received: start, Digest: celerylanding.Key("k").Digest(), HasKey: true}
 	before := bounds.Check(table(1, "k"), proof, request).Workspace
 	assert.Equal(t, bounds.Recheck(table(2, "k", "l"), proof, request, before).Cause, access.CauseNone)
@@ -105,13 +105,13 @@
 		"relay whose clock went backward": {-time.Second, 3, 3, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			proof := access.Proof{}.Extend(start, tc.age, tc.newest, tc.inForce)
+			proof := access.Proof{}.Extend(access.NewWord(start, tc.age, tc.newest), tc.inForce)
 			assert.Equal(t, proof.Covers(start.Add(3950*time.Millisecond), 5*time.Second), tc.want)
 			assert.Assert(t, !proof.Covers(start.Add(4960*time.Millisecond), 5*time.Second), "the drift of this VM's clock")
 		})
 	}
-	proof := access.Proof{}.Extend(start, 0, 1, 1)
-	assert.Equal(t, proof.Extend(start.Add(-time.Second), 0, 1, 1), proof, "a late reply proves less")
+	proof := access.Proof{}.Extend(access.NewWord(start, 0, 1), 1)
+	assert.Equal(t, proof.Extend(access.NewWord(start.Add(-time.Second), 0, 1), 1), proof, "a late reply proves less")
 }
 
 // manyKeys returns a configuration with keys in 16 workspaces, and one of the keys.
@@ -130,7 +130,7 @@
 func BenchmarkCheckAmong10000Keys(b *testing.B) {
 	configuration, key := manyKeys(10_000)
 	routes := routing.NewTable(configuration)
-	proof := access.Proof{}.Extend(start, 0, 1, 1)
+	proof := access.Proof{}.Extend(access.NewWord(start, 0, 1), 1)
 	for b.Loop() {
 		decision := bounds.Check(routes, proof, access.Request{Received: start, Digest: key.Digest(), HasKey: true})
 		if decision.Workspace == nil {
--- a/access/proof.go
+++ b/access/proof.go
@@ -5,26 +5,35 @@
 // driftDivisor bounds the drift of a VM's clock: one part in 100.
 const driftDivisor = 100
 
+// Word is what a node was told of the newest configuration: its version, as of a time by the clock of the node.
+type Word struct {
+	asOf    time.Time
+	version uint64
+}
+
+// NewWord returns the word of a reply to a request that was sent at a time: the version that was the newest one at most age before the asked node
+// handled the request, or zero if that node can't say.
+//
+// It counts from the sending, since a process that has stood still reads old replies.
+func NewWord(sent time.Time, age time.Duration, version uint64) Word {
+	age = max(0, age)
+	return Word{asOf: sent.Add(-age - age/driftDivisor), version: version}
+}
+
+// At returns the version and its age, for a reply to a request that is handled now.
+func (word Word) At(now time.Time) (age time.Duration, version uint64) { return now.Sub(word.asOf), word.version }
+
 // Proof is the time as of which all acknowledged configurations are in force on a router. The zero value proves nothing.
 type Proof struct {
 	asOf time.Time
 }
 
-// Extend returns the proof after a reply of the leader or of a relay. The request was sent at a time of this router's clock; newest is the
-// version that was the newest one at most age before the node handled the request, or zero if the node can't say; inForce is the version by
-// which this router decides.
-//
-// The proof counts from the sending: the leader has looked at its lease later than that, whenever the reply arrives.
-func (proof Proof) Extend(sent time.Time, age time.Duration, newest, inForce uint64) Proof {
-	if newest == 0 || inForce < newest {
-		return proof
-	}
-	age = max(0, age)
-	asOf := sent.Add(-age - age/driftDivisor)
-	if !asOf.After(proof.asOf) {
+// Extend returns the proof after a word on the newest configuration, while the router decides by the version in force.
+func (proof Proof) Extend(word Word, inForce uint64) Proof {
+	if word.version == 0 || inForce < word.version || !word.asOf.After(proof.asOf) {
 		return proof
 	}
-	return Proof{asOf: asOf}
+	return Proof{asOf: word.asOf}
 }
 
 // Covers reports whether all configurations that were acknowledged longer than a bound before a time are in force, whatever the drift of the clock.
--- a/control/feed.go
+++ b/control/feed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -42,14 +43,13 @@
 
 // feedState is the state of the feed: on the leader its own, on another node what the leader has sent.
 type feedState struct {
-	// term is the term of the leader whose state this is, and contact when that state was in force at the latest; on the leader both are unused.
-	term    uint64
-	contact time.Time
-	// newestVersion is the version of the newest configuration as of contact, or zero if the leader has not said; on the leader it is unused.
-	newestVersion uint64
-	revision      uint64
-	targets       map[celerylanding.TargetID]*publishedTarget
-	watchers      []watcher
+	// term is the term of the leader whose state this is, and word the leader's word on the newest configuration, as old as the rest of that
+	// state at the most; on the leader both are unused.
+	term     uint64
+	word     access.Word
+	revision uint64
+	targets  map[celerylanding.TargetID]*publishedTarget
+	watchers []watcher
 	// routers holds the time of the last watch request of each router that watches this node.
 	routers map[celerylanding.NodeID]time.Time
 	// relays holds the control nodes that pass the feed on.
@@ -302,7 +302,8 @@
 			reply.Relays = ctl.relayCandidates(now)
 		}
 	} else {
-		reply.Relayed, reply.Age, reply.Version = true, now.Sub(ctl.feed.contact), ctl.feed.newestVersion
+		reply.Relayed = true
+		reply.Age, reply.Version = ctl.feed.word.At(now)
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
 		reply.Limits = ctl.feed.limits
 	}
--- a/control/relay.go
+++ b/control/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -229,7 +230,13 @@
 
 // relays reports whether this node follows the leader closely enough to pass its state on.
 func (ctl *Control) relays(now time.Time) bool {
-	return ctl.leaderSince.IsZero() && !ctl.stopping && ctl.feed.term != 0 && ctl.feed.term == ctl.core.Term() && now.Sub(ctl.feed.contact) <= relayFreshness
+	return ctl.leaderSince.IsZero() && !ctl.stopping && ctl.feed.term != 0 && ctl.feed.term == ctl.core.Term() && ctl.feed.age(now) <= relayFreshness
+}
+
+// age returns the age of the leader's state on a node that relays it.
+func (state *feedState) age(now time.Time) time.Duration {
+	age, _ := state.word.At(now)
+	return age
 }
 
 // applyFeed takes over the leader's reply to this node's watch request, which was sent at the given time.
@@ -246,7 +253,7 @@
 	}
 	ctl.feed.forgetSilent(now)
 	// The leader has answered after the request was sent.
-	ctl.feed.contact, ctl.feed.newestVersion = sent, reply.Version
+	ctl.feed.word = access.NewWord(sent, reply.Age, reply.Version)
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
 	if reply.Revision > ctl.feed.revision {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -95,11 +95,9 @@
 // RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
 func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
 
-// RecordProof extends the proof of freshness after a reply to a watch request that was sent at a time, unless a version newer than the one in
-// force may have been acknowledged age before the request was handled.
-func (handler *Handler) RecordProof(sent time.Time, age time.Duration, newest uint64) {
-	handler.state.extendProof(sent, age, newest)
-}
+// RecordNewest extends the proof of freshness by a word on the newest configuration, unless a newer one than the one in force may have been
+// acknowledged.
+func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
 
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -37,11 +37,11 @@
 }
 
 // extendProof extends the proof for the table in force.
-func (state *tableState) extendProof(sent time.Time, age time.Duration, newest uint64) {
+func (state *tableState) extendProof(word access.Word) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	if routes := state.current.Routes(); routes != nil {
-		state.proof = state.proof.Extend(sent, age, newest, routes.Version())
+		state.proof = state.proof.Extend(word, routes.Version())
 	}
 }
 
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -70,7 +70,7 @@
 mutate large-wakes-at-each-change proxy/waker.go ./proxy 'TestWaitingRequest|TestBusyLeader' 's/\treturn state\.waiting > state\.askedFor/\treturn true || state.waiting > state.askedFor/'
 mutate large-backoff-lost proxy/waker.go ./proxy TestBusyLeader 's/state\.failures\+\+/state.askAgainAt = now/'
 mutate large-late-reply-closes quorum/rpc/client.go ./quorum/rpc TestLateReply 's/ && client\.conn\.isDead\(began, boottime\.Now\(\), received\) \{/ \&\& (client.conn.isDead(began, boottime.Now(), received) || true) {/'
-mutate large-relay-without-leader control/relay.go ./control TestRelayWithoutLeader 's/ && now\.Sub\(ctl\.feed\.contact\) <= relayFreshness//; s/ && ctl\.feed\.term == ctl\.core\.Term\(\)//'
+mutate large-relay-without-leader control/relay.go ./control TestRelayWithoutLeader 's/ && ctl\.feed\.age\(now\) <= relayFreshness//; s/ && ctl\.feed\.term == ctl\.core\.Term\(\)//'
 mutate large-relay-loses-usage control/relay.go ./control TestRelaySums 's/\t\tfor unit := range router\.inFlight \{\n\t\t\treports\.setInFlight\(router, unit, 0\)\n\t\t\}\n//'
 mutate large-stale-not-found proxy/call.go ./platform TestUnknownRoute 's/maxUnknownRouteAge = time\.Second/maxUnknownRouteAge = time.Hour/'
 mutate late-answer-without-id upstream/exchange.go ./upstream TestLateAnswerWithoutID 's/ && !conn\.namesRequests\)/)/'
