--- a/access/proof.go
+++ b/access/proof.go
@@ -21,7 +21,9 @@
 }
 
 // At returns the version and its age, for a reply to a request that is handled now.
-func (word Word) At(now time.Time) (age time.Duration, version uint64) { return now.Sub(word.asOf), word.version }
+func (word Word) At(now time.Time) (age time.Duration, version uint64) {
+	return now.Sub(word.asOf), word.version
+}
 
 // Proof is the time as of which all acknowledged configurations are in force on a router. The zero value proves nothing.
 type Proof struct {
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -63,6 +63,8 @@
 	leaders := 0
 	for _, reply := range replies {
 		assert.Equal(t, reply.Configuration.Version, uint64(1))
+		assert.Equal(t, reply.Version, uint64(1), "the newest version is told, as of a time")
+		assert.Assert(t, reply.Leads == (reply.Age == 0), "a relay's word has an age")
 		assert.Equal(t, reply.Term, replies[0].Term)
 		assert.Equal(t, reply.Leader, replies[0].Leader)
 		assert.Assert(t, reply.Leads != reply.Relayed)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -127,11 +127,7 @@
 		verdict: celerylanding.NotRun, delivery: delivery.New(""),
 		caller: newCallerConn(request.Context()), hasChunks: request.ProtoAtLeast(1, 1)}
 	metadata, err := handler.options.HeaderCodec.ParseCall(request.Header)
-	call.metadata = metadata
-	if metadata.Key != "" {
-		call.key, call.hasKey = metadata.Key.Digest(), true
-		call.metadata.Key = ""
-	}
+	call.setMetadata(metadata)
 	if err != nil {
 		return call, &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
 			cause: celerylanding.MessageOf(err)}
@@ -164,12 +160,9 @@
 		return call, refusal
 	}
 	call.received = handler.options.Clock()
-	if refusal := handler.checkAccess(call); refusal != nil {
+	if refusal := handler.checkReceived(call); refusal != nil {
 		return call, refusal
 	}
-	if cause := handler.crashes.quarantineCause(call); cause != "" {
-		return call, unavailable(celerylanding.ReasonQuarantined, 0, cause)
-	}
 	timeout := route.Timeout
 	if metadata.MaxWait > 0 {
 		timeout = min(timeout, metadata.MaxWait)
@@ -182,6 +175,26 @@
 	return call, nil
 }
 
+// setMetadata takes over what the header says of the request. Of the key it keeps the digest only.
+func (call *call) setMetadata(metadata celerylanding.CallMetadata) {
+	call.metadata = metadata
+	if metadata.Key != "" {
+		call.key, call.hasKey = metadata.Key.Digest(), true
+		call.metadata.Key = ""
+	}
+}
+
+// checkReceived refuses a request that has arrived but may not run.
+func (handler *Handler) checkReceived(call *call) *refusal {
+	if refusal := handler.checkAccess(call); refusal != nil {
+		return refusal
+	}
+	if cause := handler.crashes.quarantineCause(call); cause != "" {
+		return unavailable(celerylanding.ReasonQuarantined, 0, cause)
+	}
+	return nil
+}
+
 // findRoute returns the route of a request.
 func (handler *Handler) findRoute(now time.Time, table *dispatch.Table, request *http.Request) (*routing.Route, *refusal) {
 	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -99,6 +99,14 @@
 // acknowledged.
 func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
 
+// ReportProofAge updates the metric of the proof's age, unless nothing has been proven yet.
+func (handler *Handler) ReportProofAge(now time.Time) {
+	_, proof := handler.state.proven()
+	if age, ok := proof.Age(now); ok {
+		handler.options.Metrics.Gauge("key_proof_age_seconds").Update(age.Seconds())
+	}
+}
+
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -27,16 +27,20 @@
 	mutex   sync.Mutex
 	reply   feed.WatchReply
 	watched int
-	address string
-	stop    func()
+	// watchedAt is when the last request arrived.
+	watchedAt time.Time
+	address   string
+	stop      func()
 }
 
 // Watch counts the request and returns the reply after a short wait.
 func (node *node) Watch(_ *feed.WatchArgs, reply *feed.WatchReply) error {
+	arrived := time.Now()
 	time.Sleep(5 * time.Millisecond)
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	node.watched++
+	node.watchedAt = arrived
 	*reply = node.reply
 	return nil
 }
@@ -84,11 +88,16 @@
 
 // startClient runs a client of a router in domain "d1" that knows the address of one node.
 func startClient(t *testing.T, seed string) *watch.Client {
+	t.Helper()
+	return startApplyingClient(t, seed, func(time.Time, *feed.WatchReply) {})
+}
+
+func startApplyingClient(t *testing.T, seed string, apply func(sent time.Time, reply *feed.WatchReply)) *watch.Client {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	peers := rpc.NewPeers(ctx, rpc.Options{Clock: hlc.New(time.Second), Counters: &rpccodec.Counters{}})
 	client := watch.New(watch.Options{Node: "r", Domain: "d1", Clock: time.Now, Peers: peers, Seeds: func() []string { return []string{seed} },
-		NextArgs: func() feed.WatchArgs { return feed.WatchArgs{Node: "r", Router: true} }, Apply: func(time.Time, *feed.WatchReply) {}, Log: zerolog.Nop()})
+		NextArgs: func() feed.WatchArgs { return feed.WatchArgs{Node: "r", Router: true} }, Apply: apply, Log: zerolog.Nop()})
 	done := make(chan error, 1)
 	go func() { done <- client.Run(ctx) }()
 	t.Cleanup(func() {
@@ -144,3 +153,24 @@
 	assert.Equal(t, watch.ChooseRelay(now.Add(time.Second), "r", "d2", relays, avoided), "b")
 	assert.Equal(t, watch.ChooseRelay(now, "r", "d2", nil, nil), "")
 }
+
+// TestReplyCountsFromTheSendingOfItsRequest guards against state that looks newer than it is, since the reply may be read late.
+func TestReplyCountsFromTheSendingOfItsRequest(t *testing.T) {
+	leader := startNode(t)
+	leader.setReply(feed.WatchReply{Leads: true, Leader: leader.address, Members: []string{leader.address}})
+	applied := make(chan time.Time, 1)
+	startApplyingClient(t, leader.address, func(sent time.Time, _ *feed.WatchReply) {
+		leader.mutex.Lock()
+		defer leader.mutex.Unlock()
+		assert.Check(t, !sent.After(leader.watchedAt), "the request counts as sent %v after it arrived", sent.Sub(leader.watchedAt))
+		select {
+		case applied <- sent:
+		default:
+		}
+	})
+	select {
+	case <-applied:
+	case <-time.After(stepTimeout):
+		t.Fatal("no reply was applied")
+	}
+}
