--- a/control/feed.go
+++ b/control/feed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -42,9 +43,10 @@
 
 // feedState is the state of the feed: on the leader its own, on another node what the leader has sent.
 type feedState struct {
-	// term is the term of the leader whose state this is, and contact when that state was in force at the latest; on the leader both are unused.
+	// term is the term of the leader whose state this is, and word the leader's word on the newest configuration, as old as the rest of that
+	// state at the most; on the leader both are unused.
 	term     uint64
-	contact  time.Time
+	word     access.Word
 	revision uint64
 	targets  map[celerylanding.TargetID]*publishedTarget
 	watchers []watcher
@@ -279,18 +281,29 @@
 	return isPushDue && (args.Router || args.Relay != "") && args.Revision < ctl.feed.revision
 }
 
+// newestVersion returns the version of the newest configuration that any member may have acknowledged, or zero while committed entries
+// are not applied yet, as after a failed write. It may be called only while this node leads.
+func (ctl *Control) newestVersion() uint64 {
+	if ctl.index < ctl.core.CommitIndex() {
+		return 0
+	}
+	return ctl.version()
+}
+
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
 		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects, Trials: ctl.feed.trials}
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
+		reply.Version = ctl.newestVersion()
 		reply.Limits = ctl.publishedLimits(now)
 		reply.Routers = ctl.feed.countRouters()
 		if args.Router || args.Relay != "" {
 			reply.Relays = ctl.relayCandidates(now)
 		}
 	} else {
-		reply.Relayed, reply.Age = true, now.Sub(ctl.feed.contact)
+		reply.Relayed = true
+		reply.Age, reply.Version = ctl.feed.word.At(now)
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
 		reply.Limits = ctl.feed.limits
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -55,6 +55,15 @@
 	version uint64
 	viewAge time.Duration
 
+	// received is when the whole request had arrived, and key the digest of the caller's key if hasKey is set.
+	received time.Time
+	key      celerylanding.KeyDigest
+	hasKey   bool
+	// workspace is nil for a caller that needs no key and has proved none. hidesKey is set once a configuration has workspaces: from then on
+	// the caller's key and the workspace that it names are not forwarded.
+	workspace *routing.Workspace
+	hidesKey  bool
+
 	// hashes are the fingerprints, once they are computed.
 	hashes []uint64
 
@@ -118,7 +127,7 @@
 		verdict: celerylanding.NotRun, delivery: delivery.New(""),
 		caller: newCallerConn(request.Context()), hasChunks: request.ProtoAtLeast(1, 1)}
 	metadata, err := handler.options.HeaderCodec.ParseCall(request.Header)
-	call.metadata = metadata
+	call.setMetadata(metadata)
 	if err != nil {
 		return call, &refusal{status: http.StatusBadRequest, verdict: celerylanding.NotRun, reason: celerylanding.ReasonBadRequest,
 			cause: celerylanding.MessageOf(err)}
@@ -150,8 +159,9 @@
 	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
-	if cause := handler.crashes.quarantineCause(call); cause != "" {
-		return call, unavailable(celerylanding.ReasonQuarantined, 0, cause)
+	call.received = handler.options.Clock()
+	if refusal := handler.checkReceived(call); refusal != nil {
+		return call, refusal
 	}
 	timeout := route.Timeout
 	if metadata.MaxWait > 0 {
@@ -165,6 +175,26 @@
 	return call, nil
 }
 
+// setMetadata takes over what the header says of the request. Of the key it keeps the digest only.
+func (call *call) setMetadata(metadata celerylanding.CallMetadata) {
+	call.metadata = metadata
+	if metadata.Key != "" {
+		call.key, call.hasKey = metadata.Key.Digest(), true
+		call.metadata.Key = ""
+	}
+}
+
+// checkReceived refuses a request that has arrived but may not run.
+func (handler *Handler) checkReceived(call *call) *refusal {
+	if refusal := handler.checkAccess(call); refusal != nil {
+		return refusal
+	}
+	if cause := handler.crashes.quarantineCause(call); cause != "" {
+		return unavailable(celerylanding.ReasonQuarantined, 0, cause)
+	}
+	return nil
+}
+
 // findRoute returns the route of a request.
 func (handler *Handler) findRoute(now time.Time, table *dispatch.Table, request *http.Request) (*routing.Route, *refusal) {
 	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
