Allowances of workspaces over all routers

Nothing counted what a workspace uses, so that a hot one took what it sent. What can't be sent within half its latency objective is refused with 429 and the time until it is the caller's turn, or 503 while the leader doesn't answer.

--- /dev/null
+++ b/control/allowances_test.go
@@ -0,0 +1,92 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/quorum/rpc"
+	"celerylanding.example/celerylanding/routing"
+)
+
+// submitAllowance submits a version with one workspace.
+func (cluster *testCluster) submitAllowance(version uint64, rate float64) {
+	cluster.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	submitted := configuration(version)
+	submitted.Workspaces = []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: rate, Burst: rate}}}
+	_, err := cluster.running().ctl.Submit(ctx, submitted)
+	assert.NilError(cluster.t, err)
+}
+
+// drawAllowance asks the leader for units in the name of one router until one answers, and returns what it grants.
+func (cluster *testCluster) drawAllowance(ctx context.Context, peers *rpc.Peers, sequence *uint64, units float64) feed.AllowanceReply {
+	cluster.t.Helper()
+	for ctx.Err() == nil {
+		*sequence++
+		args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: *sequence, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: units, Needed: units}}}
+		var reply feed.AllowanceReply
+		if err := peers.Call(ctx, cluster.running().ctl.Leader(), "Peer.Allowance", args, &reply); err == nil && reply.Leads && len(reply.Grants) > 0 {
+			return reply
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cluster.t.Fatal("no leader grants")
+	return feed.AllowanceReply{}
+}
+
+// TestOnlyTheLeaderGrantsAllowances guards against an allowance that two nodes grant, or that a new leader grants once more.
+func TestOnlyTheLeaderGrantsAllowances(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
+	defer cancel()
+	cluster.submitAllowance(1, 1000)
+	peers := newTestPeers(t)
+	sequence, granted, begin := uint64(0), 0.0, time.Now()
+	draw := func(length time.Duration) (term uint64) {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			reply := cluster.drawAllowance(ctx, peers, &sequence, 500)
+			granted += reply.Grants[0].Units
+			term = reply.Term
+		}
+		return term
+	}
+	first := draw(time.Second)
+	for _, node := range cluster.nodes {
+		if node.addr == cluster.running().ctl.Leader() {
+			continue
+		}
+		var reply feed.AllowanceReply
+		args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: 1 << 40, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: 500, Needed: 500}}}
+		assert.NilError(t, peers.Call(ctx, node.addr, "Peer.Allowance", args, &reply))
+		assert.Assert(t, !reply.Leads && len(reply.Grants) == 0)
+	}
+	cluster.stopLeader()
+	second := draw(time.Second)
+	assert.Assert(t, second > first)
+	most := 1000 * time.Since(begin).Seconds()
+	assert.Assert(t, granted > 1000 && granted <= most, "%.0f units granted, at most %.0f", granted, most)
+
+	cluster.submitAllowance(2, 10)
+	time.Sleep(300 * time.Millisecond)
+	granted = 0
+	draw(time.Second)
+	assert.Assert(t, granted <= 100, "%.0f units granted after the limit was lowered", granted)
+
+	// A leader that the others have left grants nothing after its lease.
+	address := cluster.running().ctl.Leader()
+	for _, node := range cluster.nodes {
+		if node.addr != address {
+			cluster.stop(node)
+		}
+	}
+	time.Sleep(time.Second)
+	var reply feed.AllowanceReply
+	args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: 1 << 41, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: 5, Needed: 5}}}
+	assert.NilError(t, peers.Call(ctx, address, "Peer.Allowance", args, &reply))
+	assert.Assert(t, !reply.Leads && len(reply.Grants) == 0)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -81,6 +81,8 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
+	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
+	allowances *throttle.Allocator
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
 	// started is when this process started.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -21,6 +21,7 @@
 	"celerylanding.example/celerylanding/control"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
 )
 
 // stepTimeout bounds each step of a test; elections take up to two seconds on a busy machine.
@@ -137,6 +138,7 @@
 		Fencing:       !cluster.ignoresFences,
 		LeaseTime:     leaseTime,
 		TargetSilence: cluster.silence,
+		Allowances:    throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000},
 		Engines:       cluster.engines,
 		Clock:         cluster.clock,
 		Log:           zerolog.Nop(),
--- a/control/leader.go
+++ b/control/leader.go
@@ -46,6 +46,7 @@
 	}
 	if ctl.feed.configurationChanged {
 		ctl.feed.configurationChanged = false
+		ctl.updateAllowances(now)
 		ctl.observeAll(now)
 	}
 	if !now.Before(ctl.expireDue) {
@@ -106,6 +107,7 @@
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
 		ctl.limits = throttle.NewLedger()
+		ctl.resetAllowances(now)
 		ctl.origins = resume.NewLedger(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
--- a/control/options.go
+++ b/control/options.go
@@ -10,6 +10,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/loadplan"
+	"celerylanding.example/celerylanding/throttle"
 )
 
 // FencingToken is the fencing token of a leader's orders: the leader's term, so that a later leader has a higher one.
@@ -45,10 +46,12 @@
 	// MaxDirectRouters is the number of routers up to which all watch the leader; with more, they watch the control nodes of their own
 	// failure domains, which relay its state.
 	MaxDirectRouters int
-	Engines          EngineClient
-	Clock            func() time.Time
-	Log              zerolog.Logger
-	Metrics          tally.Scope
+	// Allowances are the bounds on the use of the allowances of workspaces.
+	Allowances throttle.AllowanceBounds
+	Engines    EngineClient
+	Clock      func() time.Time
+	Log        zerolog.Logger
+	Metrics    tally.Scope
 	// Seed seeds all random choices.
 	Seed uint64
 }
--- a/feed/allowance.go
+++ b/feed/allowance.go
@@ -4,23 +4,37 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/routing"
 )
 
 // AllowanceRequest is what one router asks for one workspace.
 type AllowanceRequest struct {
 	Workspace celerylanding.WorkspaceID `cbor:"1,keyasint"`
-	// Wanted is the number of units that the router needs beyond those that it holds.
+	// Wanted is the number of units that the router would use soon, beyond those that it holds.
 	Wanted float64 `cbor:"2,keyasint,omitempty"`
 	// Returned is the number of granted units that the router gives back unused.
 	Returned float64 `cbor:"3,keyasint,omitempty"`
 	// Demand is the number of units per second that callers ask of the router.
 	Demand float64 `cbor:"4,keyasint,omitempty"`
+	// Needed is the part of Wanted that requests wait for, and Least the part of Needed without which none of them can be sent.
+	Needed float64 `cbor:"5,keyasint,omitempty"`
+	Least  float64 `cbor:"6,keyasint,omitempty"`
+	// Held is the number of units that the leader of the term in the arguments has granted and that may still be used. It excludes Returned, and
+	// includes the units of requests that were not sent yet.
+	Held float64 `cbor:"7,keyasint,omitempty"`
+	// Unit is what the router counts.
+	Unit routing.AllowanceUnit `cbor:"8,keyasint,omitempty"`
 }
 
 // AllowanceArgs ask the leader for parts of the allowances of workspaces.
 type AllowanceArgs struct {
 	Node     celerylanding.NodeID `cbor:"1,keyasint"`
 	Requests []AllowanceRequest   `cbor:"2,keyasint"`
+	// Process identifies this start of the router's process, and Sequence rises with each of its calls.
+	Process  uint64 `cbor:"3,keyasint"`
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Term is the term of the leader that granted what the router last received.
+	Term uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AllowanceGrant is the part of a workspace's allowance that a router may use.
@@ -29,12 +43,15 @@
 	Units     float64                   `cbor:"2,keyasint,omitempty"`
 	// TTL is the time for which the router may use the units, counted from the sending of its request.
 	TTL time.Duration `cbor:"3,keyasint,omitempty"`
-	// Wait is the expected time until more can be granted, if not all that was wanted could be.
+	// Wait is the expected time until what is needed can be granted, if it could not be.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Rate is the number of units per second that the router can get while callers ask for more than the allowance; otherwise it is 0.
+	Rate float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AllowanceReply holds the leader's grants.
 type AllowanceReply struct {
 	Leads  bool             `cbor:"1,keyasint"`
 	Grants []AllowanceGrant `cbor:"2,keyasint,omitempty"`
+	Term   uint64           `cbor:"3,keyasint,omitempty"`
 }
--- /dev/null
+++ b/proxy/allowance.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/throttle"
+)
+
+const (
+	// allowanceWaitShare is the share of its latency objective for which a request waits for a part of its workspace's allowance, and
+	// allowanceWait that time without an objective.
+	allowanceWaitShare = 0.5
+	allowanceWait      = 500 * time.Millisecond
+	// allowanceTimeout is the timeout of one call to the leader.
+	allowanceTimeout = 300 * time.Millisecond
+	// allowanceSpread is the part by which the delay after which a caller returns is prolonged at random.
+	allowanceSpread = 0.2
+)
+
+// allowances charges the requests of workspaces with a limit, and asks the leader for parts of their allowances.
+type allowances struct {
+	mutex   sync.Mutex
+	reserve *throttle.Reserve
+	// waiting holds a channel for each charge that waits; it is closed when the charge is decided.
+	waiting map[*throttle.Charge]chan struct{}
+	// isAsking is set while a goroutine asks the leader.
+	isAsking bool
+}
+
+func newAllowances(node celerylanding.NodeID, started time.Time) *allowances {
+	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{})}
+}
+
+// wake ends the wait of charges that have been admitted; the caller holds the mutex.
+func (allowances *allowances) wake(admitted []*throttle.Charge) {
+	for _, charge := range admitted {
+		if done := allowances.waiting[charge]; done != nil {
+			close(done)
+			delete(allowances.waiting, charge)
+		}
+	}
+}
+
+// charge charges a request to its workspace, and refuses it if the allowance has too little left for as long as the request can wait.
+func (handler *Handler) charge(ctx context.Context, call *call) *refusal {
+	if call.workspace == nil || !call.workspace.Allowance.IsLimited() {
+		return nil
+	}
+	units := call.workspace.Allowance.Cost(call.metadata)
+	if units <= 0 {
+		return nil
+	}
+	now, allowances := handler.options.Clock(), handler.allowances
+	patience := allowanceWait
+	if call.route.LatencyObjective > 0 {
+		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
+	}
+	patience = min(patience, call.deadline.Sub(now)/2)
+	allowances.mutex.Lock()
+	charge := allowances.reserve.Begin(now, call.workspace, units, patience)
+	var done chan struct{}
+	if charge.State() == throttle.ChargeWaiting {
+		done = make(chan struct{})
+		allowances.waiting[charge] = done
+	}
+	if !allowances.isAsking && allowances.reserve.NeedsCall(now, charge) {
+		allowances.isAsking = true
+		handler.probes.Go(handler.askAllowances)
+	}
+	allowances.mutex.Unlock()
+	if done != nil {
+		handler.awaitCharge(ctx, charge, done, patience)
+		call.waited += handler.options.Clock().Sub(now)
+	}
+	return handler.endCharge(call, charge)
+}
+
+// awaitCharge waits until a charge is decided, for as long as its request can wait.
+func (handler *Handler) awaitCharge(ctx context.Context, charge *throttle.Charge, done <-chan struct{}, patience time.Duration) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	allowances := handler.allowances
+	allowances.mutex.Lock()
+	defer allowances.mutex.Unlock()
+	allowances.wake(allowances.reserve.GiveUp(handler.options.Clock(), charge))
+	delete(allowances.waiting, charge)
+}
+
+// endCharge records the decision on a charge, and returns the refusal of a request that may not be sent.
+func (handler *Handler) endCharge(call *call, charge *throttle.Charge) *refusal {
+	scope := handler.options.Metrics.Tagged(map[string]string{"workspace": string(charge.Workspace())})
+	if charge.State() == throttle.ChargeAdmitted {
+		call.charge = charge
+		scope.Counter("allowance_admitted_units").Inc(int64(charge.Units()))
+		return nil
+	}
+	delay := charge.RetryAfter() + time.Duration(rand.Float64()*allowanceSpread*float64(charge.RetryAfter()))
+	if charge.IsCutOff() {
+		scope.Tagged(map[string]string{"cause": "cut_off"}).Counter("allowance_refused").Inc(1)
+		return unavailable(celerylanding.ReasonNoQuorum, max(delay, startingRetryDelay),
+			"this router has used its part of the workspace's allowance, and the leader does not answer")
+	}
+	scope.Tagged(map[string]string{"cause": "used_up"}).Counter("allowance_refused").Inc(1)
+	return &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonAllowanceUsed, retryAfter: delay,
+		cause: "the workspace has used its allowance"}
+}
+
+// useCharge records that the request is sent to a target.
+func (handler *Handler) useCharge(call *call) {
+	if call.charge == nil {
+		return
+	}
+	handler.allowances.mutex.Lock()
+	defer handler.allowances.mutex.Unlock()
+	handler.allowances.reserve.Use(call.charge)
+	call.charge = nil
+}
+
+// returnCharge gives back the units of a request that was not sent to a target.
+func (handler *Handler) returnCharge(call *call) {
+	if call.charge == nil {
+		return
+	}
+	handler.allowances.mutex.Lock()
+	defer handler.allowances.mutex.Unlock()
+	handler.allowances.wake(handler.allowances.reserve.Return(handler.options.Clock(), call.charge))
+	call.charge = nil
+}
+
+// askAllowances asks the leader for parts of the allowances, until no request waits and enough is held.
+func (handler *Handler) askAllowances(ctx context.Context) {
+	allowances := handler.allowances
+	for {
+		allowances.mutex.Lock()
+		sent := handler.options.Clock()
+		args, isDue := allowances.reserve.Ask(sent)
+		pause, isWaiting := allowances.reserve.NextAsk(sent)
+		if ctx.Err() != nil || !isDue && !isWaiting {
+			allowances.isAsking = false
+			allowances.mutex.Unlock()
+			return
+		}
+		allowances.mutex.Unlock()
+		if !isDue {
+			sleep(ctx, max(pause, time.Millisecond))
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, allowanceTimeout)
+		reply, err := handler.options.Leader.Allowance(callCtx, *args)
+		cancel()
+		allowances.mutex.Lock()
+		now := handler.options.Clock()
+		if err != nil {
+			handler.options.Metrics.Counter("allowance_calls_failed").Inc(1)
+			allowances.reserve.HandleFailure(now)
+		} else {
+			allowances.wake(allowances.reserve.HandleReply(now, sent, args, &reply))
+		}
+		allowances.mutex.Unlock()
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -42,6 +42,7 @@
 	call.lastTarget, call.target, call.sentAt = target.ID, target, now
 	attemptCtx, cancel := handler.attemptContext(ctx, now, call)
 	defer cancel()
+	handler.useCharge(call)
 	response, err := handler.options.Pool.Do(attemptCtx, now, target.Address, handler.targetRequest(now, call, target))
 	if err != nil {
 		return handler.handleFailure(ctx, call, target, err)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -14,6 +14,7 @@
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -55,6 +56,11 @@
 	version uint64
 	viewAge time.Duration
 
+	// workspace is nil for a caller that needs no key and has proved none.
+	workspace *routing.Workspace
+	// charge is the part of the workspace's allowance that the request has got; nil once it was sent to a target.
+	charge *throttle.Charge
+
 	// hashes are the fingerprints, once they are computed.
 	hashes []uint64
 
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -6,8 +6,33 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
 )
 
+// Charged is a request that was charged to its workspace.
+type Charged struct {
+	handler *Handler
+	call    *call
+}
+
+// Charge charges a request of a workspace, as the handler does before it looks for a target. It returns the status of a refusal, or 0, and the delay
+// after which the caller returns.
+func (handler *Handler) Charge(ctx context.Context, workspace *routing.Workspace, tokens int, objective time.Duration) (*Charged, int, time.Duration) {
+	now := handler.options.Clock()
+	call := &call{workspace: workspace, route: &routing.Route{LatencyObjective: objective}, arrived: now, deadline: now.Add(10 * time.Second)}
+	call.metadata.PromptTokens = tokens
+	if refusal := handler.charge(ctx, call); refusal != nil {
+		return nil, refusal.status, refusal.retryAfter
+	}
+	return &Charged{handler, call}, 0, 0
+}
+
+// Use records that the request is sent.
+func (charged *Charged) Use() { charged.handler.useCharge(charged.call) }
+
+// End records that the request has ended.
+func (charged *Charged) End() { charged.handler.returnCharge(charged.call) }
+
 // Waker sends wake requests for one unit.
 type Waker struct{ waker *waker }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -25,6 +25,8 @@
 	Origin(ctx context.Context, args feed.OriginArgs) (feed.OriginReply, error)
 	// Trial asks whether a copy of a suspicious request may run, or reports how it ended; an error means that the leader did not answer.
 	Trial(ctx context.Context, args feed.TrialArgs) (feed.TrialReply, error)
+	// Allowance asks for parts of the allowances of workspaces; an error means that the leader did not answer.
+	Allowance(ctx context.Context, args feed.AllowanceArgs) (feed.AllowanceReply, error)
 }
 
 // Options configure a handler.
@@ -54,6 +56,8 @@
 	crashes *crashTracker
 	trials  *trialGate
 	journal *resume.Journal
+	// allowances are this router's parts of the allowances of workspaces.
+	allowances *allowances
 	// probes are the connection attempts that find out whether a target has crashed, and the reports of ended trials.
 	probes   *tasks.Group
 	inFlight atomic.Int64
@@ -82,6 +86,7 @@
 		crashes:        newCrashTracker(),
 		trials:         newTrialGate(),
 		journal:        resume.NewJournal(),
+		allowances:     newAllowances(options.Node, options.Started),
 		probes:         tasks.New(requestsCtx),
 	}
 }
@@ -229,7 +234,10 @@
 	if handler.state.table().Routes().HasModel(call.unit.Model) {
 		defer handler.usage.begin(call.unit, call.route.LatencyObjective)()
 	}
-	refusal = handler.serve(ctx, writer, call)
+	defer handler.returnCharge(call)
+	if refusal = handler.charge(ctx, call); refusal == nil {
+		refusal = handler.serve(ctx, writer, call)
+	}
 	if refusal != nil {
 		handler.writeRefusal(writer, request, call, refusal)
 		return
--- a/proxy/waker_test.go
+++ b/proxy/waker_test.go
@@ -36,6 +36,11 @@
 	return feed.OriginReply{Leads: true}, leader.err
 }
 
+// Allowance grants nothing.
+func (leader *fakeLeader) Allowance(context.Context, feed.AllowanceArgs) (feed.AllowanceReply, error) {
+	return feed.AllowanceReply{Leads: true}, leader.err
+}
+
 // Trial lets each copy run.
 func (leader *fakeLeader) Trial(context.Context, feed.TrialArgs) (feed.TrialReply, error) {
 	return feed.TrialReply{Leads: true, MayRun: true}, leader.err
--- /dev/null
+++ b/throttle/allocator_test.go
@@ -0,0 +1,351 @@
+package throttle_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
+)
+
+// TestMain fixes the seed, so that every run tests the same schedules; -rapid.seed and -rapid.checks on the command line override it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// hoarders are routers that report truly what they hold, but ask for more than they need and use it when it hurts most.
+type hoarders struct {
+	random    *rand.Rand
+	now       time.Time
+	bounds    throttle.AllowanceBounds
+	allowance routing.Allowance
+	allocator *throttle.Allocator
+	term      uint64
+	mode      hoarderMode
+	// elected are the times of the changes of the leader.
+	elected []time.Time
+	routers []*hoarder
+	// used are the units that were used, and limits what may be used in a window, by step.
+	used, limits []float64
+}
+
+type hoarder struct {
+	process, sequence, term uint64
+	lots                    []hoard
+	// delayed are requests that the leader has not received yet, although the router has given up on them.
+	delayed []*feed.AllowanceArgs
+}
+
+// hoarderMode is what all routers do for a time: nothing, hold what they get, or use it at once.
+type hoarderMode int
+
+const (
+	idle hoarderMode = iota
+	holding
+	spending
+)
+
+type hoard struct {
+	units   float64
+	expires time.Time
+	term    uint64
+}
+
+const hoardStep = 50 * time.Millisecond
+
+func (world *hoarders) elect() {
+	world.term++
+	world.elected = append(world.elected, world.now)
+	world.allocator = throttle.NewAllocator(world.term, world.bounds)
+	world.configure()
+}
+
+func (world *hoarders) configure() {
+	if world.allocator != nil {
+		world.allocator.SetWorkspaces(world.now, []routing.Workspace{{ID: "w", Allowance: world.allowance}})
+	}
+}
+
+// mayElect reports whether there have been fewer than two changes of the leader while grants last.
+func (world *hoarders) mayElect() bool {
+	count := len(world.elected)
+	return count < 2 || world.now.Sub(world.elected[count-2]) > 3*time.Second
+}
+
+func (router *hoarder) request(now time.Time, number int, units, returned float64) *feed.AllowanceArgs {
+	router.sequence++
+	request := feed.AllowanceRequest{Workspace: "w", Wanted: units, Needed: units, Demand: units}
+	for i := range router.lots {
+		if lot := &router.lots[i]; lot.term == router.term && now.Before(lot.expires) {
+			back := min(returned, lot.units)
+			lot.units -= back
+			returned -= back
+			request.Returned += back
+			request.Held += lot.units
+		}
+	}
+	return &feed.AllowanceArgs{Node: celerylanding.NodeID(fmt.Sprint(number)), Process: router.process, Sequence: router.sequence, Term: router.term,
+		Requests: []feed.AllowanceRequest{request}}
+}
+
+// ask lets a router ask for units; the reply may be lost, or the request late.
+func (world *hoarders) ask(number int) {
+	router := world.routers[number]
+	returned := 0.0
+	if world.random.IntN(10) == 0 {
+		returned = world.random.Float64() * 2 * world.allowance.Rate
+	}
+	units := world.random.Float64() * 4 * world.allowance.Rate
+	args := router.request(world.now, number, units, returned)
+	fate := []string{"answered", "answered", "answered", "answered", "answered", "answered", "lost", "delayed"}[world.random.IntN(8)]
+	if fate == "delayed" {
+		router.delayed = append(router.delayed, args)
+	}
+	if fate == "delayed" || world.allocator == nil {
+		return
+	}
+	reply := world.allocator.Grant(world.now, args)
+	if fate == "lost" {
+		return
+	}
+	router.term = reply.Term
+	for _, grant := range reply.Grants {
+		router.lots = append(router.lots, hoard{grant.Units, world.now.Add(grant.TTL), reply.Term})
+	}
+}
+
+// use lets a router use what it holds.
+func (world *hoarders) use(router *hoarder) {
+	for _, lot := range router.lots {
+		if world.now.Before(lot.expires) {
+			world.used[len(world.used)-1] += lot.units
+		}
+	}
+	router.lots = nil
+}
+
+// disturb changes the leader or the limit, takes the leader away for a while, or starts a router anew.
+func (world *hoarders) disturb(t *rapid.T) {
+	switch rapid.SampledFrom([]string{"none", "none", "elect", "lose", "lower", "restart"}).Draw(t, "event") {
+	case "elect":
+		if world.mayElect() {
+			world.elect()
+		}
+	case "lose":
+		if world.mayElect() {
+			world.allocator = nil
+			for range world.random.IntN(30) {
+				world.step()
+			}
+			world.elect()
+		}
+	case "lower":
+		world.allowance.Rate, world.allowance.Burst = world.allowance.Rate/2, world.allowance.Burst/2
+		world.configure()
+	case "restart":
+		// A new process holds nothing.
+		router := world.routers[world.random.IntN(len(world.routers))]
+		*router = hoarder{process: router.process + 1, delayed: router.delayed}
+	}
+}
+
+// step plays one step.
+func (world *hoarders) step() {
+	world.now = world.now.Add(hoardStep)
+	world.used = append(world.used, 0)
+	world.limits = append(world.limits, (world.allowance.Rate*world.bounds.Window.Seconds()+world.allowance.Burst)*(1+world.bounds.Overage)+world.bounds.Slack)
+	for number, router := range world.routers {
+		if at := len(router.delayed) - 1; at >= 0 && world.allocator != nil && world.random.IntN(4) == 0 {
+			world.allocator.Grant(world.now, router.delayed[at])
+			router.delayed = router.delayed[:at]
+		}
+		if world.mode != idle && world.random.IntN(4) > 0 {
+			world.ask(number)
+		}
+		if world.mode == spending {
+			world.use(router)
+		}
+	}
+}
+
+// TestGrantsStayWithinAnAllowance guards against grants that add up to more than an allowance, for routers that hold as much as they get: through
+// changes of the leader, lost replies, late requests, restarts and lowered limits.
+func TestGrantsStayWithinAnAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := &hoarders{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 5)), now: start, allowance: routing.Allowance{Rate: 1000, Burst: rapid.SampledFrom([]float64{0, 300, 3000}).Draw(t, "burst")},
+			bounds: throttle.AllowanceBounds{Window: 4 * time.Second, Overage: 0.1, Slack: rapid.SampledFrom([]float64{0, 500, 2000}).Draw(t, "slack")}}
+		for range rapid.IntRange(1, 3).Draw(t, "routers") {
+			world.routers = append(world.routers, &hoarder{})
+		}
+		world.elect()
+		for len(world.used) < 1000 {
+			world.disturb(t)
+			world.mode = hoarderMode(world.random.IntN(3))
+			for range 5 + world.random.IntN(80) {
+				world.step()
+			}
+		}
+		ticks, lowered := int(world.bounds.Window/hoardStep), int(loweredTime/hoardStep)
+		sum := 0.0
+		for i, units := range world.used {
+			sum += units
+			if i >= ticks {
+				sum -= world.used[i-ticks]
+			}
+			limit := world.limits[max(0, i-ticks-lowered)]
+			assert.Assert(t, sum <= limit, "%.0f units in the window that ends at step %d, allowed %.0f", sum, i, limit)
+		}
+	})
+}
+
+// TestLateReplyGrantsNothing guards against units that a router uses after its grant has expired, because its VM stood still or the reply was slow.
+func TestLateReplyGrantsNothing(t *testing.T) {
+	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+	reserve := throttle.NewReserve("r", 1)
+	charge := reserve.Begin(start, workspace, 1, time.Hour)
+	args, isDue := reserve.Ask(start)
+	assert.Assert(t, isDue)
+	reply := &feed.AllowanceReply{Term: 1, Grants: []feed.AllowanceGrant{{Workspace: "w", Units: 100, TTL: time.Second}}}
+	assert.Equal(t, len(reserve.HandleReply(start.Add(1100*time.Millisecond), start, args, reply)), 0)
+	assert.Equal(t, charge.State(), throttle.ChargeWaiting)
+
+	args, isDue = reserve.Ask(start.Add(1200 * time.Millisecond))
+	assert.Assert(t, isDue)
+	admitted := reserve.HandleReply(start.Add(1300*time.Millisecond), start.Add(1200*time.Millisecond), args, reply)
+	assert.Equal(t, len(admitted), 1)
+	late := reserve.Begin(start.Add(2300*time.Millisecond), workspace, 1, time.Hour)
+	assert.Equal(t, late.State(), throttle.ChargeWaiting, "the grant expires a second after the router has sent its request")
+}
+
+// TestReportCountsWhatMayStillBeUsed guards against a report that lacks units of requests that were not sent yet, which the leader would grant again.
+func TestReportCountsWhatMayStillBeUsed(t *testing.T) {
+	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+	reserve := throttle.NewReserve("r", 1)
+	now := start
+	exchange := func(units float64) feed.AllowanceRequest {
+		now = now.Add(200 * time.Millisecond)
+		args, isDue := reserve.Ask(now)
+		assert.Assert(t, isDue)
+		reserve.HandleReply(now, now, args, &feed.AllowanceReply{Term: 1,
+			Grants: []feed.AllowanceGrant{{Workspace: "w", Units: units, TTL: 2 * time.Second}}})
+		return args.Requests[0]
+	}
+	first, second, third := reserve.Begin(now, workspace, 40, time.Hour), reserve.Begin(now, workspace, 40, time.Hour), reserve.Begin(now, workspace, 40, time.Hour)
+	assert.Equal(t, exchange(100).Held, 0.0)
+	assert.Equal(t, first.State(), throttle.ChargeAdmitted)
+	assert.Equal(t, second.State(), throttle.ChargeAdmitted)
+	assert.Equal(t, third.State(), throttle.ChargeWaiting)
+	reserve.Use(first)
+	request := exchange(0)
+	assert.Equal(t, request.Held, 60.0, "20 are held, and 40 are charged to a request that was not sent")
+	assert.Equal(t, request.Least, 20.0)
+
+	assert.Equal(t, len(reserve.Return(now, second)), 1, "the third request uses what the second returns")
+	assert.Equal(t, len(reserve.Return(now, second)), 0)
+	reserve.Use(third)
+	assert.Equal(t, len(reserve.Return(now, third)), 0)
+	reserve.Begin(now, workspace, 1000, time.Hour)
+	assert.Equal(t, exchange(0).Held, 20.0, "a returned charge counts once, and a sent one not at all")
+}
+
+// TestLoweredAllowanceBindsRouters guards against a router that goes on with what it was granted of a higher allowance.
+func TestLoweredAllowanceBindsRouters(t *testing.T) {
+	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+	reserve := throttle.NewReserve("r", 1)
+	reserve.Begin(start, workspace, 100, time.Hour)
+	args, _ := reserve.Ask(start)
+	reserve.HandleReply(start, start, args, &feed.AllowanceReply{Term: 1, Grants: []feed.AllowanceGrant{{Workspace: "w", Units: 1100, TTL: time.Second}}})
+	lowered := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 100, Burst: 100}}
+	assert.Equal(t, reserve.Begin(start, lowered, 90, time.Hour).State(), throttle.ChargeAdmitted)
+	assert.Equal(t, reserve.Begin(start, lowered, 20, time.Hour).State(), throttle.ChargeWaiting)
+	requests := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 1000, Burst: 1000}}
+	assert.Equal(t, reserve.Begin(start, requests, 1, time.Hour).State(), throttle.ChargeWaiting, "units of another kind are dropped")
+}
+
+// drawer asks an allocator for as much as it gets, and holds it.
+type drawer struct {
+	process, sequence, term uint64
+	held                    float64
+}
+
+func (drawer *drawer) draw(now time.Time, allocator *throttle.Allocator) float64 {
+	drawer.sequence++
+	reply := allocator.Grant(now, drawer.args(1e6))
+	if len(reply.Grants) == 0 {
+		return 0
+	}
+	drawer.term = reply.Term
+	drawer.held += reply.Grants[0].Units
+	return reply.Grants[0].Units
+}
+
+func (drawer *drawer) args(needed float64) *feed.AllowanceArgs {
+	return &feed.AllowanceArgs{Node: "r", Process: drawer.process, Sequence: drawer.sequence, Term: drawer.term,
+		Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: needed, Needed: needed, Demand: needed, Held: drawer.held}}}
+}
+
+// drawFor draws every 50 ms, as long as the units last, and returns their number.
+func (drawer *drawer) drawFor(now time.Time, allocator *throttle.Allocator, length time.Duration) float64 {
+	sum := 0.0
+	for end := now.Add(length); now.Before(end); now = now.Add(hoardStep) {
+		sum += drawer.draw(now, allocator)
+	}
+	return sum
+}
+
+// newDrawn returns the allocator of a term for a workspace with a rate and a burst of 1000 units and an excess of 1000 in 8 s, so that 1600 units can be
+// available at once, and 200 while grants of an earlier leader may be in use.
+func newDrawn(term uint64) *throttle.Allocator {
+	allocator := throttle.NewAllocator(term, throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100})
+	allocator.SetWorkspaces(start, []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}})
+	return allocator
+}
+
+// TestNewLeaderGrantsLittleAtFirst guards against a new leader that grants what its predecessor has granted and routers still hold.
+func TestNewLeaderGrantsLittleAtFirst(t *testing.T) {
+	allocator, router := newDrawn(2), &drawer{process: 1}
+	early := router.drawFor(start, allocator, 2500*time.Millisecond)
+	assert.Assert(t, early > 150 && early < 200.1, "%.1f units are held after 2.5 s", early)
+	now := start.Add(2600 * time.Millisecond)
+	held := early + router.drawFor(now, allocator, 2500*time.Millisecond)
+	assert.Assert(t, held > 1500 && held < 1600.1, "%.1f units are held after 5 s", held)
+}
+
+// TestLateReportFreesNoUnits guards against a report that was on its way for long, and makes the leader forget what it has granted since.
+func TestLateReportFreesNoUnits(t *testing.T) {
+	allocator, router := newDrawn(1), &drawer{process: 1}
+	late := router.args(0)
+	router.sequence++
+	now := start.Add(4 * time.Second)
+	held := router.drawFor(now, allocator, 2*time.Second)
+	assert.Assert(t, held > 1500, "%.1f units are held", held)
+	late.Term = 1
+	now = now.Add(2 * time.Second)
+	allocator.Grant(now, late)
+	other := (&drawer{process: 2}).drawFor(now.Add(time.Second), allocator, time.Second)
+	assert.Assert(t, other < 100, "another router gets %.1f units beyond", other)
+}
+
+// TestRestartedRouterFreesNoUnits guards against a leader that takes what a new process doesn't hold for unused, although a process that stands still may
+// use it later.
+func TestRestartedRouterFreesNoUnits(t *testing.T) {
+	allocator, router := newDrawn(1), &drawer{process: 1}
+	now := start.Add(4 * time.Second)
+	held := router.drawFor(now, allocator, 2*time.Second)
+	assert.Assert(t, held > 1500, "%.1f units are held", held)
+	restarted := &drawer{process: 2, sequence: 1000}
+	again := restarted.drawFor(now.Add(2*time.Second), allocator, time.Second)
+	assert.Assert(t, again < 100, "the new process gets %.1f units beyond", again)
+}
--- a/throttle/window.go
+++ b/throttle/window.go
@@ -60,3 +60,8 @@
 	}
 	return rate
 }
+
+// recentRate returns the events a second over the last 2 s.
+func (win *window) recentRate(now time.Time) float64 {
+	return float64(win.last(now, bucketCount/2)) / (budgetTime / 2).Seconds()
+}
--- a/verdict.go
+++ b/verdict.go
@@ -57,6 +57,7 @@
 	ReasonKeyInProgress    Reason = "idempotency_key_in_progress"
 	ReasonKeyReused        Reason = "idempotency_key_reused"
 	ReasonCallerGone       Reason = "caller_gone"
+	ReasonAllowanceUsed    Reason = "allowance_used"
 )
 
 // Status returns the HTTP status code for the reason.
@@ -66,7 +67,7 @@
 		return http.StatusBadRequest
 	case ReasonUnknownModel, ReasonUnknownService:
 		return http.StatusNotFound
-	case ReasonQueueFull:
+	case ReasonQueueFull, ReasonAllowanceUsed:
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
@@ -83,7 +84,7 @@
 // RetryAfter returns how long a caller should wait before it retries; zero means that a retry does not help.
 func (reason Reason) RetryAfter() time.Duration {
 	switch reason {
-	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited:
+	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited, ReasonAllowanceUsed:
 		return 2 * time.Second
 	case ReasonDraining, ReasonKeyInProgress, ReasonCopyOnTrial:
 		return time.Second
