--- a/proxy/call.go
+++ b/proxy/call.go
@@ -14,6 +14,7 @@
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -63,6 +64,8 @@
 	// the caller's key and the workspace that it names are not forwarded.
 	workspace *routing.Workspace
 	hidesKey  bool
+	// charge is the part of the workspace's allowance that the request has got; nil once it was sent to a target.
+	charge *throttle.Charge
 
 	// hashes are the fingerprints, once they are computed.
 	hashes []uint64
