--- a/types.go
+++ b/types.go
@@ -123,6 +123,8 @@
 type TargetLoad struct {
 	Running int `json:"running" cbor:"1,keyasint"`
 	Waiting int `json:"waiting" cbor:"2,keyasint"`
+	// Slowdown is the time that work takes on the target's machine now, relative to the usual time: 1 as usual, 2 twice as long, 0 unknown.
+	Slowdown float64 `json:"slowdown,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Announcement is the state that a target reports to any one node.
