Targets are chosen by the benefit that a model of each target expects

Cause: the choice weighed load as a share of slots with fixed costs. With many routers a target's report is seconds old on each of them, so a prompt's own target was chosen whatever its load; slots say nothing about the prompt tokens that a target still has to read; and nothing told a machine that is five times slower from another one. Change: package forecast predicts the time to the first event and the longest pause for a request's size, from the reports' four figures, the prompt tokens that all routers have sent and that are not read yet, and what answers took. Picker.Choose takes the least expected loss, and spreads options that are about as good by chance. Routers pass on their news of targets with watch requests; the leader and its relays add them up (forecast.Board) and answer with what has changed. The caller's estimate of its output is read. Log lines of requests have the expected time to the first event, the expected and the longest pause. Tests: TestLateTargetLosesItsAffinity states the slack, as routers do, and what was expected instead of the objective.

--- a/call.go
+++ b/call.go
@@ -21,6 +21,8 @@
 	// PromptTokens is the number of tokens in the prompt; OutputTokens is the upper bound of the generated ones.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedOutput is the caller's estimate of the number of tokens that the call will produce; zero if there is none.
+	ExpectedOutput int
 	// PromptParts are the segments of the prompt, in order.
 	PromptParts []PromptPart
 	// ResumeAfter names the last event that the caller has, or "".
--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"celerylanding.example/celerylanding/common/hlc"
 	"celerylanding.example/celerylanding/common/rpccodec"
 	"celerylanding.example/celerylanding/common/tasks"
+	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/membership"
 	"celerylanding.example/celerylanding/quorum"
@@ -81,6 +82,8 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
+	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
+	board *forecast.Board
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
 	// started is when this process started.
@@ -127,6 +130,7 @@
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: newQuarantineState(),
 		limits:     throttle.NewLedger(),
+		board:      forecast.NewBoard(),
 		origins:    resume.NewLedger(now),
 		relay:      newRelayReports(),
 	}
--- a/control/feed.go
+++ b/control/feed.go
@@ -14,6 +14,10 @@
 	pushInterval = 8 * time.Millisecond
 	// pushIntervalPerRouter is added to pushInterval for each router; a reply takes about a tenth of it on a small VM's processor.
 	pushIntervalPerRouter = time.Millisecond
+	// reportInterval and relayReportInterval are the times after which the request of a router and that of a relay are answered if there is news
+	// of the targets' load.
+	reportInterval      = 100 * time.Millisecond
+	relayReportInterval = 50 * time.Millisecond
 	// maxConfigurationsPerPush bounds the replies with a whole configuration in one round. One takes 1 to 2 ms to send, and watch
 	// requests time out after half a second, so on a large site no reply would arrive in time if all were sent at once.
 	maxConfigurationsPerPush = 16
@@ -151,6 +155,7 @@
 		ctl.applyReport(now, args)
 	case !isOutdated && args.Router && ctl.relays(now):
 		ctl.relay.add(now, args)
+		ctl.addReports(now, args.Reports)
 		ctl.feed.routers[args.Node] = now
 	default:
 		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
@@ -171,6 +176,7 @@
 		ctl.recordCrash(now, crash)
 	}
 	ctl.recordAnswered(args.Node, args.Answered)
+	ctl.addReports(now, args.Reports)
 	for _, report := range args.Limits {
 		ctl.recordLimit(now, report)
 	}
@@ -194,6 +200,13 @@
 	}
 }
 
+// addReports adds what routers know of the targets' load.
+func (ctl *Control) addReports(now time.Time, reports []feed.TargetReport) {
+	for _, report := range reports {
+		ctl.board.Add(now, report)
+	}
+}
+
 // findOrigin returns the software version that began a stream.
 func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
 	if !ctl.leads(now) {
@@ -245,7 +258,7 @@
 		switch {
 		case !hasState:
 			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
-		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
+		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due) || ctl.hasReports(now, &watcher):
 			watcher.reply <- ctl.watchReply(now, &watcher.args, includeConfiguration)
 			pushed = true
 			if includeConfiguration {
@@ -279,6 +292,17 @@
 	return isPushDue && (args.Router || args.Relay != "") && args.Revision < ctl.feed.revision
 }
 
+// hasReports reports whether a router or relay gets news of the targets' load before its request's timeout.
+func (ctl *Control) hasReports(now time.Time, watcher *watcher) bool {
+	interval := relayReportInterval
+	if watcher.args.Router {
+		interval = reportInterval
+	} else if watcher.args.Relay == "" {
+		return false
+	}
+	return now.Sub(watcher.due) >= interval-watchTimeout && ctl.board.HasNews(watcher.args.Node)
+}
+
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
 	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm(), Revision: ctl.feed.revision,
 		Quarantined: ctl.quarantinedFingerprints(), Suspects: ctl.feed.suspects, Trials: ctl.feed.trials}
@@ -301,6 +325,9 @@
 		}
 		reply.Configuration = &configuration
 	}
+	if args.Router || args.Relay != "" {
+		reply.Reports = ctl.board.Next(now, args.Node)
+	}
 	key := listKey{since: args.Revision, isRouter: args.Router}
 	if args.Term != reply.Term {
 		key.since = 0
--- a/control/leader.go
+++ b/control/leader.go
@@ -151,6 +151,7 @@
 		ctl.observeTarget(now, id)
 	}
 	for _, id := range ctl.feed.forgetSilent(now) {
+		ctl.board.Forget(id)
 		ctl.planner.ForgetRouter(id)
 	}
 	for _, target := range ctl.directory.Targets() {
--- a/control/relay.go
+++ b/control/relay.go
@@ -30,12 +30,37 @@
 	limits   map[limitKey]*limitTotal
 	outcomes []feed.Outcome
 	origins  []feed.Origin
-	routers  map[celerylanding.NodeID]*routerUsage
+	// loads holds what the leader does not have of the targets' load.
+	loads   map[celerylanding.TargetID]*pendingLoad
+	routers map[celerylanding.NodeID]*routerUsage
 	// sent is the last report, until the leader acknowledges it.
 	sent   *feed.WatchArgs
 	sentAt time.Time
 }
 
+// pendingLoad is the sum of the routers' reports of a target, with its newest load, reported at a time.
+type pendingLoad struct {
+	feed.TargetReport
+	at time.Time
+}
+
+// addLoad adds a router's report of a target's load.
+func (reports *relayReports) addLoad(now time.Time, report feed.TargetReport) {
+	total := reports.loads[report.Target]
+	switch {
+	case total == nil || total.Incarnation < report.Incarnation:
+		reports.loads[report.Target] = &pendingLoad{report, now.Add(-report.Age)}
+		return
+	case total.Incarnation > report.Incarnation:
+		return
+	}
+	total.Sent += report.Sent
+	total.Read += report.Read
+	if at := now.Add(-report.Age); report.Slots > 0 && (total.Slots == 0 || at.After(total.at)) {
+		total.Load, total.Slots, total.at = report.Load, report.Slots, at
+	}
+}
+
 // unitTotal is the sum of the routers' usage of a unit.
 type unitTotal struct {
 	feed.Usage
@@ -51,7 +76,7 @@
 
 func newRelayReports() *relayReports {
 	return &relayReports{usage: make(map[feed.Unit]*unitTotal), routers: make(map[celerylanding.NodeID]*routerUsage),
-		limits: make(map[limitKey]*limitTotal)}
+		limits: make(map[limitKey]*limitTotal), loads: make(map[celerylanding.TargetID]*pendingLoad)}
 }
 
 // add adds the report of a router.
@@ -82,6 +107,9 @@
 	for _, report := range args.Limits {
 		reports.addLimit(now, report)
 	}
+	for _, report := range args.Reports {
+		reports.addLoad(now, report)
+	}
 	for _, outcome := range args.Outcomes {
 		outcome.Node = args.Node
 		reports.outcomes = append(reports.outcomes, outcome)
@@ -116,6 +144,17 @@
 	}
 }
 
+// takeLoads returns the reports of the targets' load since the last call. They are not repeated if the leader doesn't get them: newer ones follow.
+func (reports *relayReports) takeLoads(now time.Time) []feed.TargetReport {
+	var list []feed.TargetReport
+	for _, load := range reports.loads {
+		load.Age = now.Sub(load.at)
+		list = append(list, load.TargetReport)
+	}
+	clear(reports.loads)
+	return list
+}
+
 // takeLimits returns the demand since the last call with the age of the answers.
 func (reports *relayReports) takeLimits(now time.Time) []feed.LimitReport {
 	var list []feed.LimitReport
@@ -177,7 +216,7 @@
 	}
 	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Origins: reports.origins,
 		Routers: len(reports.routers),
-		Limits:  reports.takeLimits(now)}
+		Limits:  reports.takeLimits(now), Reports: reports.takeLoads(now)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -244,11 +283,16 @@
 		ctl.feed = newFeedState()
 		ctl.feed.term, ctl.feed.routers, ctl.feed.watchers = reply.Term, routers, watchers
 	}
-	ctl.feed.forgetSilent(now)
+	for _, id := range ctl.feed.forgetSilent(now) {
+		ctl.board.Forget(id)
+	}
 	// The leader has answered after the request was sent.
 	ctl.feed.contact = sent
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
+	for _, report := range reply.Reports {
+		ctl.board.Adopt(now, report)
+	}
 	if reply.Revision > ctl.feed.revision {
 		ctl.feed.revision = reply.Revision
 		clear(ctl.feed.lists)
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,28 @@
 	"celerylanding.example/celerylanding/feed"
 )
 
+// BenchmarkChooseAmongManyHolders measures the choice of a target among 90 engines that all have the model loaded and report their load.
+func BenchmarkChooseAmongManyHolders(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var targets []feed.Target
+	var reports []feed.TargetReport
+	for number := range 90 {
+		targets = append(targets, target(fmt.Sprintf("e%d", number), 1, "m"))
+		reports = append(reports, feed.TargetReport{Target: targets[number].ID, Incarnation: 1, Slots: 10, Unread: 100 * number,
+			Load: celerylanding.TargetLoad{Running: number % 10, Slowdown: 0.5 + float64(number)/90}})
+	}
+	table := dispatch.NewRoster().Apply(now, reply(1, 1, targets...))
+	picker := dispatch.NewPicker("n", "d")
+	picker.ApplyLoadReports(now, table, reports)
+	chance := 0.0
+	for b.Loop() {
+		chance = math.Mod(chance+0.618, 1)
+		choice, _ := picker.Choose(now, table, dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 600,
+			SharedTokens: 100, Slack: time.Second, MaxEventGap: time.Second, Chance: chance})
+		picker.Done(now, choice.Target, dispatch.ResultAnswered)
+	}
+}
+
 // BenchmarkPick measures the choice of a target among 256 engines, of which 24 have the model loaded.
 func BenchmarkPick(b *testing.B) {
 	const engines, holders = 256, 24
--- /dev/null
+++ b/dispatch/choice.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/forecast"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The losses of a choice are in units of the benefit of one request that is answered in time.
+const (
+	// firstLoss is the loss for each second until the first event, beside that of being late.
+	firstLoss = 0.1
+	// workLoss is the loss of other requests for each second in which the target reads this one's prompt.
+	workLoss = 0.5
+	// harmLoss is the loss for each running stream that pauses for too long because of this request.
+	harmLoss = 0.7
+	// busyLoss is the loss at a target whose slots are all taken, for requests that come later and fit nowhere else.
+	busyLoss = 0.05
+	// failureLoss is the loss for one recent failure of the target.
+	failureLoss = 0.35
+	// crossDomainLoss is the loss at a target in another failure domain: traffic between domains is expensive, and the domains may be partitioned
+	// at any moment.
+	crossDomainLoss = 0.06
+	// limitedLoss is the loss at a target that announces a limit on requests. What it takes is left to the requests that can't run elsewhere.
+	limitedLoss = 0.5
+	// evenLoss is the difference in losses at which one target gets e times as many requests as another one. Forecasts aren't more exact, and
+	// routers that know the same must not all choose the same target.
+	evenLoss = 0.02
+	// worstShare is the share of the best target's chance below which a target isn't chosen.
+	worstShare = 0.05
+	// maxAssessed is the number of targets among which a request's target is chosen. Where there are more, chance decides which ones are looked at;
+	// more would hardly be better.
+	maxAssessed = 12
+)
+
+// Choice is the target of a request and what the request is expected to see there.
+type Choice struct {
+	// Target is nil if no target is usable.
+	Target  *feed.Target
+	Outlook forecast.Outlook
+	// Size is the work that the request is for the target.
+	Size forecast.Size
+}
+
+// option is one usable target of a request.
+type option struct {
+	choice Choice
+	loss   float64
+}
+
+// candidates returns the targets that can run a request.
+func (table *Table) candidates(needs *Requirements) []*feed.Target {
+	if needs.Unit.Model != "" {
+		return table.TargetsForUnit(needs.Service, needs.Unit)
+	}
+	return table.Targets(needs.Service)
+}
+
+// chooseWithinLimits returns the choice among the candidates whose limits allow the request, and the candidates that are in backoff, silent or
+// outliers.
+func (picker *Picker) chooseWithinLimits(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (choice Choice,
+	unreachable []celerylanding.Endpoint) {
+	for {
+		choice, unreachable = picker.choose(now, table, candidates, needs, allowOutliers)
+		if choice.Target == nil || picker.gate.Allow(now, choice.Target, table.Routers()) {
+			return choice, unreachable
+		}
+		needs.Excluded = append(slices.Clip(needs.Excluded), choice.Target.ID)
+	}
+}
+
+// choose returns the choice among the candidates, and the candidates that are in backoff, silent or outliers.
+func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (choice Choice,
+	unreachable []celerylanding.Endpoint) {
+	assessment := assessment{now: now, routers: table.Routers(), needs: &needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
+		preferred: picker.affinityTarget(candidates, &needs), allowsOutliers: allowOutliers}
+	picker.options = picker.options[:0]
+	if assessment.preferred != nil {
+		unreachable = picker.assess(&assessment, assessment.preferred, unreachable)
+	}
+	start, chance := 0, needs.Chance
+	if len(candidates) > maxAssessed {
+		// The rest of the chance is as evenly distributed as the whole.
+		position := needs.Chance * float64(len(candidates))
+		start = int(position)
+		chance = position - float64(start)
+	}
+	for i := range candidates {
+		if len(picker.options) >= maxAssessed {
+			break
+		}
+		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred {
+			unreachable = picker.assess(&assessment, candidate, unreachable)
+		}
+	}
+	return pickOption(picker.options, chance), unreachable
+}
+
+// pickOption returns the option with the lowest loss for a chance of zero. Larger chances spread the choice over the options: each gets a share that
+// falls with its loss.
+func pickOption(options []option, chance float64) Choice {
+	if len(options) == 0 {
+		return Choice{}
+	}
+	best := 0
+	for i := range options {
+		if options[i].loss < options[best].loss {
+			best = i
+		}
+	}
+	if chance <= 0 {
+		return options[best].choice
+	}
+	lowest, total := options[best].loss, 0.0
+	for i := range options {
+		// The loss is replaced by the option's weight.
+		options[i].loss = weightOf(options[i].loss - lowest)
+		total += options[i].loss
+	}
+	rest := chance * total
+	for i := range options {
+		if rest -= options[i].loss; rest < 0 {
+			return options[i].choice
+		}
+	}
+	return options[best].choice
+}
+
+// weightOf returns the weight of an option whose loss exceeds the lowest one.
+func weightOf(excess float64) float64 {
+	weight := math.Exp(-excess / evenLoss)
+	if weight < worstShare {
+		return 0
+	}
+	return weight
+}
+
+// assessment holds what is common to the options of one choice.
+type assessment struct {
+	now     time.Time
+	routers int
+	needs   *Requirements
+	bounds  forecast.Bounds
+	// preferred is the target that the shared part of the prompt is assigned to, or nil.
+	preferred      *feed.Target
+	allowsOutliers bool
+}
+
+// assess adds a candidate to the options if it can run the request, or to the unreachable ones if it is in backoff, silent or an outlier.
+func (picker *Picker) assess(assessment *assessment, target *feed.Target, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
+	now, needs, stats := assessment.now, assessment.needs, picker.statsOf(target)
+	if !stats.isUsable(now, target) || (!assessment.allowsOutliers && stats.isOutlier(target)) {
+		return append(unreachable, target.Endpoint())
+	}
+	if needs.excludes(target) {
+		return unreachable
+	}
+	isLimited := picker.isLimited(now, target)
+	if needs.AvoidsLimits && isLimited {
+		return unreachable
+	}
+	picker.options = append(picker.options, option{choice: Choice{Target: target}})
+	option := &picker.options[len(picker.options)-1]
+	option.choice.Size = forecast.NewSize(needs.PromptTokens-picker.cachedTokens(now, target, needs, target == assessment.preferred), needs.OutputTokens)
+	outlook := &option.choice.Outlook
+	stats.model.Expect(now, option.choice.Size, assessment.routers, outlook)
+	first, pauses := outlook.InTime(assessment.bounds)
+	option.loss = 1 - first*pauses + firstLoss*outlook.First + workLoss*outlook.Work + harmLoss*outlook.Harm(pauses) + busyLoss*outlook.Busy +
+		failureLoss*stats.decayedFailures(now)
+	if target.Domain != picker.domain {
+		option.loss += crossDomainLoss
+	}
+	if isLimited {
+		option.loss += limitedLoss
+	}
+	return unreachable
+}
+
+// cachedTokens returns how much of the prompt the target is believed to keep.
+func (picker *Picker) cachedTokens(now time.Time, target *feed.Target, needs *Requirements, isPreferred bool) int {
+	switch {
+	case picker.cache != nil:
+		tokens := picker.cache.CachedTokens(now, target.Endpoint(), needs.Unit.Model, needs.Unit.Adapter, needs.PromptParts)
+		return min(max(tokens, 0), needs.PromptTokens)
+	case !isPreferred:
+		return 0
+	case needs.SharedTokens > 0:
+		return min(needs.SharedTokens, needs.PromptTokens)
+	}
+	return needs.PromptTokens
+}
+
+// affinityTarget returns the target for the shared part of the prompt by rendezvous hashing among the candidates of the router's failure domain, or
+// among all if there are none there; nil if no part is shared. Routers with the same candidates choose the same target.
+func (picker *Picker) affinityTarget(candidates []*feed.Target, needs *Requirements) *feed.Target {
+	if needs.PromptKey == "" || picker.cache != nil {
+		return nil
+	}
+	key := xxhash.Sum64String(needs.PromptKey)
+	var preferred *feed.Target
+	var highest uint64
+	isLocal := false
+	for _, candidate := range candidates {
+		if candidate.Domain == picker.domain && !isLocal {
+			preferred, isLocal = nil, true
+		}
+		if isLocal && candidate.Domain != picker.domain {
+			continue
+		}
+		if score := mix(xxhash.Sum64String(string(candidate.ID)) ^ key); preferred == nil || score > highest {
+			preferred, highest = candidate, score
+		}
+	}
+	return preferred
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(hash uint64) uint64 {
+	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
+	return hash ^ hash>>31
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/forecast"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -99,7 +100,7 @@
 // the target that has the prompts cached, whatever its answers took (terasarhiiv-tln, inc-a242).
 func TestLateTargetLosesItsAffinity(t *testing.T) {
 	table := dispatch.NewRoster().Apply(start, reply(1, 1, target("t", 1, "m"), target("u", 1, "m")))
-	needs := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 9000}
+	needs := dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 9000, Slack: 800 * time.Millisecond}
 	picker := dispatch.NewPicker("n", "d1")
 	now := start
 	pick := func() *feed.Target {
@@ -110,14 +111,14 @@
 	preferred := pick()
 	for range 8 {
 		now = now.Add(100 * time.Millisecond)
-		picker.RecordFirstByte(now, preferred, 1600*time.Millisecond, 800*time.Millisecond)
+		picker.RecordFirstByte(now, preferred, 1600*time.Millisecond, forecast.Outlook{First: 0.8})
 	}
 	assert.Assert(t, pick().ID != preferred.ID)
 	now = now.Add(10 * time.Second)
 	assert.Equal(t, pick().ID, preferred.ID)
 	for range 8 {
 		now = now.Add(100 * time.Millisecond)
-		picker.RecordFirstByte(now, preferred, 300*time.Millisecond, 800*time.Millisecond)
+		picker.RecordFirstByte(now, preferred, 300*time.Millisecond, forecast.Outlook{First: 0.8})
 	}
 	assert.Equal(t, pick().ID, preferred.ID, "answers within the objective cost nothing")
 }
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -23,6 +23,7 @@
 	routes    *routing.Table
 	byService map[celerylanding.ServiceID][]*feed.Target
 	byUnit    map[unitKey][]*feed.Target
+	byID      map[celerylanding.TargetID]*feed.Target
 	routers   int
 }
 
@@ -131,6 +132,7 @@
 		routes:    roster.routes,
 		byService: make(map[celerylanding.ServiceID][]*feed.Target),
 		byUnit:    make(map[unitKey][]*feed.Target),
+		byID:      make(map[celerylanding.TargetID]*feed.Target),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
@@ -138,6 +140,7 @@
 		if target.Leaving {
 			continue
 		}
+		table.byID[target.ID] = &target
 		table.byService[target.Service] = append(table.byService[target.Service], &target)
 		for _, model := range target.Loaded {
 			if model.Draining {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -118,6 +118,23 @@
 	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
 	// Origins list the streams that can be resumed and have begun since the last report that a leader has acknowledged.
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
+	// Reports are what the node has learned of the targets' load since the last watch request.
+	Reports []TargetReport `cbor:"15,keyasint,omitempty"`
+}
+
+// TargetReport is what one router, the routers of a relay, or all routers know of a target's load.
+type TargetReport struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+	// Load and Slots are what the target said in its newest answer, Age ago; Slots is zero if it said nothing.
+	Load  celerylanding.TargetLoad `cbor:"3,keyasint,omitempty"`
+	Slots int                      `cbor:"4,keyasint,omitempty"`
+	Age   time.Duration            `cbor:"5,keyasint,omitempty"`
+	// Sent is the number of prompt tokens that were sent to the target since the last report, and Read that of those whose answers have begun or
+	// that the target does not read any more. Unread is the difference over all routers; only nodes that answer watch requests state it.
+	Sent   int `cbor:"6,keyasint,omitempty"`
+	Read   int `cbor:"7,keyasint,omitempty"`
+	Unread int `cbor:"8,keyasint,omitempty"`
 }
 
 // LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
@@ -225,6 +242,8 @@
 	// Version is the version of the newest configuration, as of Age before the reply. A router that has it, or a later one, knows that no key had
 	// been withdrawn by then that it still accepts.
 	Version uint64 `cbor:"16,keyasint,omitempty"`
+	// Reports are the load of the targets of which there is news since the last reply to the node.
+	Reports []TargetReport `cbor:"18,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -40,8 +40,12 @@
 		return false, unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, "retry budget exhausted: "+call.cause)
 	}
 	call.lastTarget, call.target, call.sentAt = target.ID, target, now
+	call.streamedAt, call.longestPause = time.Time{}, 0
 	attemptCtx, cancel := handler.attemptContext(ctx, now, call)
 	defer cancel()
+	handler.picker.RecordSent(target, call.outlook)
+	call.isUnread = true
+	defer handler.recordRead(call)
 	response, err := handler.options.Pool.Do(attemptCtx, now, target.Address, handler.targetRequest(now, call, target))
 	if err != nil {
 		return handler.handleFailure(ctx, call, target, err)
@@ -72,6 +76,14 @@
 	return handler.forwardBuffered(ctx, writer, call, target, response)
 }
 
+// recordRead records that the target has read the prompt of the current attempt, or will not read it.
+func (handler *Handler) recordRead(call *call) {
+	if call.isUnread {
+		handler.picker.RecordRead(call.target, call.outlook)
+		call.isUnread = false
+	}
+}
+
 // recordAvailability records that the target says that it leaves or wants no requests for a while.
 func (handler *Handler) recordAvailability(target *feed.Target, reply celerylanding.ResponseMetadata) {
 	if len(reply.InvalidFields) > 0 {
@@ -282,6 +294,9 @@
 func (handler *Handler) recordAnswer(now time.Time, call *call, target *feed.Target) {
 	call.isAnswered = true
 	handler.picker.Done(now, target, dispatch.ResultAnswered)
+	if !call.streamedAt.IsZero() {
+		handler.picker.RecordStream(now, target, call.longestPause, now.Sub(call.streamedAt), call.outlook)
+	}
 	handler.crashes.recordAnswer(now, call)
 }
 
@@ -311,7 +326,8 @@
 	now := handler.options.Clock()
 	call.firstByte = now.Sub(call.arrived)
 	took := now.Sub(call.sentAt)
-	handler.picker.RecordFirstByte(now, call.target, took, call.route.LatencyObjective)
+	handler.recordRead(call)
+	handler.picker.RecordFirstByte(now, call.target, took, call.outlook)
 	if took > call.route.LatencyObjective && call.route.LatencyObjective > 0 {
 		handler.usage.recordLate(call.unit)
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -12,6 +12,7 @@
 	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/routing"
 
@@ -67,9 +68,15 @@
 	// to another target.
 	refusals   []celerylanding.Endpoint
 	lastTarget celerylanding.TargetID
-	// target is the target of the current attempt, and sentAt when the attempt began.
-	target *feed.Target
-	sentAt time.Time
+	// target is the target of the current attempt, outlook what it was chosen for, and sentAt when the attempt began.
+	target  *feed.Target
+	outlook forecast.Outlook
+	sentAt  time.Time
+	// streamedAt is when the current attempt's first event arrived, and longestPause the longest time between two of its events.
+	streamedAt   time.Time
+	longestPause time.Duration
+	// isUnread is set while the current attempt's prompt counts as unread by its target.
+	isUnread bool
 	// head is the head of the current attempt's answer.
 	head   delivery.Answer
 	waited time.Duration
@@ -271,10 +278,14 @@
 
 // requirements returns the requirements of the request on a target.
 func (call *call) requirements() dispatch.Requirements {
-	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded,
-		Software: call.origin}
-	if len(call.metadata.PromptParts) > 0 {
-		needs.PromptKey = call.unit.String() + "/" + call.metadata.PromptParts[0].ID
+	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens,
+		OutputTokens: call.metadata.ExpectedOutput, PromptParts: call.metadata.PromptParts, Excluded: call.excluded, Software: call.origin,
+		MaxEventGap: call.route.MaxEventGap}
+	if needs.OutputTokens == 0 {
+		needs.OutputTokens = call.metadata.OutputTokens
+	}
+	if parts := call.metadata.PromptParts; len(parts) > 0 {
+		needs.PromptKey, needs.SharedTokens = call.unit.String()+"/"+parts[0].ID, parts[0].Tokens
 	}
 	return needs
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -188,6 +188,16 @@
 	return handler.picker.LimitReports(now)
 }
 
+// LoadReports returns what this router has learned of the targets' load since the last call.
+func (handler *Handler) LoadReports(now time.Time) []feed.TargetReport {
+	return handler.picker.LoadReports(now)
+}
+
+// ApplyLoadReports records what all routers know of the targets' load.
+func (handler *Handler) ApplyLoadReports(now time.Time, reports []feed.TargetReport) {
+	handler.picker.ApplyLoadReports(now, handler.state.table(), reports)
+}
+
 // SetLimits records the leader's list of the targets that announce a limit on requests, as of a time.
 func (handler *Handler) SetLimits(at time.Time, limits []feed.TargetLimit) {
 	handler.picker.SetLimits(at, limits)
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -80,6 +80,12 @@
 	if call.hasEvent {
 		event = event.Str("software", string(call.origin))
 	}
+	if call.sends > 0 && call.outlook.First > 0 {
+		event = event.Dur("sent_after", call.sentAt.Sub(call.arrived)).Dur("expected", call.outlook.ExpectedFirst())
+	}
+	if !call.streamedAt.IsZero() {
+		event = event.Dur("pause", call.longestPause).Dur("expected_pause", call.outlook.Pause())
+	}
 	if call.isMixed {
 		event = event.Bool("mixed", true)
 		handler.options.Metrics.Counter("streams_mixed").Inc(1)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -67,9 +67,11 @@
 		}
 		needs := call.requirements()
 		needs.AvoidsLimits = now.Before(call.throttledUntil)
-		target, unreachable := handler.picker.Pick(now, table, needs)
-		if target != nil {
-			return target, nil
+		needs.Slack, needs.Chance = call.slack(now), rand.Float64()
+		choice, unreachable := handler.picker.Choose(now, table, needs)
+		if choice.Target != nil {
+			call.outlook = choice.Outlook
+			return choice.Target, nil
 		}
 		throttled := handler.picker.Throttled(now, table, needs)
 		if refusal := handler.awaitTarget(ctx, now, call, throttled, unreachable, changed); refusal != nil {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -205,6 +205,13 @@
 	if !call.hasEvent && call.route.Resumable {
 		handler.journal.Record(handler.options.Clock(), hash(call.metadata.ID), call.origin)
 	}
-	call.hasEvent, call.lastEventAt = true, handler.options.Clock()
+	now := handler.options.Clock()
+	if call.streamedAt.IsZero() {
+		handler.recordRead(call)
+		call.streamedAt = now
+	} else {
+		call.longestPause = max(call.longestPause, now.Sub(call.lastEventAt))
+	}
+	call.hasEvent, call.lastEventAt = true, now
 	call.isMixed = call.isMixed || call.origin != call.target.Software
 }
