Allowances hold through any number of changes of the leader

A leader that followed two others within the 2.5 s for which grants last could exceed the bound of an allowance, since each got a fifth of the excess. Members now record when they find the first entry of a term in their log, and the n-th leader in that time gets a part that halves with n; one whose process is younger asks the other members when it takes over. Grants for a workspace that a configuration removes stay outstanding if it returns. The lease is checked as of the arrival of a request.

--- a/control/allowances.go
+++ b/control/allowances.go
@@ -12,9 +12,16 @@
 // stopped waiting for it.
 const maxAllowanceDelay = 250 * time.Millisecond
 
+// observeSuccession records changes of the leader that the log shows.
+func (ctl *Control) observeSuccession(now time.Time) {
+	if newest, terms := ctl.core.TermsAfter(ctl.succession.Term()); terms > 0 {
+		ctl.succession.Observe(now, newest, terms)
+	}
+}
+
 // resetAllowances begins the grants of a new term: those of an earlier leader are unknown.
 func (ctl *Control) resetAllowances(now time.Time) {
-	ctl.allowances = throttle.NewAllocator(ctl.core.Term(), ctl.options.Allowances)
+	ctl.allowances = throttle.NewAllocator(ctl.core.Term(), ctl.options.Allowances, ctl.succession)
 	ctl.updateAllowances(now)
 }
 
@@ -27,8 +34,10 @@
 	ctl.allowances.SetWorkspaces(now, workspaces)
 }
 
-// grantAllowances grants a router parts of the allowances of workspaces if this node leads.
+// grantAllowances grants a router parts of the allowances of workspaces if this node leads. A request that has arrived after the given time, since the VM
+// stood still, is granted only by a lease that was in force when it arrived: the grant lasts from its sending.
 func (ctl *Control) grantAllowances(now, arrived time.Time, args *feed.AllowanceArgs) feed.AllowanceReply {
+	now = later(now, arrived)
 	if !ctl.leads(now) || ctl.allowances == nil || now.Sub(arrived) > maxAllowanceDelay {
 		return feed.AllowanceReply{}
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -83,6 +83,7 @@
 	limits *throttle.Ledger
 	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
 	allowances *throttle.Allocator
+	succession *throttle.Succession
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
 	// started is when this process started.
@@ -154,6 +155,7 @@
 	}
 	ctl.wal = log
 	address := ctl.options.Peers.Addr().String()
+	wasEmpty := recovered.IsEmpty()
 	id, err := loadMemberID(ctl.options, log, &recovered, address, fmt.Sprintf("%x", ctl.options.Seed))
 	if err != nil {
 		return err
@@ -170,6 +172,12 @@
 		MaxAppendEntries:         maxAppend,
 		Random:                   rand.New(rand.NewPCG(ctl.options.Seed, 1)),
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
+	newest, _ := ctl.core.TermsAfter(0)
+	ctl.succession = throttle.NewSuccession(now, newest)
+	if wasEmpty && !recovered.IsEmpty() {
+		// A log that has just been founded had no leader yet.
+		ctl.succession.Learn(now, newest, nil)
+	}
 	ctl.loadEngineCache()
 	ctl.options.Log.Info().Str("member", string(id)).Uint64("snapshot", recovered.Snapshot.Index).Int("entries", len(recovered.Entries)).
 		Int64("torn_bytes", recovered.TornBytes).Msg("control state recovered")
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -262,6 +262,21 @@
 // HardState returns the current term, and in it the vote and the leader that the member has answered.
 func (core *Core) HardState() HardState { return core.hard }
 
+// TermsAfter returns the newest term of the log, and the number of later terms than the given one that have entries in it. All terms up to that of
+// the snapshot count.
+func (core *Core) TermsAfter(term uint64) (newest uint64, count int) {
+	newest, last := core.log.lastTerm(), term
+	if snapshot := core.log.snapshot.Term; snapshot > last {
+		count, last = int(snapshot-last), snapshot
+	}
+	for i := len(core.log.entries) - 1; i >= 0 && core.log.entries[i].Term > last; i-- {
+		if i == len(core.log.entries)-1 || core.log.entries[i].Term != core.log.entries[i+1].Term {
+			count++
+		}
+	}
+	return newest, count
+}
+
 // LogTail returns the last snapshot and the entries after it.
 func (core *Core) LogTail() (Snapshot, []Entry) { return core.log.snapshot, core.log.entries }
 
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -328,3 +328,17 @@
 		assert.Assert(t, !hasGrant(receive(t, voter, now.Add(electionTimeout/2), vote)), "%+v", stepDown)
 	}
 }
+
+// TestTermsAfterCountsEachTermOnce guards against changes of the leader that a member misses when it gets the entries of several terms at once.
+func TestTermsAfterCountsEachTermOnce(t *testing.T) {
+	core := newMember("a/1", 9, 2, 2, 5, 5, 7)
+	for after, expected := range map[uint64]int{0: 4, 1: 3, 2: 2, 4: 2, 5: 1, 6: 1, 7: 0, 8: 0} {
+		newest, count := core.TermsAfter(after)
+		assert.Equal(t, newest, uint64(7))
+		assert.Equal(t, count, expected, "after %d", after)
+	}
+	elect(t, core, startTime)
+	newest, count := core.TermsAfter(7)
+	assert.Equal(t, newest, core.Term())
+	assert.Equal(t, count, 1)
+}
--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -27,9 +27,10 @@
 // never exceeds a capacity, and grows by no more than the rate, so that the use in each window is bounded by their sum, whatever part of the
 // routers is cut off. It is not safe for concurrent use.
 type Allocator struct {
-	bounds   AllowanceBounds
-	term     uint64
-	accounts map[celerylanding.WorkspaceID]*account
+	bounds     AllowanceBounds
+	term       uint64
+	succession *Succession
+	accounts   map[celerylanding.WorkspaceID]*account
 }
 
 // account is the state of one workspace.
@@ -38,9 +39,11 @@
 	// level is the number of units that can be granted, as of refilledAt.
 	level      float64
 	refilledAt time.Time
-	// earlyUntil is when the last grant of an earlier leader, or in another unit, expires.
-	earlyUntil time.Time
-	holders    map[holderID]*holder
+	// emptyUntil is when the last grant in another unit expires. Until then nothing is granted.
+	emptyUntil time.Time
+	// isRemoved is set while the configuration does not list the workspace, although grants may be in use.
+	isRemoved bool
+	holders   map[holderID]*holder
 	// outstanding and demand are the sums over the holders; what has expired is counted until expiryDue.
 	outstanding float64
 	demand      float64
@@ -64,26 +67,33 @@
 	owed float64
 }
 
-// NewAllocator returns the allocator of the leader of a term, which has granted nothing yet.
-func NewAllocator(term uint64, bounds AllowanceBounds) *Allocator {
-	return &Allocator{bounds: bounds, term: term, accounts: make(map[celerylanding.WorkspaceID]*account)}
+// NewAllocator returns the allocator of the leader of a term, which has granted nothing yet; succession is what the leader's member knows of earlier
+// ones, including the change to this leader.
+func NewAllocator(term uint64, bounds AllowanceBounds, succession *Succession) *Allocator {
+	return &Allocator{bounds: bounds, term: term, succession: succession, accounts: make(map[celerylanding.WorkspaceID]*account)}
 }
 
 // SetWorkspaces replaces the allowances by those of a configuration.
 func (allocator *Allocator) SetWorkspaces(now time.Time, workspaces []routing.Workspace) {
-	accounts := make(map[celerylanding.WorkspaceID]*account, len(workspaces))
+	for id, entry := range allocator.accounts {
+		allocator.refill(now, entry)
+		if entry.isRemoved && entry.outstanding == 0 {
+			delete(allocator.accounts, id)
+		}
+		entry.isRemoved = true
+	}
 	for i := range workspaces {
 		workspace := &workspaces[i]
 		entry := allocator.accounts[workspace.ID]
-		if entry == nil || entry.allowance.Unit != workspace.Allowance.Unit {
-			entry = &account{refilledAt: now, earlyUntil: now.Add(outstandingTTL), holders: make(map[holderID]*holder)}
-		} else {
-			allocator.refill(now, entry)
+		switch {
+		case entry == nil:
+			entry = &account{refilledAt: now, holders: make(map[holderID]*holder)}
+		case entry.allowance.Unit != workspace.Allowance.Unit:
+			entry = &account{refilledAt: now, emptyUntil: now.Add(outstandingTTL), holders: make(map[holderID]*holder)}
 		}
-		entry.allowance = workspace.Allowance
-		accounts[workspace.ID] = entry
+		entry.allowance, entry.isRemoved = workspace.Allowance, false
+		allocator.accounts[workspace.ID] = entry
 	}
-	allocator.accounts = accounts
 }
 
 // Grant decides what a router gets.
@@ -94,7 +104,7 @@
 		request := &args.Requests[i]
 		entry := allocator.accounts[request.Workspace]
 		switch {
-		case entry == nil || entry.allowance.Unit != request.Unit:
+		case entry == nil || entry.isRemoved || entry.allowance.Unit != request.Unit:
 			continue
 		case !entry.allowance.IsLimited():
 			// The router does not know yet that the limit has ended.
@@ -114,8 +124,12 @@
 }
 
 func (allocator *Allocator) capacity(now time.Time, entry *account) float64 {
-	if now.Before(entry.earlyUntil) {
-		return allocator.bounds.earlyCapacity(entry.allowance)
+	changes, isKnown := allocator.succession.Recent(now)
+	switch {
+	case !isKnown || now.Before(entry.emptyUntil):
+		return 0
+	case len(changes) > 0:
+		return allocator.bounds.earlyCapacity(entry.allowance, len(changes))
 	}
 	return allocator.bounds.capacity(entry.allowance)
 }
--- a/throttle/allocator_test.go
+++ b/throttle/allocator_test.go
@@ -31,12 +31,17 @@
 	now       time.Time
 	bounds    throttle.AllowanceBounds
 	allowance routing.Allowance
+	// listed are the workspaces of the configuration.
+	listed    []routing.Workspace
 	allocator *throttle.Allocator
 	term      uint64
 	mode      hoarderMode
-	// elected are the times of the changes of the leader.
-	elected []time.Time
-	routers []*hoarder
+	// faults is 2 if requests may be late, lost or not sent, otherwise 0.
+	faults     int
+	succession *throttle.Succession
+	routers    []*hoarder
+	// silent is the position of a router that holds what it has without a word, from 1.
+	silent int
 	// used are the units that were used, and limits what may be used in a window, by step.
 	used, limits []float64
 }
@@ -63,27 +68,27 @@
 	term    uint64
 }
 
+// settled returns the knowledge of a member that has seen no change of the leader for a while.
+func settled() *throttle.Succession { return throttle.NewSuccession(start.Add(-time.Minute), 0) }
+
 const hoardStep = 50 * time.Millisecond
 
 func (world *hoarders) elect() {
 	world.term++
-	world.elected = append(world.elected, world.now)
-	world.allocator = throttle.NewAllocator(world.term, world.bounds)
+	world.succession.Observe(world.now, world.term, 1)
+	world.allocator = throttle.NewAllocator(world.term, world.bounds, world.succession)
 	world.configure()
 }
 
 func (world *hoarders) configure() {
 	if world.allocator != nil {
-		world.allocator.SetWorkspaces(world.now, []routing.Workspace{{ID: "w", Allowance: world.allowance}})
+		for i := range world.listed {
+			world.listed[i].Allowance = world.allowance
+		}
+		world.allocator.SetWorkspaces(world.now, world.listed)
 	}
 }
 
-// mayElect reports whether there have been fewer than two changes of the leader while grants last.
-func (world *hoarders) mayElect() bool {
-	count := len(world.elected)
-	return count < 2 || world.now.Sub(world.elected[count-2]) > 3*time.Second
-}
-
 func (router *hoarder) request(now time.Time, number int, units, returned float64) *feed.AllowanceArgs {
 	router.sequence++
 	request := feed.AllowanceRequest{Workspace: "w", Wanted: units, Needed: units, Demand: units}
@@ -109,7 +114,7 @@
 	}
 	units := world.random.Float64() * 4 * world.allowance.Rate
 	args := router.request(world.now, number, units, returned)
-	fate := []string{"answered", "answered", "answered", "answered", "answered", "answered", "lost", "delayed"}[world.random.IntN(8)]
+	fate := []string{"answered", "answered", "answered", "answered", "answered", "answered", "lost", "delayed"}[world.random.IntN(6+world.faults)]
 	if fate == "delayed" {
 		router.delayed = append(router.delayed, args)
 	}
@@ -138,19 +143,33 @@
 
 // disturb changes the leader or the limit, takes the leader away for a while, or starts a router anew.
 func (world *hoarders) disturb(t *rapid.T) {
-	switch rapid.SampledFrom([]string{"none", "none", "elect", "lose", "lower", "restart"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"none", "none", "elect", "lose", "lower", "restart", "remove"}).Draw(t, "event") {
 	case "elect":
-		if world.mayElect() {
+		// Several leaders may follow each other while the grants of the first are in use.
+		world.mode = holding
+		for range 1 + world.random.IntN(8) {
 			world.elect()
+			world.play(1 + world.random.IntN(6))
 		}
+		world.spend()
 	case "lose":
-		if world.mayElect() {
-			world.allocator = nil
-			for range world.random.IntN(30) {
-				world.step()
-			}
-			world.elect()
+		world.allocator = nil
+		world.play(world.random.IntN(30))
+		world.elect()
+	case "remove":
+		world.mode = holding
+		listed := world.listed
+		for range 1 + world.random.IntN(4) {
+			world.silent = 1 + world.random.IntN(len(world.routers))
+			world.listed = nil
+			world.configure()
+			world.play(world.random.IntN(4))
+			world.listed = listed
+			world.configure()
+			world.play(world.random.IntN(12))
 		}
+		world.silent = 0
+		world.spend()
 	case "lower":
 		world.allowance.Rate, world.allowance.Burst = world.allowance.Rate/2, world.allowance.Burst/2
 		world.configure()
@@ -161,6 +180,18 @@
 	}
 }
 
+// spend lets all routers use what they get for longer than a window.
+func (world *hoarders) spend() {
+	world.mode = spending
+	world.play(int(world.bounds.Window/hoardStep) + 10)
+}
+
+func (world *hoarders) play(steps int) {
+	for range steps {
+		world.step()
+	}
+}
+
 // step plays one step.
 func (world *hoarders) step() {
 	world.now = world.now.Add(hoardStep)
@@ -171,7 +202,7 @@
 			world.allocator.Grant(world.now, router.delayed[at])
 			router.delayed = router.delayed[:at]
 		}
-		if world.mode != idle && world.random.IntN(4) > 0 {
+		if world.mode != idle && number+1 != world.silent && world.random.IntN(4) >= world.faults/2 {
 			world.ask(number)
 		}
 		if world.mode == spending {
@@ -181,11 +212,13 @@
 }
 
 // TestGrantsStayWithinAnAllowance guards against grants that add up to more than an allowance, for routers that hold as much as they get: through
-// changes of the leader, lost replies, late requests, restarts and lowered limits.
+// any number of changes of the leader, lost replies, late requests, restarts, lowered limits and removed workspaces.
 func TestGrantsStayWithinAnAllowance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		world := &hoarders{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 5)), now: start, allowance: routing.Allowance{Rate: 1000, Burst: rapid.SampledFrom([]float64{0, 300, 3000}).Draw(t, "burst")},
-			bounds: throttle.AllowanceBounds{Window: 4 * time.Second, Overage: 0.1, Slack: rapid.SampledFrom([]float64{0, 500, 2000}).Draw(t, "slack")}}
+		world := &hoarders{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 5)), now: start, succession: settled(), listed: []routing.Workspace{{ID: "w"}},
+			faults:    rapid.SampledFrom([]int{0, 2}).Draw(t, "faults"),
+			allowance: routing.Allowance{Rate: 1000, Burst: rapid.SampledFrom([]float64{0, 300, 3000}).Draw(t, "burst")},
+			bounds:    throttle.AllowanceBounds{Window: 4 * time.Second, Overage: 0.1, Slack: rapid.SampledFrom([]float64{0, 500, 2000}).Draw(t, "slack")}}
 		for range rapid.IntRange(1, 3).Draw(t, "routers") {
 			world.routers = append(world.routers, &hoarder{})
 		}
@@ -193,9 +226,7 @@
 		for len(world.used) < 1000 {
 			world.disturb(t)
 			world.mode = hoarderMode(world.random.IntN(3))
-			for range 5 + world.random.IntN(80) {
-				world.step()
-			}
+			world.play(5 + world.random.IntN(120))
 		}
 		ticks, lowered := int(world.bounds.Window/hoardStep), int(loweredTime/hoardStep)
 		sum := 0.0
@@ -308,7 +339,9 @@
 // newDrawn returns the allocator of a term for a workspace with a rate and a burst of 1000 units and an excess of 1000 in 8 s, so that 1600 units can be
 // available at once, and 200 while grants of an earlier leader may be in use.
 func newDrawn(term uint64) *throttle.Allocator {
-	allocator := throttle.NewAllocator(term, throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100})
+	succession := settled()
+	succession.Observe(start, term, 1)
+	allocator := throttle.NewAllocator(term, throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100}, succession)
 	allocator.SetWorkspaces(start, []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}})
 	return allocator
 }
@@ -349,3 +382,28 @@
 	again := restarted.drawFor(now.Add(2*time.Second), allocator, time.Second)
 	assert.Assert(t, again < 100, "the new process gets %.1f units beyond", again)
 }
+
+// TestRestartedLeaderGrantsWhatOthersVouchFor guards against a leader that can't know which leaders there were before its start, and takes it that there was
+// none; and against one that grants nothing although another member knows.
+func TestRestartedLeaderGrantsWhatOthersVouchFor(t *testing.T) {
+	restarted := throttle.NewSuccession(start.Add(-time.Second), 6)
+	restarted.Observe(start, 7, 1)
+	allocator := throttle.NewAllocator(7, throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100}, restarted)
+	allocator.SetWorkspaces(start, []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}})
+	router := &drawer{process: 1}
+	now := start.Add(200 * time.Millisecond)
+	assert.Equal(t, router.draw(now, allocator), 0.0, "it doesn't know its predecessors")
+	restarted.Learn(now, 6, nil)
+	assert.Equal(t, router.draw(now.Add(50*time.Millisecond), allocator), 0.0, "the other member doesn't know of the last change")
+	now = now.Add(100 * time.Millisecond)
+	restarted.Learn(now, 7, []time.Duration{2 * time.Second, 300 * time.Millisecond})
+	held := router.drawFor(now.Add(50*time.Millisecond), allocator, 500*time.Millisecond)
+	assert.Assert(t, held > 50 && held < 100.1, "%.1f units are held after a second change", held)
+	held += router.drawFor(now.Add(700*time.Millisecond), allocator, 500*time.Millisecond)
+	assert.Assert(t, held > 150 && held < 200.1, "%.1f units are held once the first change is long ago", held)
+	fresh := throttle.NewSuccession(start, 6)
+	fresh.Observe(start.Add(time.Second), 9, 3)
+	ages, isKnown := fresh.Recent(start.Add(3 * time.Second))
+	assert.Assert(t, isKnown)
+	assert.DeepEqual(t, ages, []time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second})
+}
--- a/throttle/allowance.go
+++ b/throttle/allowance.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"math"
 	"time"
 
 	"celerylanding.example/celerylanding/routing"
@@ -11,10 +12,11 @@
 	grantTTL = 2500 * time.Millisecond
 	// outstandingTTL is how long the leader counts a grant: longer by the drift of two clocks and by a round of the leader's work.
 	outstandingTTL = grantTTL + 50*time.Millisecond
-	// heldShare is the part of the excess of an allowance that routers may hold beyond the burst, and earlyShare the part that they may get of a
-	// leader whose predecessor's grants may still be in use. The rest covers a second change of the leader in that time.
-	heldShare  = 0.6
-	earlyShare = 0.2
+	// heldShare is the part of the excess of an allowance that routers may hold beyond the burst. The rest is for leaders whose predecessors' grants
+	// may still be in use: half of it for the first, half of what remains for the next, so that any number of them stays within it.
+	heldShare = 0.6
+	// maxSuccessions is the number of changes of the leader from which no more are counted; next to nothing can be granted then.
+	maxSuccessions = 32
 	// reserveShare is the part of what is available that is kept for requests that wait.
 	reserveShare = 0.25
 	// savedShare is the part of the rate that is saved while less than half of the reserve is left.
@@ -40,7 +42,7 @@
 	return allowance.Burst + heldShare*bounds.excess(allowance)
 }
 
-// earlyCapacity is the capacity while grants of an earlier leader may be in use.
-func (bounds AllowanceBounds) earlyCapacity(allowance routing.Allowance) float64 {
-	return min(earlyShare*bounds.excess(allowance), bounds.capacity(allowance))
+// earlyCapacity is the capacity while grants from before a number of changes of the leader may be in use.
+func (bounds AllowanceBounds) earlyCapacity(allowance routing.Allowance, changes int) float64 {
+	return min(math.Ldexp((1-heldShare)*bounds.excess(allowance), -changes), bounds.capacity(allowance))
 }
--- a/throttle/allowance_test.go
+++ b/throttle/allowance_test.go
@@ -30,8 +30,9 @@
 	workspace routing.Workspace
 	routers   []*officeRouter
 	// allocator is nil while there is no leader.
-	allocator *throttle.Allocator
-	term      uint64
+	allocator  *throttle.Allocator
+	succession *throttle.Succession
+	term       uint64
 	// delay is the longest time of a message, and loss the part of the calls whose request or reply is lost.
 	delay    time.Duration
 	loss     float64
@@ -82,7 +83,7 @@
 }
 
 func newOffice(seed uint64, routers int, rate, burst float64, bounds throttle.AllowanceBounds) *office {
-	office := &office{random: rand.New(rand.NewPCG(seed, 3)), now: start, bounds: bounds, delay: 4 * time.Millisecond, patience: 400 * time.Millisecond,
+	office := &office{random: rand.New(rand.NewPCG(seed, 3)), now: start, bounds: bounds, succession: settled(), delay: 4 * time.Millisecond, patience: 400 * time.Millisecond,
 		workspace: routing.Workspace{ID: "w", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: rate, Burst: burst}}}
 	for i := range routers {
 		office.routers = append(office.routers, &officeRouter{reserve: throttle.NewReserve(celerylanding.NodeID(fmt.Sprintf("r%d", i)), 0)})
@@ -93,7 +94,8 @@
 
 func (office *office) elect() {
 	office.term++
-	office.allocator = throttle.NewAllocator(office.term, office.bounds)
+	office.succession.Observe(office.now, office.term, 1)
+	office.allocator = throttle.NewAllocator(office.term, office.bounds, office.succession)
 	office.configure()
 }
 
@@ -459,7 +461,7 @@
 // BenchmarkGrant measures one call of a router for 16 workspaces at a leader that serves 63 routers.
 func BenchmarkGrant(b *testing.B) {
 	now := start
-	allocator := throttle.NewAllocator(1, defaultBounds())
+	allocator := throttle.NewAllocator(1, defaultBounds(), settled())
 	var workspaces []routing.Workspace
 	args := make([]feed.AllowanceArgs, 63)
 	for i := range 16 {
