A workspace that has used its allowance delays no other at the same router

The goroutine that asks the leader slept until the next call for the requests that waited then, up to 250 ms, and requests of other workspaces that came meanwhile waited for it and were refused with 429 when their patience of 150 ms ended. A request now wakes it. TestHotWorkspaceDelaysNoOther fails before. A request that the leader has given no answer for is refused as not run (503), no longer with the word that the allowance is used up.

--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -28,12 +28,14 @@
 	reserve *throttle.Reserve
 	// waiting holds a channel for each charge that waits; it is closed when the charge is decided.
 	waiting map[*throttle.Charge]chan struct{}
-	// isAsking is set while a goroutine asks the leader.
+	// isAsking is set while a goroutine asks the leader, and isDue receives a value when it has to ask earlier than it had planned.
 	isAsking bool
+	isDue    chan struct{}
 }
 
 func newAllowances(node celerylanding.NodeID, started time.Time) *allowances {
-	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{})}
+	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{}),
+		isDue: make(chan struct{}, 1)}
 }
 
 // wake ends the wait of charges that have been admitted; the caller holds the mutex.
@@ -68,9 +70,16 @@
 		done = make(chan struct{})
 		allowances.waiting[charge] = done
 	}
-	if !allowances.isAsking && allowances.reserve.NeedsCall(now, charge) {
-		allowances.isAsking = true
-		handler.probes.Go(handler.askAllowances)
+	if allowances.reserve.NeedsCall(now, charge) {
+		if allowances.isAsking {
+			select {
+			case allowances.isDue <- struct{}{}:
+			default:
+			}
+		} else {
+			allowances.isAsking = true
+			handler.probes.Go(handler.askAllowances)
+		}
 	}
 	allowances.mutex.Unlock()
 	if done != nil {
@@ -109,7 +118,7 @@
 	if charge.IsCutOff() {
 		scope.Tagged(map[string]string{"cause": "cut_off"}).Counter("allowance_refused").Inc(1)
 		return unavailable(celerylanding.ReasonNoQuorum, max(delay, startingRetryDelay),
-			"this router has used its part of the workspace's allowance, and the leader does not answer")
+			"this router has used its part of the workspace's allowance, and the leader has not granted it another")
 	}
 	scope.Tagged(map[string]string{"cause": "used_up"}).Counter("allowance_refused").Inc(1)
 	return &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonAllowanceUsed, retryAfter: delay,
@@ -153,7 +162,13 @@
 		}
 		allowances.mutex.Unlock()
 		if !isDue {
-			sleep(ctx, max(pause, time.Millisecond))
+			timer := time.NewTimer(max(pause, time.Millisecond))
+			select {
+			case <-timer.C:
+			case <-allowances.isDue:
+			case <-ctx.Done():
+			}
+			timer.Stop()
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, allowanceTimeout)
--- a/proxy/allowance_test.go
+++ b/proxy/allowance_test.go
@@ -44,12 +44,12 @@
 }
 
 // newCharging returns a handler with a leader that has granted nothing for a time.
-func newCharging(t *testing.T, workspace *routing.Workspace, age time.Duration) (*proxy.Handler, *grantingLeader) {
+func newCharging(t *testing.T, workspace *routing.Workspace, age time.Duration, others ...routing.Workspace) (*proxy.Handler, *grantingLeader) {
 	t.Helper()
 	now := time.Now()
 	bounds := throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000}
 	leader := &grantingLeader{allocator: throttle.NewAllocator(1, bounds, throttle.NewSuccession(now.Add(-time.Minute), 0))}
-	leader.allocator.SetWorkspaces(now.Add(-age), []routing.Workspace{*workspace})
+	leader.allocator.SetWorkspaces(now.Add(-age), append(others, *workspace))
 	handler := proxy.New(proxy.Options{Node: "n", Leader: leader, Started: now, Clock: time.Now, Log: zerolog.Nop(), Metrics: tally.NoopScope})
 	t.Cleanup(handler.Close)
 	return handler, leader
@@ -115,6 +115,35 @@
 	assert.Assert(t, served >= 3, "%d requests are served from what was granted", served)
 }
 
+// TestHotWorkspaceDelaysNoOther guards against requests of a workspace within its allowance that wait until the leader is asked again for one that has used
+// its own.
+func TestHotWorkspaceDelaysNoOther(t *testing.T) {
+	hot, other := limitedWorkspace(1000), routing.Workspace{ID: "other", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 30_000, Burst: 30_000}}
+	handler, _ := newCharging(t, hot, 10*time.Second, other)
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if charged, _, _ := handler.Charge(ctx, hot, 1000, 8*time.Second); charged != nil {
+					charged.Use()
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for range 20 {
+		charged, status, _ := handler.Charge(ctx, &other, 200, 300*time.Millisecond)
+		assert.Check(t, status == 0, "refused with %d", status)
+		if charged != nil {
+			charged.Use()
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	cancel()
+	callers.Wait()
+}
+
 // TestWorkspaceWithoutLimitCostsNoCall guards against calls to the leader where no workspace has a limit.
 func TestWorkspaceWithoutLimitCostsNoCall(t *testing.T) {
 	workspace := &routing.Workspace{ID: "w"}
--- a/throttle/ask.go
+++ b/throttle/ask.go
@@ -128,6 +128,7 @@
 		if grant.Units > 0 && account.allowance.Unit == request.Unit {
 			account.lots = append(account.lots, lot{units: grant.Units, expires: sent.Add(grant.TTL), term: reply.Term})
 		}
+		account.isShort = grant.Units < request.Needed && grants[request.Workspace] != nil
 		account.rate, account.rateAt = grant.Rate, now
 		account.readyAt = now.Add(grant.Wait)
 		account.askAt = now.Add(min(grant.Wait, maxAskInterval))
--- a/throttle/reserve.go
+++ b/throttle/reserve.go
@@ -62,7 +62,8 @@
 	// rate is what the leader grants per second while there is too little, as of rateAt.
 	rate   float64
 	rateAt time.Time
-	// readyAt is when the leader expects to grant more.
+	// isShort is set while the leader has granted less than requests need, and readyAt is when it expects to grant more.
+	isShort bool
 	readyAt time.Time
 	// promised is the number of units for which callers were told to return, as of promisedAt.
 	promised   float64
@@ -98,7 +99,7 @@
 	state     ChargeState
 	// lot names the term and the expiry of the units.
 	lot lot
-	// retryAfter is the time after which a refused caller should return, and isCutOff is set if the leader did not answer.
+	// retryAfter is the time after which a refused caller should return, and isCutOff is set if the leader did not say that there is too little.
 	retryAfter time.Duration
 	isCutOff   bool
 }
@@ -115,7 +116,7 @@
 // RetryAfter returns the time after which the caller of a refused request should return.
 func (charge *Charge) RetryAfter() time.Duration { return charge.retryAfter }
 
-// IsCutOff reports whether the request was refused because the leader did not answer, not because the allowance is used up.
+// IsCutOff reports whether the request was refused because the leader did not answer in time, not because the allowance is used up.
 func (charge *Charge) IsCutOff() bool { return charge.isCutOff }
 
 // NewReserve returns the reserve of a router that holds nothing; process identifies this start of its process.
@@ -241,7 +242,7 @@
 
 // refuse ends a request that waits. The delay after which its caller returns also counts those that were told to return earlier.
 func (reserve *Reserve) refuse(now time.Time, account *reserveAccount, charge *Charge) {
-	charge.state, charge.isCutOff = ChargeRefused, reserve.failures > 0
+	charge.state, charge.isCutOff = ChargeRefused, reserve.failures > 0 || !account.isShort
 	rate := account.rate
 	if rate <= 0 || now.Sub(account.rateAt) > rateTTL {
 		rate = account.allowance.Rate
