Keys: processes under a cut, a frozen router and a frozen relay

TestWithdrawnKeyStopsEverywhere withdraws a key while one router is cut off from the controllers, one stands still, and one watches a relay that stands still.

--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -31,6 +31,8 @@
 	engineRestart = time.Second
 	// stabilityWindow is the time after a fault in which bounds do not hold yet.
 	stabilityWindow = 3 * time.Second
+	// revocationBound is the time after the acknowledgement of a configuration from which requests with a withdrawn key must not run.
+	revocationBound = 3 * time.Second
 )
 
 // fleet is a set of controllers and routers as processes, with fake engines in the test's process.
@@ -41,6 +43,7 @@
 	routers     []*fleetProcess
 	controls    []string
 	models      []string
+	folder      string
 	// engines holds the running fake engines.
 	engines sync.WaitGroup
 	stop    context.CancelFunc
@@ -73,20 +76,12 @@
 	for i := range controllerCount {
 		fleet.controls = append(fleet.controls, fleet.ip(0, i)+":8144")
 	}
-	folder := t.TempDir()
-	add := func(role, ip string, number int) *fleetProcess {
-		proc := &fleetProcess{t: t, role: role, folder: filepath.Join(folder, fmt.Sprintf("%s%d", role, number)), ip: ip,
-			seeds: strings.Join(fleet.controls, ",")}
-		assert.NilError(t, os.MkdirAll(proc.folder, 0o700))
-		proc.start(true)
-		t.Cleanup(proc.kill)
-		return proc
-	}
+	fleet.folder = t.TempDir()
 	for i := range controllerCount {
-		fleet.controllers = append(fleet.controllers, add("controller", fleet.ip(0, i), i))
+		fleet.controllers = append(fleet.controllers, fleet.add("controller", fleet.ip(0, i), i, fleet.controls))
 	}
 	for i := range routers {
-		fleet.routers = append(fleet.routers, add("router", fleet.ip(1, i), i))
+		fleet.routers = append(fleet.routers, fleet.add("router", fleet.ip(1, i), i, fleet.controls))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	fleet.stop = cancel
@@ -101,13 +96,25 @@
 	return fleet
 }
 
+// add starts a process that finds the controllers at the seeds.
+func (fleet *fleet) add(role, ip string, number int, seeds []string) *fleetProcess {
+	fleet.t.Helper()
+	proc := &fleetProcess{t: fleet.t, role: role, folder: filepath.Join(fleet.folder, fmt.Sprintf("%s%d", role, number)), ip: ip,
+		seeds: strings.Join(seeds, ",")}
+	assert.NilError(fleet.t, os.MkdirAll(proc.folder, 0o700))
+	proc.start(true)
+	fleet.t.Cleanup(proc.kill)
+	return proc
+}
+
 // start starts the process with the settings that the platform would write.
 func (proc *fleetProcess) start(bootstrap bool) {
 	proc.t.Helper()
 	lines := []string{"node=" + filepath.Base(proc.folder), "ip=" + proc.ip, "zone=z" + proc.ip[len(proc.ip)-1:], "internalPorts=7380,7395",
 		"seeds=" + proc.seeds, fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeatIntervalMs=300", "faultTolerance.machines=1",
 		"bounds.fencingEnabled=true", "bounds.leaseMs=1000", "bounds.graceS=8", "bounds.budgetRatio=0.2", "bounds.budgetSlack=200",
-		"bounds.budgetWindowS=10", "bounds.stabilityWindowMs=3000", "limits.memoryMb=256"}
+		"bounds.budgetWindowS=10", "bounds.stabilityWindowMs=3000", "bounds.failClosed=true",
+		fmt.Sprintf("bounds.revokeMs=%d", revocationBound.Milliseconds()), "limits.memoryMb=256"}
 	if proc.role == "controller" {
 		lines = append(lines, "listen.control="+proc.ip+":8144", "dataDir="+filepath.Join(proc.folder, "disk"))
 	} else {
@@ -130,6 +137,11 @@
 	_ = proc.command.Wait()
 }
 
+func (proc *fleetProcess) signal(signal syscall.Signal) {
+	proc.t.Helper()
+	assert.NilError(proc.t, proc.command.Process.Signal(signal))
+}
+
 // runEngine runs one incarnation of an engine after the other at the same address until the context ends.
 func (fleet *fleet) runEngine(ctx context.Context, number int, options fake.Options) {
 	address := fleet.ip(2, number) + ":8605"
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -151,3 +151,5 @@
 mutate key-shared routing/validate.go ./routing TestInvalidWorkspaces 's/ok && owner != workspace\.ID/ok \&\& owner == ""/'
 mutate key-in-an-error platform/workspaces.go ./platform TestInvalidWorkspaces 's/"each key must be a string that is not empty"/"%s must be a string", text/'
 mutate key-rank-of-the-route-first routing/rank.go ./routing TestPriorityOfWorkspaces 's/byWorkspace\*width\+min\(byRoute, width-1\)/byRoute*max(1, len(order.workspaces))+byWorkspace/'
+mutate key-without-proof-by-processes access/access.go ./tests TestWithdrawnKeyStops 's/isFresh := /isFresh := true || /'
+mutate key-proof-without-end access/proof.go ./tests TestWithdrawnKeyStops 's/at\.Sub\(proof\.asOf\) <= bound-bound\/driftDivisor/at.Sub(proof.asOf) <= 3*bound/'
