Keys: requests wait for a proof that is expected; no bodies of callers without a key

Cause: a router that has just started or has stood still refused keyed requests until the next reply of the leader, and callers without a key could make routers buffer bodies up to the limit. Access is checked when the header has arrived if the key is unknown, then again after the body. The leader's guard against telling a version that it may lack is a function with a test. Workspace.HasPriority is gone: an absent priority is 0.

--- a/access/access.go
+++ b/access/access.go
@@ -66,6 +66,9 @@
 // IsFinal reports whether the same request would be refused by every router.
 func (cause Cause) IsFinal() bool { return cause == CauseNoKey || cause == CauseUnknownKey }
 
+// IsKeyUnknown reports whether the request comes without a key that the router knows.
+func (cause Cause) IsKeyUnknown() bool { return cause.IsFinal() || cause == CauseKeyMayBeNew }
+
 // Decision is the workspace of a request, or the cause of its refusal.
 type Decision struct {
 	// Workspace is nil if the configuration has no workspaces, and for a caller of a public route that has proved none.
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -45,6 +45,11 @@
 // RepeatAll makes the next report contain all running requests.
 func (reports *RelayReports) RepeatAll() { reports.reports.repeatAll() }
 
+// ProvenVersion returns the version that a leader tells as the newest one.
+func ProvenVersion(applied, committed, version uint64) uint64 {
+	return provenVersion(applied, committed, version)
+}
+
 // IsSameView reports whether two states of a target are published as one.
 func IsSameView(a, b *feed.Target) bool { return isSameView(a, b) }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -284,10 +284,15 @@
 // newestVersion returns the version of the newest configuration that any member may have acknowledged, or zero while committed entries
 // are not applied yet, as after a failed write. It may be called only while this node leads.
 func (ctl *Control) newestVersion() uint64 {
-	if ctl.index < ctl.core.CommitIndex() {
+	return provenVersion(ctl.index, ctl.core.CommitIndex(), ctl.version())
+}
+
+// provenVersion returns the version in force if all committed entries are applied, or zero.
+func provenVersion(applied, committed, version uint64) uint64 {
+	if applied < committed {
 		return 0
 	}
-	return ctl.version()
+	return version
 }
 
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// TestLeaderTellsNoVersionItMayLack guards against word of an old version from a leader whose log has committed entries that it has not applied, as
+// after a failed write.
+func TestLeaderTellsNoVersionItMayLack(t *testing.T) {
+	assert.Equal(t, control.ProvenVersion(7, 8, 3), uint64(0))
+	assert.Equal(t, control.ProvenVersion(8, 8, 3), uint64(3))
+	assert.Equal(t, control.ProvenVersion(9, 8, 3), uint64(3), "a restored snapshot is ahead of the commit index that the log knows")
+}
+
 // TestRelayWithoutLeaderStops guards against routers that hold an old state for good: a follower that has lost the leader must not go on
 // relaying.
 func TestRelayWithoutLeaderStops(t *testing.T) {
--- a/proxy/access.go
+++ b/proxy/access.go
@@ -1,17 +1,32 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/access"
 )
 
+// proofWaitShare is the share of its latency objective, or without one of its timeout, for which a request waits for a proof of freshness.
+const proofWaitShare = 0.5
+
+// checkHeader refuses a request whose key is not known once its header has arrived, so that callers without a key can't make a router buffer
+// bodies. The whole request is checked when it has arrived.
+func (handler *Handler) checkHeader(ctx context.Context, call *call) *refusal {
+	decision := handler.awaitAccess(ctx, call, func(cause access.Cause) bool { return cause == access.CauseKeyMayBeNew })
+	if !decision.Cause.IsKeyUnknown() {
+		return nil
+	}
+	handler.countAccess(call, decision.Cause)
+	return refuseAccess(call, decision.Cause)
+}
+
 // checkAccess finds the workspace of a request that has arrived, or refuses the request.
-func (handler *Handler) checkAccess(call *call) *refusal {
-	table, proof := handler.state.proven()
-	decision := handler.options.KeyBounds.Check(table.Routes(), proof, call.accessRequest())
-	call.workspace, call.hidesKey = decision.Workspace, table.Routes().NeedsKeys()
+func (handler *Handler) checkAccess(ctx context.Context, call *call) *refusal {
+	decision := handler.awaitAccess(ctx, call, func(cause access.Cause) bool { return cause != access.CauseNone && !cause.IsFinal() })
+	call.workspace = decision.Workspace
 	if call.hidesKey {
 		handler.countAccess(call, decision.Cause)
 	}
@@ -21,11 +36,51 @@
 	return refuseAccess(call, decision.Cause)
 }
 
+// awaitAccess decides on a request. If it lacks a proof for one of the causes to wait for, and the proof is expected soon, it waits for that within
+// the request's latency objective.
+func (handler *Handler) awaitAccess(ctx context.Context, call *call, isWorthWait func(access.Cause) bool) access.Decision {
+	for {
+		fresh := handler.state.freshness()
+		decision := handler.options.KeyBounds.Check(fresh.table.Routes(), fresh.proof, call.accessRequest())
+		call.hidesKey = fresh.table.Routes().NeedsKeys()
+		now := handler.options.Clock()
+		wait := fresh.renewal.WaitEnd(now, call.proofWaitEnd()).Sub(now)
+		if !isWorthWait(decision.Cause) || wait <= 0 || handler.refusesWaiting.Load() {
+			return decision
+		}
+		handler.options.Metrics.Counter("key_proof_waits").Inc(1)
+		timer := time.NewTimer(wait)
+		select {
+		case <-fresh.changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-handler.requestsCtx.Done():
+		}
+		timer.Stop()
+		call.waited += handler.options.Clock().Sub(now)
+		if ctx.Err() != nil || handler.requestsCtx.Err() != nil {
+			return decision
+		}
+	}
+}
+
+// proofWaitEnd returns the time up to which the request may wait for a proof.
+func (call *call) proofWaitEnd() time.Time {
+	patience := call.route.Timeout
+	if call.metadata.MaxWait > 0 {
+		patience = min(patience, call.metadata.MaxWait)
+	}
+	if call.route.LatencyObjective > 0 {
+		patience = min(patience, call.route.LatencyObjective)
+	}
+	return call.arrived.Add(time.Duration(proofWaitShare * float64(patience)))
+}
+
 // recheckAccess refuses a request whose key has been withdrawn or moved to another workspace since the request arrived.
 func (handler *Handler) recheckAccess(call *call) *refusal {
-	table, proof := handler.state.proven()
-	decision := handler.options.KeyBounds.Recheck(table.Routes(), proof, call.accessRequest(), call.workspace)
-	call.hidesKey = call.hidesKey || table.Routes().NeedsKeys()
+	fresh := handler.state.freshness()
+	decision := handler.options.KeyBounds.Recheck(fresh.table.Routes(), fresh.proof, call.accessRequest(), call.workspace)
+	call.hidesKey = call.hidesKey || fresh.table.Routes().NeedsKeys()
 	if decision.Cause != access.CauseNone {
 		handler.countAccess(call, decision.Cause)
 		return refuseAccess(call, decision.Cause)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -23,6 +23,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultBodyTimeout bounds the time in which a body must arrive while the route is not known.
 	defaultBodyTimeout = 10 * time.Second
+	// maxDiscardTime is the time after which the connection of a refused request whose body has not arrived is closed.
+	maxDiscardTime = 250 * time.Millisecond
 	// startingRetryDelay is the Retry-After delay of a node that has no configuration yet.
 	startingRetryDelay = 500 * time.Millisecond
 	// maxUnknownRouteAge is the age of the routes up to which an unknown route is reported as not found.
@@ -156,11 +158,7 @@
 		call.delivery = delivery.New(metadata.ResumeAfter)
 	}
 	call.version, call.viewAge = table.Routes().Version(), handler.state.sinceContact(now)
-	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
-		return call, refusal
-	}
-	call.received = handler.options.Clock()
-	if refusal := handler.checkReceived(call); refusal != nil {
+	if refusal := handler.receive(now, writer, request, call, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
 	timeout := route.Timeout
@@ -184,9 +182,25 @@
 	}
 }
 
+// receive reads the body of a request whose route is known, and refuses the request if it may not run.
+func (handler *Handler) receive(now time.Time, writer http.ResponseWriter, request *http.Request, call *call, limit int64) *refusal {
+	if !call.isBodyRead && request.ContentLength != 0 {
+		call.received = now
+		if refusal := handler.checkHeader(request.Context(), call); refusal != nil {
+			limitDiscard(writer)
+			return refusal
+		}
+	}
+	if refusal := call.readBody(writer, request, limit); refusal != nil {
+		return refusal
+	}
+	call.received = handler.options.Clock()
+	return handler.checkReceived(request.Context(), call)
+}
+
 // checkReceived refuses a request that has arrived but may not run.
-func (handler *Handler) checkReceived(call *call) *refusal {
-	if refusal := handler.checkAccess(call); refusal != nil {
+func (handler *Handler) checkReceived(ctx context.Context, call *call) *refusal {
+	if refusal := handler.checkAccess(ctx, call); refusal != nil {
 		return refusal
 	}
 	if cause := handler.crashes.quarantineCause(call); cause != "" {
@@ -282,6 +296,12 @@
 		cause: "body broke off: " + err.Error()}
 }
 
+// limitDiscard bounds the time in which the server reads and drops the body of a refused request so that its connection can be used again.
+func limitDiscard(writer http.ResponseWriter) {
+	// Connections whose reads have no deadline keep the limits of the server.
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(maxDiscardTime))
+}
+
 // bodyTimeout returns the time in which the body must arrive: that in which the request must be answered.
 func (call *call) bodyTimeout() time.Duration {
 	timeout := defaultBodyTimeout
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -99,10 +99,12 @@
 // acknowledged.
 func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
 
+// RecordWatchRequest records that the process asks for word on the newest configuration, so that requests wait for it only while it is expected.
+func (handler *Handler) RecordWatchRequest(now time.Time) { handler.state.recordRequest(now) }
+
 // ReportProofAge updates the metric of the proof's age, unless nothing has been proven yet.
 func (handler *Handler) ReportProofAge(now time.Time) {
-	_, proof := handler.state.proven()
-	if age, ok := proof.Age(now); ok {
+	if age, ok := handler.state.freshness().proof.Age(now); ok {
 		handler.options.Metrics.Gauge("key_proof_age_seconds").Update(age.Seconds())
 	}
 }
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -15,12 +15,14 @@
 	changed chan struct{}
 	// lastContact is the time of the leader's last answer.
 	lastContact time.Time
-	// proof covers the configuration of the current table.
-	proof access.Proof
+	// proof covers the configuration of the current table, and proven is closed when it is extended.
+	proof   access.Proof
+	proven  chan struct{}
+	renewal access.Renewal
 }
 
 func newTableState() *tableState {
-	return &tableState{current: &dispatch.Table{}, changed: make(chan struct{})}
+	return &tableState{current: &dispatch.Table{}, changed: make(chan struct{}), proven: make(chan struct{})}
 }
 
 func (state *tableState) table() *dispatch.Table {
@@ -29,20 +31,43 @@
 	return state.current
 }
 
-// proven returns the table and the proof of its freshness.
-func (state *tableState) proven() (*dispatch.Table, access.Proof) {
+// freshness is a table, what proves that it is the newest one, and a channel that is closed when more is proven.
+type freshness struct {
+	table   *dispatch.Table
+	proof   access.Proof
+	renewal access.Renewal
+	changed <-chan struct{}
+}
+
+// freshness returns the table with the proof of its freshness.
+func (state *tableState) freshness() freshness {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.current, state.proof
+	return freshness{state.current, state.proof, state.renewal, state.proven}
+}
+
+// recordRequest records that a request for word on the newest configuration was sent.
+func (state *tableState) recordRequest(now time.Time) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.renewal = state.renewal.Request(now)
 }
 
 // extendProof extends the proof for the table in force.
 func (state *tableState) extendProof(word access.Word) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	if routes := state.current.Routes(); routes != nil {
-		state.proof = state.proof.Extend(word, routes.Version())
+	routes := state.current.Routes()
+	if routes == nil {
+		return
+	}
+	before := state.proof
+	if state.proof = state.proof.Extend(word, routes.Version()); state.proof == before {
+		return
 	}
+	state.renewal = state.renewal.Succeed()
+	close(state.proven)
+	state.proven = make(chan struct{})
 }
 
 // watch returns the table and a channel that is closed when the table is replaced.
--- a/routing/workspace.go
+++ b/routing/workspace.go
@@ -41,8 +41,7 @@
 type Workspace struct {
 	ID   celerylanding.WorkspaceID `cbor:"1,keyasint"`
 	Keys []celerylanding.KeyDigest `cbor:"2,keyasint,omitempty"`
-	// Priority goes before that of routes if HasPriority is set; 0 is the most urgent.
-	Priority    int       `cbor:"3,keyasint,omitempty"`
-	HasPriority bool      `cbor:"4,keyasint,omitempty"`
-	Allowance   Allowance `cbor:"5,keyasint,omitempty"`
+	// Priority goes before that of routes; 0 is the most urgent.
+	Priority  int       `cbor:"3,keyasint,omitempty"`
+	Allowance Allowance `cbor:"5,keyasint,omitempty"`
 }
--- a/tests/revocation_test.go
+++ b/tests/revocation_test.go
@@ -213,5 +213,5 @@
 	keyed.assertAnswered("cut off, kept key while the proof holds", cutOff, keptKey, before, before.Add(revocationBound-time.Second), http.StatusOK)
 	keyed.assertAnswered("cut off, kept key afterwards", cutOff, keptKey, bound, healed.Add(-200*time.Millisecond), http.StatusServiceUnavailable)
 	keyed.assertAnswered("cut off, public route all the while", cutOff, "", before, healed, http.StatusOK)
-	keyed.assertAnswered("thawed, kept key", frozen, keptKey, thawed.Add(time.Second), healed, http.StatusOK)
+	keyed.assertAnswered("thawed, kept key", frozen, keptKey, thawed, healed, http.StatusOK)
 }
