Workspaces in the base file and overlay; the gateway asks for keys

Cause: only the platform's document could list workspaces. Problems name file, line and field and repeat no value that may be a key. check and show list the workspaces. Without the section nothing changes. The key's header is parsed in the root package, for both interfaces.

--- a/commands/check.go
+++ b/commands/check.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"text/tabwriter"
 
 	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/node"
 )
 
 // documentFiles names the files of a configuration: a base file and an optional overlay for one site.
@@ -55,5 +57,14 @@
 	}
 	_, err = fmt.Fprintf(deps.out, "revision %d of %s is valid: %d models and adapters, %d services, digest %s\n",
 		parsed.Revision(), parsed.Site(), len(parsed.Models()), len(parsed.Services()), parsed.Digest())
-	return err
+	if err != nil || !parsed.Access().NeedsKeys() {
+		return err
+	}
+	table := tabwriter.NewWriter(deps.out, 0, 0, 2, ' ', 0)
+	for _, row := range workspaceRows(node.WorkspacesOf(parsed)) {
+		if _, err := fmt.Fprintln(table, row); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
 }
--- a/commands/show.go
+++ b/commands/show.go
@@ -39,6 +39,10 @@
 	for _, model := range reply.Models {
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%d to %d\t%s", model.Model, formatReplicas(model), model.Min, model.Max, model.Reason))
 	}
+	if len(reply.Workspaces) > 0 {
+		rows = append(rows, "")
+		rows = append(rows, workspaceRows(reply.Workspaces)...)
+	}
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(table, row); err != nil {
 			return err
@@ -47,6 +51,19 @@
 	return table.Flush()
 }
 
+// workspaceRows returns the table of workspaces.
+func workspaceRows(list []node.WorkspaceStatus) []string {
+	rows := []string{"WORKSPACE\tKEYS\tPRIORITY\tALLOWANCE"}
+	for _, workspace := range list {
+		allowance := "unlimited"
+		if workspace.Rate > 0 {
+			allowance = fmt.Sprintf("%g %s/s, burst %g", workspace.Rate, workspace.Unit, workspace.Burst)
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s", workspace.Workspace, workspace.Keys, workspace.Priority, allowance))
+	}
+	return rows
+}
+
 func formatBytes(bytes celerylanding.Bytes) string { return humanize.IBytes(uint64(bytes)) }
 
 func formatReplicas(model node.ModelStatus) string {
--- a/config/config.go
+++ b/config/config.go
@@ -3,10 +3,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"sort"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/routing"
 )
 
 // Digest is a hash that identifies the content of a document.
@@ -46,6 +48,7 @@
 	replicas  Replicas
 	deadline  time.Duration
 	priority  celerylanding.Priority
+	public    bool
 }
 
 // ID returns the model's identifier.
@@ -72,6 +75,9 @@
 // Priority returns the default priority of a request, for callers that set none.
 func (model *Model) Priority() celerylanding.Priority { return model.priority }
 
+// IsPublic reports whether callers need no key for the model.
+func (model *Model) IsPublic() bool { return model.public }
+
 // Group is a set of targets that may load the same models or run the same services.
 type Group struct {
 	name         string
@@ -98,6 +104,7 @@
 	group      string
 	deadline   time.Duration
 	idempotent map[string]bool
+	public     bool
 }
 
 // ID returns the service's identifier.
@@ -112,6 +119,9 @@
 // IsIdempotent reports whether a call with the HTTP method may be retried after an attempt that may have run.
 func (service *Service) IsIdempotent(method string) bool { return service.idempotent[method] }
 
+// IsPublic reports whether callers need no key for the service.
+func (service *Service) IsPublic() bool { return service.public }
+
 // Store holds the limits of the weight store.
 type Store struct {
 	loadsPerSecond   float64
@@ -171,6 +181,9 @@
 	queue            Queue
 	keepAlive        KeepAlive
 	claimTTL         time.Duration
+	// access holds the workspaces, and table finds one by a key.
+	access routing.Configuration
+	table  *routing.Table
 }
 
 // Revision returns the revision number that the base file or the overlay states.
@@ -251,6 +264,17 @@
 	return group, ok
 }
 
+// Access returns the table of the workspaces and their keys.
+func (config *Config) Access() *routing.Table { return config.table }
+
+// Workspaces returns the workspaces in the order of the files. The slice must not be modified.
+func (config *Config) Workspaces() []routing.Workspace { return config.access.Workspaces }
+
+// HasPublicModels reports whether callers without a key may use a model.
+func (config *Config) HasPublicModels() bool {
+	return slices.ContainsFunc(config.sorted, (*Model).IsPublic)
+}
+
 // Store returns the limits of the weight store.
 func (config *Config) Store() Store { return config.store }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -9,7 +9,9 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/config"
+	"celerylanding.example/celerylanding/routing"
 )
 
 const validBase = `revision: 3
@@ -28,6 +30,9 @@
   pay: {group: p}
 `
 
+// digestOfK is the SHA-256 sum of the key "k".
+const digestOfK = "8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"
+
 func parse(base, overlay string) (*config.Config, error) {
 	return config.Parse(config.Document{BaseName: "base.yaml", Base: base, OverlayName: "overlay.yaml", Overlay: overlay})
 }
@@ -60,6 +65,11 @@
 		{"bad role", "target_memory: 80GiB", "target_memory: 80GiB, role: chief", "", []string{`base.yaml:4: groups.g.role: "chief" must be mixed, prefill or decode`}},
 		{"alias", "  g: {target_memory: 80GiB}", "  g: &x {target_memory: 80GiB}\n  h: *x", "", []string{`aliases`}},
 		{"weight out of range", "site: s\n", "site: s\nidling: {cold_start_weight: 2}\n", "", []string{`base.yaml:3: idling.cold_start_weight: "2" must be a number from 0 to 1`}},
+		{"unknown unit", "site: s\n", "site: s\nworkspaces:\n  w: {unit: bytes}\n", "", []string{`base.yaml:4: workspaces.w.unit: "bytes" must be requests or tokens`}},
+		{"negative rate", "site: s\n", "site: s\nworkspaces:\n  w: {rate: -3}\n", "", []string{`base.yaml:4: workspaces.w.rate: "-3" must be a number from 0`}},
+		{"public, but how", "pay: {group: p}", "pay: {group: p, public: maybe}", "", []string{`base.yaml:14: services.pay.public: "maybe" must be true or false`}},
+		{"two workspaces with one key", "", "", "workspaces:\n  w: {keys: [" + digestOfK + "]}\n  v:\n    keys:\n    - " + digestOfK + "\n",
+			[]string{`overlay.yaml:5: workspaces.v.keys[0]: workspace "v" has a key of workspace "w"`}},
 		{"several at once", "    group: g\n", "    group: h\n    colour: red\n", "site: {}\n",
 			[]string{`base.yaml:9: models.m.colour: unknown key`, `base.yaml:8: models.m.group`, `overlay.yaml:1: site: must be a string`}},
 	} {
@@ -85,6 +95,35 @@
 	assert.Assert(t, !ok, "null removes a key of the base file")
 }
 
+func TestWorkspaces(t *testing.T) {
+	parsed, err := parse(validBase, "workspaces:\n  w: {keys: ["+digestOfK+"], priority: batch, rate: 2.5, burst: 4, unit: tokens, default_tokens: 7}\n"+
+		"models:\n  m: {public: true}\n")
+	assert.NilError(t, err)
+	key := celerylanding.Key("k").Digest()
+	assert.DeepEqual(t, parsed.Workspaces(), []routing.Workspace{{ID: "w", Keys: []celerylanding.KeyDigest{key}, Priority: int(celerylanding.PriorityBatch),
+		Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 2.5, Burst: 4, DefaultTokens: 7}}})
+	assert.Equal(t, parsed.Access().WorkspaceOf(key).ID, celerylanding.WorkspaceID("w"))
+	model, _ := parsed.Resolve("m")
+	adapter, _ := parsed.Resolve("a")
+	service, _ := parsed.Service("pay")
+	assert.Assert(t, model.IsPublic() && parsed.HasPublicModels() && !adapter.IsPublic() && !service.IsPublic())
+	for overlay, want := range map[string]bool{"": false, "workspaces: {}\n": true} {
+		parsed, err := parse(validBase, overlay)
+		assert.NilError(t, err)
+		assert.Equal(t, parsed.Access().NeedsKeys(), want, "an empty section lets nobody in")
+	}
+}
+
+// TestKeysInClearAreNotRepeated guards against problems that show a key which was written in clear by mistake.
+func TestKeysInClearAreNotRepeated(t *testing.T) {
+	const secret = "asnmgkcuyj8pjbvk9m68"
+	for _, keys := range []string{secret, "[" + secret + "]", "[{" + secret + ": x}]", "[" + digestOfK + secret + "]", "[47114711]", "[null]"} {
+		_, err := parse(validBase, "workspaces:\n  w: {keys: "+keys+"}\n")
+		assert.ErrorContains(t, err, "overlay.yaml:2: workspaces.w.keys")
+		assert.Assert(t, !strings.Contains(err.Error(), secret) && !strings.Contains(err.Error(), "4711"), "%v", err)
+	}
+}
+
 func TestDigestCoversBothTexts(t *testing.T) {
 	one := config.Document{Base: "ab", Overlay: "c"}
 	other := config.Document{Base: "a", Overlay: "bc"}
@@ -123,6 +162,19 @@
 	}
 }
 
+// TestExampleWithWorkspaces checks the overlay that the README applies to the demo.
+func TestExampleWithWorkspaces(t *testing.T) {
+	base, err := os.ReadFile(filepath.Join("..", "commands", "demo", "base.yaml"))
+	assert.NilError(t, err)
+	overlay, err := os.ReadFile(filepath.Join("..", "examples", "workspaces", "overlay.yaml"))
+	assert.NilError(t, err)
+	parsed, err := parse(string(base), string(overlay))
+	assert.NilError(t, err)
+	for id, key := range map[celerylanding.WorkspaceID]celerylanding.Key{"astana": "demo-key-astana", "almaty": "demo-key-almaty"} {
+		assert.Equal(t, parsed.Access().WorkspaceOf(key.Digest()).ID, id)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(validBase, "site: x\n")
 	f.Add("a: [1, {b: *c}]", "")
--- a/config/decode.go
+++ b/config/decode.go
@@ -84,6 +84,14 @@
 	return field.node.Value
 }
 
+func (field fieldNode) boolean() bool {
+	value, err := strconv.ParseBool(field.text())
+	if err != nil {
+		field.addProblem("%q must be true or false", field.node.Value)
+	}
+	return value
+}
+
 func (field fieldNode) integer(minimum, maximum int) int {
 	number, err := strconv.Atoi(field.text())
 	if err != nil || number < minimum || number > maximum {
--- a/config/parse.go
+++ b/config/parse.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"strings"
 	"time"
@@ -8,6 +10,7 @@
 	"go.yaml.in/yaml/v3"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/routing"
 )
 
 // Defaults of the settings that the files may omit, and upper limits of settings.
@@ -25,6 +28,7 @@
 	defaultMaxReplicas      = 1
 	replicaCountLimit       = 10_000
 	queueRequestsLimit      = 1_000_000
+	allowanceLimit          = 1_000_000_000
 )
 
 // reader fills a Config from the merged tree. It collects the references between sections and checks them at the end.
@@ -34,6 +38,7 @@
 	baseRefs        []baseRef
 	memoryChecks    []memoryCheck
 	groupRefs       []groupRef
+	keyOwners       map[celerylanding.KeyDigest]celerylanding.WorkspaceID
 	defaultDeadline time.Duration
 }
 
@@ -74,6 +79,8 @@
 	reader.readRoot(root)
 	reader.resolve()
 	reader.config.sortModels()
+	reader.config.access.Version = reader.config.revision
+	reader.config.table = routing.NewTable(&reader.config.access)
 	if err := problems.err(); err != nil {
 		return nil, err
 	}
@@ -84,6 +91,7 @@
 	return &reader{
 		problems:        problems,
 		defaultDeadline: defaultDeadline,
+		keyOwners:       make(map[celerylanding.KeyDigest]celerylanding.WorkspaceID),
 		config: &Config{
 			digest:   document.Digest(),
 			models:   make(map[celerylanding.ModelID]*Model),
@@ -117,13 +125,17 @@
 func (reader *reader) readRoot(root fieldNode) {
 	config := reader.config
 	root.readMapping(fields{
-		"revision":  func(field fieldNode) { config.revision = uint64(field.integer(1, math.MaxInt)) },
-		"site":      func(field fieldNode) { config.site = field.text() },
-		"defaults":  func(fieldNode) {},
-		"groups":    func(field fieldNode) { field.forEachKey(reader.readGroup) },
-		"models":    func(field fieldNode) { field.forEachKey(reader.readModel) },
-		"adapters":  func(field fieldNode) { field.forEachKey(reader.readAdapter) },
-		"services":  func(field fieldNode) { field.forEachKey(reader.readService) },
+		"revision": func(field fieldNode) { config.revision = uint64(field.integer(1, math.MaxInt)) },
+		"site":     func(field fieldNode) { config.site = field.text() },
+		"defaults": func(fieldNode) {},
+		"groups":   func(field fieldNode) { field.forEachKey(reader.readGroup) },
+		"models":   func(field fieldNode) { field.forEachKey(reader.readModel) },
+		"adapters": func(field fieldNode) { field.forEachKey(reader.readAdapter) },
+		"services": func(field fieldNode) { field.forEachKey(reader.readService) },
+		"workspaces": func(field fieldNode) {
+			config.access.NeedsKeys = true
+			field.forEachKey(reader.readWorkspace)
+		},
 		"store":     reader.readStore,
 		"queue":     reader.readQueue,
 		"idling":    reader.readKeepAlive,
@@ -194,15 +206,18 @@
 func modelFields(model *Model) fields {
 	return fields{
 		"deadline": func(field fieldNode) { model.deadline = field.duration() },
-		"priority": func(field fieldNode) {
-			priority, ok := celerylanding.ParsePriority(field.text())
-			if !ok {
-				field.addProblem("%q must be interactive, normal or batch", field.node.Value)
-			}
-			model.priority = priority
-		},
+		"priority": func(field fieldNode) { model.priority = readPriority(field) },
 		"replicas": func(field fieldNode) { model.replicas = readReplicas(field, model.replicas) },
+		"public":   func(field fieldNode) { model.public = field.boolean() },
+	}
+}
+
+func readPriority(field fieldNode) celerylanding.Priority {
+	priority, ok := celerylanding.ParsePriority(field.text())
+	if !ok {
+		field.addProblem("%q must be interactive, normal or batch", field.node.Value)
 	}
+	return priority
 }
 
 func readReplicas(field fieldNode, replicas Replicas) Replicas {
@@ -276,6 +291,7 @@
 			reader.groupRefs = append(reader.groupRefs, groupRef{service.group, celerylanding.KindService, field})
 		},
 		"deadline":           func(field fieldNode) { service.deadline = field.duration() },
+		"public":             func(field fieldNode) { service.public = field.boolean() },
 		"idempotent_methods": func(field fieldNode) { service.idempotent = readMethods(field) },
 	})
 	if service.group == "" {
@@ -284,6 +300,47 @@
 	reader.config.services[service.id] = service
 }
 
+// readWorkspace adds a workspace with the digests of its keys; problems do not repeat a value that may be a key.
+func (reader *reader) readWorkspace(name string, field fieldNode) {
+	field.checkName(name)
+	workspace := routing.Workspace{ID: celerylanding.WorkspaceID(name)}
+	allowance := &workspace.Allowance
+	field.readMapping(fields{
+		"keys": func(field fieldNode) {
+			field.forEachItem(func(field fieldNode) {
+				workspace.Keys = append(workspace.Keys, reader.readKey(workspace.ID, field))
+			})
+		},
+		"priority": func(field fieldNode) { workspace.Priority = int(readPriority(field)) },
+		"rate":     func(field fieldNode) { allowance.Rate = field.number(0, allowanceLimit) },
+		"burst":    func(field fieldNode) { allowance.Burst = field.number(0, allowanceLimit) },
+		"unit": func(field fieldNode) {
+			if text := field.text(); text == "tokens" {
+				allowance.Unit = routing.AllowanceTokens
+			} else if text != "requests" {
+				field.addProblem("%q must be requests or tokens", text)
+			}
+		},
+		"default_tokens": func(field fieldNode) { allowance.DefaultTokens = field.integer(0, allowanceLimit) },
+	})
+	reader.config.access.Workspaces = append(reader.config.access.Workspaces, workspace)
+}
+
+// readKey reads the digest of a key, which no other workspace may have.
+func (reader *reader) readKey(workspace celerylanding.WorkspaceID, field fieldNode) celerylanding.KeyDigest {
+	sum, err := hex.DecodeString(field.text())
+	if err != nil || len(sum) != sha256.Size {
+		field.addProblem("must be the SHA-256 sum of a key, as 64 hexadecimal digits")
+		return celerylanding.KeyDigest{}
+	}
+	digest := celerylanding.KeyDigest(sum[:len(celerylanding.KeyDigest{})])
+	if owner, ok := reader.keyOwners[digest]; ok && owner != workspace {
+		field.addProblem("workspace %q has a key of workspace %q", workspace, owner)
+	}
+	reader.keyOwners[digest] = workspace
+	return digest
+}
+
 func readMethods(field fieldNode) map[string]bool {
 	methods := make(map[string]bool)
 	field.forEachItem(func(field fieldNode) {
@@ -324,38 +381,3 @@
 		field.addProblem("keep_alive_min %v is more than keep_alive_max %v", keepAlive.min, keepAlive.max)
 	}
 }
-
-// resolve checks the references between sections.
-func (reader *reader) resolve() {
-	for _, ref := range reader.groupRefs {
-		group, ok := reader.config.groups[ref.name]
-		switch {
-		case !ok:
-			ref.field.addProblem("group %q is not defined", ref.name)
-		case group.kind != ref.kind:
-			ref.field.addProblem("group %q is of kind %s, not %s", ref.name, group.kind, ref.kind)
-		}
-	}
-	for _, ref := range reader.baseRefs {
-		reader.resolveBase(ref)
-	}
-	for _, check := range reader.memoryChecks {
-		group, ok := reader.config.groups[check.model.group]
-		if ok && check.model.Memory() > group.targetMemory {
-			check.field.addProblem("needs %d bytes including its KV cache reserve; the largest target in group %q has %d",
-				check.model.Memory(), group.name, group.targetMemory)
-		}
-	}
-}
-
-func (reader *reader) resolveBase(ref baseRef) {
-	base, ok := reader.config.Resolve(ref.name)
-	if !ok || base.IsAdapter() {
-		ref.field.addProblem("base model %q is not defined", ref.name)
-		return
-	}
-	ref.adapter.base = base.id
-	ref.adapter.group = base.group
-	reader.memoryChecks = append(reader.memoryChecks, memoryCheck{
-		&Model{memory: ref.adapter.memory + base.Memory(), group: base.group}, ref.field})
-}
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -45,6 +45,9 @@
 		}
 		// A target may have crashed on an identical request while this one waited.
 		suspectNow, err := gateway.checkCrashes(fingerprint)
+		if err == nil {
+			err = gateway.recheck(call)
+		}
 		if err != nil {
 			gateway.deps.Dispatcher.Release(grant, router.OutcomeNeutral)
 			return router.Grant{}, nil, err
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -35,7 +35,12 @@
 	Object string `json:"object"`
 }
 
-func (gateway *Gateway) listModels(writer http.ResponseWriter, _ *http.Request) {
+func (gateway *Gateway) listModels(writer http.ResponseWriter, request *http.Request) {
+	caller := gateway.identify(time.Now(), request)
+	if err := gateway.admit(&caller, false); err != nil {
+		writeError(writer, "", err)
+		return
+	}
 	list := modelList{Object: "list", Data: []modelItem{}}
 	if config := gateway.deps.Dispatcher.View().Config; config != nil {
 		for _, name := range config.ModelNames() {
@@ -48,11 +53,20 @@
 
 // serveCompletion handles a completion or chat completion request.
 func (gateway *Gateway) serveCompletion(writer http.ResponseWriter, request *http.Request) {
+	caller := gateway.identify(time.Now(), request)
+	if config := gateway.deps.Dispatcher.View().Config; config != nil && !config.HasPublicModels() {
+		// Callers without a key can't make a node buffer bodies.
+		if err := gateway.admit(&caller, false); err != nil {
+			gateway.refuse(writer, err)
+			return
+		}
+	}
 	call, err := newCall(writer, request)
 	if err != nil {
 		writeError(writer, "", err)
 		return
 	}
+	call.caller = caller
 	completion, err := gateway.readCompletion(request, call)
 	if err == nil {
 		err = gateway.callWithRetries(request, call, gateway.completionPlan(writer, request, call, completion))
@@ -79,6 +93,11 @@
 		return completion, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonUnknownModel,
 			"model %q is not stated", completion.Model)
 	}
+	if !call.caller.isAdmitted {
+		if err := gateway.admit(&call.caller, model.IsPublic()); err != nil {
+			return completion, err
+		}
+	}
 	call.model = model.ID()
 	call.operation = request.URL.Path + " " + string(model.ID())
 	if err := call.setDeadline(request, model.Deadline()); err != nil {
@@ -87,6 +106,7 @@
 	if err := call.setPriority(request, model.Priority()); err != nil {
 		return completion, err
 	}
+	call.limitPriority()
 	body, err := rewriteModel(call.body, model.ID())
 	call.body = body
 	return completion, err
@@ -122,6 +142,7 @@
 	completion completionRequest) attemptPlan {
 	outgoing := target.Call{Method: http.MethodPost, Path: request.URL.Path, RequestID: call.id, Body: call.body,
 		Header: http.Header{"Content-Type": {"application/json"}}}
+	call.caller.setHeader(outgoing.Header)
 	return attemptPlan{idempotent: true, prefix: completion.prefix(), send: func(ctx context.Context, grant router.Grant) error {
 		outgoing.FirstByte = gateway.firstByteTimeout(call, completion.Stream)
 		response, err := gateway.deps.Client.Do(ctx, grant.Endpoint, outgoing)
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -42,6 +42,9 @@
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderVerdict, celerylanding.VerdictOf(err).String())
+	if reason == celerylanding.ReasonUnknownKey {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if delay := reason.RetryAfter(); delay > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(delay/time.Second)))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Tasks    *tasks.Group
 	Recorder celerylanding.Recorder
 	Metrics  tally.Scope
+	// LeaderSeen returns when this node last knew a leader.
+	LeaderSeen func() time.Time
 	// OnTargetRefused is called when a target refuses new work.
 	OnTargetRefused func(endpoint celerylanding.Endpoint)
 	// Node is the ID of this node; it is part of the owner of idempotency claims.
@@ -90,6 +92,7 @@
 	started   time.Time
 	deadline  time.Time
 	priority  celerylanding.Priority
+	caller    caller
 	body      []byte
 	// target is the target of the last attempt.
 	target   celerylanding.TargetID
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -121,6 +121,8 @@
 	recorder   *recorder
 	claims     *memoryClaims
 	refused    atomic.Int32
+	// silence is the time since a leader was last known, in nanoseconds.
+	silence atomic.Int64
 }
 
 func newHarness(t *testing.T) *harness {
@@ -136,6 +138,7 @@
 		Tasks:             tasks.New(t.Context()),
 		Recorder:          harness.recorder,
 		Metrics:           tally.NoopScope,
+		LeaderSeen:        func() time.Time { return time.Now().Add(-time.Duration(harness.silence.Load())) },
 		OnTargetRefused:   func(celerylanding.Endpoint) { harness.refused.Add(1) },
 		Node:              "n",
 		FirstByteTimeout:  300 * time.Millisecond,
@@ -149,7 +152,13 @@
 // publishTargets updates the dispatcher with targets at the addresses, which serve the model m and the service s.
 func (harness *harness) publishTargets(addresses ...string) {
 	harness.t.Helper()
-	parsed, err := config.Parse(config.Document{BaseName: "contract", Base: contractText})
+	harness.publish(contractText, addresses...)
+}
+
+// publish updates the dispatcher with a configuration and targets.
+func (harness *harness) publish(text string, addresses ...string) {
+	harness.t.Helper()
+	parsed, err := config.Parse(config.Document{BaseName: "contract", Base: text})
 	assert.NilError(harness.t, err)
 	view := &router.View{Config: parsed, Models: make(map[celerylanding.ModelID]router.ModelView), Groups: make(map[string][]router.Route),
 		ColdStart: time.Second}
@@ -173,7 +182,12 @@
 
 func (harness *harness) call(path, body string, header http.Header) callResult {
 	harness.t.Helper()
-	request, err := http.NewRequest(http.MethodPost, harness.server.URL+path, strings.NewReader(body))
+	return harness.callWith(http.MethodPost, path, body, header)
+}
+
+func (harness *harness) callWith(method, path, body string, header http.Header) callResult {
+	harness.t.Helper()
+	request, err := http.NewRequest(method, harness.server.URL+path, strings.NewReader(body))
 	assert.NilError(harness.t, err)
 	for name, values := range header {
 		request.Header[name] = values
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -29,12 +29,21 @@
 
 // serveService handles a call to a plain service.
 func (gateway *Gateway) serveService(writer http.ResponseWriter, request *http.Request) {
+	service, unknown := gateway.findService(request)
+	caller := gateway.identify(time.Now(), request)
+	if err := gateway.admit(&caller, service != nil && service.IsPublic()); err != nil {
+		gateway.refuse(writer, err)
+		return
+	}
 	call, err := newCall(writer, request)
 	if err != nil {
 		writeError(writer, "", err)
 		return
 	}
-	service, err := gateway.readServiceCall(request, call)
+	call.caller = caller
+	if err = unknown; err == nil {
+		err = call.readServiceCall(request, service)
+	}
 	var response serviceResponse
 	if err == nil {
 		response, err = gateway.runServiceCall(request, call, service)
@@ -48,7 +57,7 @@
 	gateway.recordEnd(call, nil)
 }
 
-func (gateway *Gateway) readServiceCall(request *http.Request, call *call) (*config.Service, error) {
+func (gateway *Gateway) findService(request *http.Request) (*config.Service, error) {
 	configuration := gateway.deps.Dispatcher.View().Config
 	if configuration == nil {
 		return nil, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonNoTarget,
@@ -59,11 +68,19 @@
 		return nil, celerylanding.NewCallError(celerylanding.NotRun, celerylanding.ReasonUnknownService,
 			"service %q is not stated", request.PathValue("service"))
 	}
+	return service, nil
+}
+
+func (call *call) readServiceCall(request *http.Request, service *config.Service) error {
 	call.operation = request.Method + " " + request.URL.RequestURI()
 	if err := call.setDeadline(request, service.Deadline()); err != nil {
-		return nil, err
+		return err
+	}
+	if err := call.setPriority(request, celerylanding.PriorityNormal); err != nil {
+		return err
 	}
-	return service, call.setPriority(request, celerylanding.PriorityNormal)
+	call.limitPriority()
+	return nil
 }
 
 // runServiceCall sends a call to its service. With an idempotency key, it claims the key first and records the response afterwards.
@@ -75,6 +92,10 @@
 	if len(key) > maxKeyBytes {
 		return serviceResponse{}, badRequest("%s exceeds %d bytes", HeaderIdempotencyKey, maxKeyBytes)
 	}
+	if id := call.caller.id(); id != "" {
+		// Workspaces that choose the same key by chance must not get each other's responses.
+		key = string(id) + "/" + key
+	}
 	claim := celerylanding.Claim{Service: service.ID(), Key: key, Owner: gateway.deps.Node + "/" + call.id,
 		Fingerprint: router.Fingerprint(call.operation, call.body)}
 	ctx, cancel := context.WithDeadline(request.Context(), call.workDeadline())
@@ -156,6 +177,7 @@
 	}
 	outgoing := target.Call{Method: request.Method, Path: path, RequestID: call.id, Body: call.body, Header: make(http.Header)}
 	copyEndToEndHeaders(outgoing.Header, request.Header)
+	call.caller.setHeader(outgoing.Header)
 	var full serviceResponse
 	err := gateway.callWithRetries(request, call, attemptPlan{
 		group:      service.Group(),
--- a/node/control.go
+++ b/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -98,10 +99,12 @@
 	lastLeader          quorum.MemberID
 	lastRole            quorum.Role
 	leaderLastSeen      time.Time
-	lastRevision        uint64
-	stopping            bool
-	lastPublish         time.Time
-	lastConfig          *config.Config
+	// leaderSeenAt is leaderLastSeen for other goroutines.
+	leaderSeenAt atomic.Pointer[time.Time]
+	lastRevision uint64
+	stopping     bool
+	lastPublish  time.Time
+	lastConfig   *config.Config
 }
 
 // post queues the function for the control goroutine; it returns false if the context ended first.
@@ -207,5 +210,14 @@
 	}
 	if ctl.core.Leader() != "" {
 		ctl.leaderLastSeen = now
+		ctl.leaderSeenAt.Store(&now)
 	}
 }
+
+// leaderSeen returns when a leader was last known, or the zero time; any goroutine may call it.
+func (ctl *control) leaderSeen() time.Time {
+	if seen := ctl.leaderSeenAt.Load(); seen != nil {
+		return *seen
+	}
+	return time.Time{}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -133,6 +133,7 @@
 		Tasks:             node.tasks,
 		Recorder:          node.recorder,
 		Metrics:           node.metrics,
+		LeaderSeen:        node.control.leaderSeen,
 		OnTargetRefused:   node.handleTargetRefusal,
 		Node:              string(options.ID),
 		FirstByteTimeout:  options.Timing.FirstByteTimeout,
--- a/node/operator.go
+++ b/node/operator.go
@@ -45,6 +45,29 @@
 	Nodes    []Status       `json:"nodes"`
 	Targets  []TargetStatus `json:"targets"`
 	Models   []ModelStatus  `json:"models"`
+	// Workspaces is empty if callers need no key.
+	Workspaces []WorkspaceStatus `json:"workspaces,omitempty"`
+}
+
+// WorkspaceStatus is one workspace of the configuration, without its keys.
+type WorkspaceStatus struct {
+	Workspace celerylanding.WorkspaceID `json:"workspace"`
+	Keys      int                       `json:"keys"`
+	Priority  string                    `json:"priority"`
+	Rate      float64                   `json:"rate"`
+	Burst     float64                   `json:"burst"`
+	Unit      string                    `json:"unit"`
+}
+
+// WorkspacesOf returns the workspaces of a configuration.
+func WorkspacesOf(configuration *config.Config) []WorkspaceStatus {
+	var list []WorkspaceStatus
+	for _, workspace := range configuration.Workspaces() {
+		list = append(list, WorkspaceStatus{Workspace: workspace.ID, Keys: len(workspace.Keys),
+			Priority: celerylanding.Priority(workspace.Priority).String(), Rate: workspace.Allowance.Rate, Burst: workspace.Allowance.Burst,
+			Unit: workspace.Allowance.Unit.String()})
+	}
+	return list
 }
 
 // TargetStatus is one target as the queried node sees it.
@@ -235,6 +258,7 @@
 		return reply
 	}
 	reply.Site, reply.Revision, reply.Digest = configuration.Site(), configuration.Revision(), configuration.Digest()
+	reply.Workspaces = WorkspacesOf(configuration)
 	for _, model := range configuration.Models() {
 		status := ModelStatus{Model: model.ID(), Min: model.Replicas().Min, Max: model.Replicas().Max, Replicas: []ReplicaStatus{}}
 		for _, replica := range ctl.state.ReplicasOf(model.ID()) {
--- a/routing/workspace.go
+++ b/routing/workspace.go
@@ -13,6 +13,14 @@
 	AllowanceTokens
 )
 
+// String returns the name of the unit.
+func (unit AllowanceUnit) String() string {
+	if unit == AllowanceTokens {
+		return "tokens"
+	}
+	return "requests"
+}
+
 // Allowance is what a workspace may use over all routers together.
 type Allowance struct {
 	Unit AllowanceUnit `cbor:"1,keyasint,omitempty"`
--- a/workspace.go
+++ b/workspace.go
@@ -1,6 +1,16 @@
 package celerylanding
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+)
+
+// HeaderKey is the header field in which callers send their key.
+const HeaderKey = "Authorization"
+
+// keyScheme is the authentication scheme of keys.
+const keyScheme = "Bearer"
 
 // WorkspaceID is the name of a workspace, to which callers belong by their keys.
 type WorkspaceID string
@@ -11,6 +21,19 @@
 // KeyDigest identifies a key without disclosing it: the first bytes of its SHA-256 sum.
 type KeyDigest [16]byte
 
+// ParseKey returns the key of a request, or "" if there is not exactly one field with one key.
+func ParseKey(header http.Header) Key {
+	fields := header[HeaderKey]
+	if len(fields) != 1 {
+		return ""
+	}
+	scheme, key, _ := strings.Cut(strings.TrimSpace(fields[0]), " ")
+	if !strings.EqualFold(scheme, keyScheme) {
+		return ""
+	}
+	return Key(strings.TrimSpace(key))
+}
+
 const redactedKey = "(redacted)"
 
 // String returns a placeholder, so that the key stands in no log line or error.
