--- a/control/control.go
+++ b/control/control.go
@@ -85,7 +85,7 @@
 	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
 	allowances *throttle.Allocator
 	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
-	board *forecast.Board
+	board      *forecast.Board
 	succession *throttle.Succession
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
