Forecast: targets of which nothing is known are taken as loaded as the others

Cause: all routers sent to a target that had just started, since nothing was unread there; and a few late answers made a target count as slow for many seconds. Change: an unknown target is assumed at the mean of unread tokens; an answer's weight in a target's pace is 0.1 for both directions.

--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -110,8 +110,8 @@
 	case target.service.unread.weight == 0:
 		return waiting * target.service.prompt.orElse(0)
 	case target.unreadAt.IsZero():
-		// The other routers have nothing to report of this target.
-		return 0
+		// A target that has just started is as good as the others at most, or all routers would choose it at once.
+		return target.service.unread.value
 	}
 	age := now.Sub(target.unreadAt)
 	usual := target.usualUnread.value * decay(age, crowdTime)
--- a/forecast/target.go
+++ b/forecast/target.go
@@ -16,8 +16,8 @@
 	// paceTime is the time in which what answers said of a target's speed is forgotten, and delayTime the half-life of a passing delay.
 	paceTime  = 15 * time.Second
 	delayTime = 1500 * time.Millisecond
-	// paceWeight is the weight of an answer in a target's pace.
-	paceWeight = 0.3
+	// paceWeight is the weight of an answer in a target's pace. Most of what makes single answers late passes, and the delay covers it.
+	paceWeight = 0.1
 	// delayWeight is the weight of the newest answer in the delay, and maxDelay bounds it in seconds.
 	delayWeight = 0.3
 	maxDelay    = 2.0
