Requests that are given up are not delivered after a network partition

The zone of the leader of term 3 was cut off from 33.4 to 39.3 s; it lost its lease and gave its orders up after 150 ms by closing their connections in order, so that the kernel went on sending them until the link was back, half a second after it healed (the exponential retransmission of an order of 33.9 s falls at 40 s). Change: a connection whose exchange failed is closed with a reset, which drops what the target has not acknowledged.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -93,7 +93,7 @@
 	}
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		conn.discard()
 		if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
 			pool.idleLimit.recordReset(address, now.Sub(conn.idleSince))
 		}
@@ -113,6 +113,16 @@
 	return answer, nil
 }
 
+// discard closes the connection and drops the bytes that the target has not acknowledged. The kernel would otherwise go on sending them, and a
+// request that was given up during a network partition would arrive after its end.
+func (conn *pooledConn) discard() {
+	if lingerer, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// Without the option, the connection is closed in order.
+		_ = lingerer.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // exchange writes the request and reads the header of its answer.
 func (conn *pooledConn) exchange(request *Request) (*http.Response, error) {
 	outgoing := &http.Request{
