The log records settled terms, so that a restarted group grants at once

Members counted changes of the leader by the time at which they saw them. Now a leader that has outlasted the grants of its predecessors records its term, if a workspace has a limit, and a new leader counts the terms after the last recorded one.

--- a/control/allowances.go
+++ b/control/allowances.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/throttle"
@@ -12,19 +15,33 @@
 // stopped waiting for it.
 const maxAllowanceDelay = 250 * time.Millisecond
 
-// observeSuccession records changes of the leader that the log shows.
-func (ctl *Control) observeSuccession(now time.Time) {
-	if newest, terms := ctl.core.TermsAfter(ctl.succession.Term()); terms > 0 {
-		ctl.succession.Observe(now, newest, terms)
-	}
-}
-
-// resetAllowances begins the grants of a new term: those of an earlier leader are unknown.
+// resetAllowances begins the grants of a new term: those of earlier leaders are unknown, back to the last one that was settled.
 func (ctl *Control) resetAllowances(now time.Time) {
-	ctl.allowances = throttle.NewAllocator(ctl.core.Term(), ctl.options.Allowances, ctl.succession)
+	_, changes := ctl.core.TermsAfter(ctl.settledTerm)
+	ctl.allowances = throttle.NewAllocator(now, ctl.core.Term(), ctl.options.Allowances, changes)
+	ctl.isSettling = true
 	ctl.updateAllowances(now)
 }
 
+// settleAllowances proposes to record this term once all grants of earlier leaders have expired, if any workspace has a limit.
+func (ctl *Control) settleAllowances(now time.Time) {
+	if !ctl.isSettling || !ctl.allowances.IsSettled(now) || ctl.configuration == nil {
+		return
+	}
+	isLimited := slices.ContainsFunc(ctl.configuration.Workspaces, func(workspace routing.Workspace) bool { return workspace.Allowance.IsLimited() })
+	if !isLimited {
+		return
+	}
+	data, err := cbor.Marshal(&replicated{SettledTerm: ctl.core.Term()})
+	if err != nil {
+		ctl.options.Log.Error().Err(err).Msg("settled term can't be encoded")
+		return
+	}
+	ctl.isSettling = false
+	// Without a commit this node loses its role, and the next leader counts this term as not settled.
+	ctl.batch = append(ctl.batch, queuedCommand{data, make(chan ProposeReply, 1)})
+}
+
 // updateAllowances takes over the allowances of the active configuration.
 func (ctl *Control) updateAllowances(now time.Time) {
 	var workspaces []routing.Workspace
--- a/control/allowances_test.go
+++ b/control/allowances_test.go
@@ -90,3 +90,32 @@
 	assert.NilError(t, peers.Call(ctx, address, "Peer.Allowance", args, &reply))
 	assert.Assert(t, !reply.Leads && len(reply.Grants) == 0)
 }
+
+// TestRestartedGroupGrantsAllItMay guards against a leader that grants less than it may after all nodes have restarted, since it does not know from its log
+// or from a snapshot that its predecessor was settled.
+func TestRestartedGroupGrantsAllItMay(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
+	defer cancel()
+	peers, sequence := newTestPeers(t), uint64(0)
+	for round := range uint64(2) {
+		cluster.submitAllowance(100*round+1, 1000)
+		cluster.drawAllowance(ctx, peers, &sequence, 0.001)
+		time.Sleep(3 * time.Second)
+		for number := range 50 * round {
+			// Snapshots replace the log.
+			cluster.submitAllowance(100*round+2+number, 1000)
+		}
+		for _, node := range cluster.nodes {
+			cluster.stop(node)
+		}
+		for _, node := range cluster.nodes {
+			cluster.start(node, nil, false)
+		}
+		cluster.drawAllowance(ctx, peers, &sequence, 0.001)
+		time.Sleep(time.Second)
+		reply := cluster.drawAllowance(ctx, peers, &sequence, 500)
+		// The excess is 1900 units, of which the first leader after a settled one may hold out a fifth.
+		assert.Check(t, reply.Grants[0].Units > 300 && reply.Grants[0].Units < 380.1, "round %d: %.1f units granted", round, reply.Grants[0].Units)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -83,7 +83,10 @@
 	limits *throttle.Ledger
 	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
 	allowances *throttle.Allocator
-	succession *throttle.Succession
+	// settledTerm is the last term whose leader has outlasted all grants of its predecessors, by the log; isSettling is set while this leader has not
+	// proposed its own.
+	settledTerm uint64
+	isSettling  bool
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
 	// started is when this process started.
@@ -155,7 +158,6 @@
 	}
 	ctl.wal = log
 	address := ctl.options.Peers.Addr().String()
-	wasEmpty := recovered.IsEmpty()
 	id, err := loadMemberID(ctl.options, log, &recovered, address, fmt.Sprintf("%x", ctl.options.Seed))
 	if err != nil {
 		return err
@@ -172,12 +174,6 @@
 		MaxAppendEntries:         maxAppend,
 		Random:                   rand.New(rand.NewPCG(ctl.options.Seed, 1)),
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
-	newest, _ := ctl.core.TermsAfter(0)
-	ctl.succession = throttle.NewSuccession(now, newest)
-	if wasEmpty && !recovered.IsEmpty() {
-		// A log that has just been founded had no leader yet.
-		ctl.succession.Learn(now, newest, nil)
-	}
 	ctl.loadEngineCache()
 	ctl.options.Log.Info().Str("member", string(id)).Uint64("snapshot", recovered.Snapshot.Index).Int("entries", len(recovered.Entries)).
 		Int64("torn_bytes", recovered.TornBytes).Msg("control state recovered")
@@ -188,6 +184,7 @@
 	ctl.index = snapshot.Index
 	ctl.configuration = nil
 	ctl.quarantine.fingerprints = nil
+	ctl.settledTerm = 0
 	if len(snapshot.Data) == 0 {
 		return nil
 	}
@@ -199,6 +196,7 @@
 		ctl.activate(&state.Configuration)
 	}
 	ctl.quarantine.fingerprints = state.Quarantined
+	ctl.settledTerm = state.SettledTerm
 	return nil
 }
 
--- a/control/handover.go
+++ b/control/handover.go
@@ -34,9 +34,6 @@
 	Stopping bool `cbor:"5,keyasint,omitempty"`
 	// Targets are the targets that the member knows, if requested.
 	Targets []feed.Target `cbor:"4,keyasint,omitempty"`
-	// Term is the newest term of the member's log, and SinceChanges are the ages of the last changes of the leader if the member knows all of them.
-	Term         uint64          `cbor:"7,keyasint,omitempty"`
-	SinceChanges []time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // handover decides when a new leader may begin to send orders. Orders of two leaders must be a lease apart, unless engines reject the
@@ -50,7 +47,7 @@
 	earliest time.Time
 }
 
-// beginHandover asks the other members when they last sent an order, and which changes of the leader they know.
+// beginHandover asks the other members when they last sent an order.
 func (ctl *Control) beginHandover(now time.Time) {
 	ctl.handover = handover{notBefore: now.Add(ctl.options.LeaseTime), earliest: now}
 	since := ctl.leaderSince
@@ -83,9 +80,6 @@
 	}
 	ctl.handover.pendingReplies--
 	ctl.addInheritedTargets(now, reply.Targets)
-	if reply.Term > 0 {
-		ctl.succession.Learn(now, reply.Term, reply.SinceChanges)
-	}
 	required := earliestOrder(now, ctl.handover.notBefore, ctl.options.LeaseTime, ctl.options.Fencing, &reply, err)
 	ctl.handover.earliest = later(ctl.handover.earliest, required)
 	if ctl.handover.pendingReplies > 0 {
@@ -176,9 +170,6 @@
 	if !reply.NoOrder {
 		reply.Age, reply.Leads = now.Sub(ctl.lastOrder), ctl.core.Role() == quorum.Leader
 	}
-	if ages, isKnown := ctl.succession.Recent(now); isKnown {
-		reply.Term, reply.SinceChanges = ctl.succession.Term(), ages
-	}
 	if args.IncludeTargets {
 		for _, target := range ctl.directory.Targets() {
 			reply.Targets = append(reply.Targets, ctl.targetView(now, target))
--- a/control/leader.go
+++ b/control/leader.go
@@ -54,6 +54,7 @@
 		ctl.expire(now)
 	}
 	ctl.maintainQuarantine(now)
+	ctl.settleAllowances(now)
 	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
 		ctl.planDue = now.Add(planInterval + time.Duration(ctl.directory.Len())*planIntervalPerTarget)
 		ctl.execute(ctl.planner.Step(now))
@@ -84,7 +85,6 @@
 
 // updateRole starts and ends this node's work as the leader when its role changes.
 func (ctl *Control) updateRole(now time.Time) {
-	ctl.observeSuccession(now)
 	role, leader := ctl.core.Role(), ctl.core.Leader()
 	if role != ctl.lastRole || leader != ctl.lastLeader {
 		ctl.options.Log.Info().Str("role", role.String()).Uint64("term", ctl.core.Term()).Str("leader", string(leader)).Msg("role changed")
--- a/control/log.go
+++ b/control/log.go
@@ -190,7 +190,7 @@
 	return nil
 }
 
-// applyCommand applies a committed change of the quarantine, or activates a committed configuration if its version is higher than the active one.
+// applyCommand applies a committed change of the quarantine or of the settled term, or activates a committed configuration if its version is higher than the active one.
 func (ctl *Control) applyCommand(entry quorum.Entry) error {
 	command := &replicated{}
 	if err := cbor.Unmarshal(entry.Data, command); err != nil {
@@ -201,6 +201,10 @@
 		ctl.applyQuarantine(command)
 		return nil
 	}
+	if command.SettledTerm > 0 {
+		ctl.settledTerm = max(ctl.settledTerm, command.SettledTerm)
+		return nil
+	}
 	configuration := &command.Configuration
 	isNew := configuration.Version > ctl.version()
 	ctl.options.Log.Info().Uint64("index", entry.Index).Uint64("version", configuration.Version).Uint64("held", ctl.version()).
@@ -234,7 +238,7 @@
 	if ctl.commandsSinceSnapshot < commandsPerSnapshot {
 		return nil
 	}
-	state := replicated{Quarantined: ctl.quarantine.fingerprints}
+	state := replicated{Quarantined: ctl.quarantine.fingerprints, SettledTerm: ctl.settledTerm}
 	if ctl.configuration != nil {
 		state.Configuration = *ctl.configuration
 	}
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -25,13 +25,15 @@
 	idleQuarantineInterval = time.Second
 )
 
-// replicated is a command of the log, or a snapshot of its state. A command holds either a configuration or fingerprints. The fields of the
+// replicated is a command of the log, or a snapshot of its state. A command holds a configuration, fingerprints or a settled term. The fields of the
 // configuration are not nested, so that entries from before the quarantine was replicated keep their meaning.
 type replicated struct {
 	routing.Configuration
 	// Quarantined lists the fingerprints of requests that are refused: in a command the new ones, in a snapshot all of them, oldest first.
 	Quarantined []uint64 `cbor:"16,keyasint,omitempty"`
 	Released    []uint64 `cbor:"17,keyasint,omitempty"`
+	// SettledTerm is the term of a leader that has outlasted all grants of allowances by its predecessors.
+	SettledTerm uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // hasFingerprints reports whether a command changes the quarantine.
--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -27,10 +27,12 @@
 // never exceeds a capacity, and grows by no more than the rate, so that the use in each window is bounded by their sum, whatever part of the
 // routers is cut off. It is not safe for concurrent use.
 type Allocator struct {
-	bounds     AllowanceBounds
-	term       uint64
-	succession *Succession
-	accounts   map[celerylanding.WorkspaceID]*account
+	bounds AllowanceBounds
+	term   uint64
+	// changes is the number of changes of the leader after which grants may be in use until settledAt.
+	changes   int
+	settledAt time.Time
+	accounts  map[celerylanding.WorkspaceID]*account
 }
 
 // account is the state of one workspace.
@@ -67,12 +69,16 @@
 	owed float64
 }
 
-// NewAllocator returns the allocator of the leader of a term, which has granted nothing yet; succession is what the leader's member knows of earlier
-// ones, including the change to this leader.
-func NewAllocator(term uint64, bounds AllowanceBounds, succession *Succession) *Allocator {
-	return &Allocator{bounds: bounds, term: term, succession: succession, accounts: make(map[celerylanding.WorkspaceID]*account)}
+// NewAllocator returns the allocator of the leader of a term, which has granted nothing yet; changes is the number of changes of the leader, including
+// the one to this leader, since one of them was settled.
+func NewAllocator(now time.Time, term uint64, bounds AllowanceBounds, changes int) *Allocator {
+	return &Allocator{bounds: bounds, term: term, changes: changes, settledAt: now.Add(outstandingTTL),
+		accounts: make(map[celerylanding.WorkspaceID]*account)}
 }
 
+// IsSettled reports whether all grants of earlier leaders have expired.
+func (allocator *Allocator) IsSettled(now time.Time) bool { return !now.Before(allocator.settledAt) }
+
 // SetWorkspaces replaces the allowances by those of a configuration.
 func (allocator *Allocator) SetWorkspaces(now time.Time, workspaces []routing.Workspace) {
 	for id, entry := range allocator.accounts {
@@ -124,12 +130,11 @@
 }
 
 func (allocator *Allocator) capacity(now time.Time, entry *account) float64 {
-	changes, isKnown := allocator.succession.Recent(now)
 	switch {
-	case !isKnown || now.Before(entry.emptyUntil):
+	case now.Before(entry.emptyUntil):
 		return 0
-	case len(changes) > 0:
-		return allocator.bounds.earlyCapacity(entry.allowance, len(changes))
+	case !allocator.IsSettled(now):
+		return allocator.bounds.earlyCapacity(entry.allowance, allocator.changes)
 	}
 	return allocator.bounds.capacity(entry.allowance)
 }
--- a/throttle/allowance.go
+++ b/throttle/allowance.go
@@ -15,8 +15,6 @@
 	// heldShare is the part of the excess of an allowance that routers may hold beyond the burst. The rest is for leaders whose predecessors' grants
 	// may still be in use: half of it for the first, half of what remains for the next, so that any number of them stays within it.
 	heldShare = 0.6
-	// maxSuccessions is the number of changes of the leader from which no more are counted; next to nothing can be granted then.
-	maxSuccessions = 32
 	// reserveShare is the part of what is available that is kept for requests that wait.
 	reserveShare = 0.25
 	// savedShare is the part of the rate that is saved while less than half of the reserve is left.
