--- a/throttle/allowance_test.go
+++ b/throttle/allowance_test.go
@@ -388,6 +388,23 @@
 	}
 }
 
+// TestWorkspaceUnderItsRateLosesUnderOneInAHundred guards against any refusal of a workspace that sends nine tenths of its rate through one failure domain or
+// through all, whatever a shared bucket would refuse. The first seconds count too, in which the routers hold nothing.
+func TestWorkspaceUnderItsRateLosesUnderOneInAHundred(t *testing.T) {
+	for _, routers := range []int{1, 7, 27, 63} {
+		for _, rate := range []float64{29_000, 157_000} {
+			refused, requests := 0, 0
+			for seed := range uint64(16) {
+				office := newOffice(100+seed, 63, rate, rate, defaultBounds())
+				office.play(3*time.Second, 0, routers)
+				office.play(16*time.Second, 0.9*rate, routers)
+				refused, requests = refused+office.refused, requests+office.requests
+			}
+			assert.Check(t, refused*100 < requests, "%d routers, rate %.0f: %d of %d refused", routers, rate, refused, requests)
+		}
+	}
+}
+
 // TestSteadyWorkspaceSeldomWaits guards against routers that ask the leader for each request, and against a workspace that is refused as soon as the
 // leader is lost.
 func TestSteadyWorkspaceSeldomWaits(t *testing.T) {
