Requests wait for the next leader before they are refused for an allowance

A request that the leader did not answer for was refused after half of its latency objective, in an election too, although most callers have seconds. It now waits for as long as a leader has answered the router in the last 2 s, and half of its remaining time at most. A request that is refused at once since callers ask for more than the allowance is told so again (429). TestRequestWaitsForTheNextLeader fails before.

--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -16,6 +16,8 @@
 	// allowanceWait that time without an objective.
 	allowanceWaitShare = 0.5
 	allowanceWait      = 500 * time.Millisecond
+	// missingLeaderWait is how long after the leader's last answer a request waits for it, since another one is usually elected by then.
+	missingLeaderWait = 2 * time.Second
 	// allowanceTimeout is the timeout of one call to the leader.
 	allowanceTimeout = 300 * time.Millisecond
 	// allowanceSpread is the part by which the delay after which a caller returns is prolonged at random.
@@ -83,27 +85,39 @@
 	}
 	allowances.mutex.Unlock()
 	if done != nil {
-		handler.awaitCharge(ctx, charge, done, patience)
+		handler.awaitCharge(ctx, call, charge, done, patience)
 		call.waited += handler.options.Clock().Sub(now)
 	}
 	return handler.endCharge(call, charge)
 }
 
-// awaitCharge waits until a charge is decided, for as long as its request can wait.
-func (handler *Handler) awaitCharge(ctx context.Context, charge *throttle.Charge, done <-chan struct{}, patience time.Duration) {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-done:
+// awaitCharge waits until a charge is decided, for as long as its request can wait. While the leader does not answer, the request waits for the next one:
+// a late answer is worth more to its caller than none.
+func (handler *Handler) awaitCharge(ctx context.Context, call *call, charge *throttle.Charge, done <-chan struct{}, patience time.Duration) {
+	allowances := handler.allowances
+	latest := call.deadline.Add(-call.deadline.Sub(handler.options.Clock()) / 2)
+	for {
+		timer := time.NewTimer(patience)
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		now := handler.options.Clock()
+		patience = min(missingLeaderWait-handler.state.sinceContact(now), latest.Sub(now))
+		allowances.mutex.Lock()
+		if ctx.Err() == nil && patience > 0 && allowances.reserve.IsUnanswered(now, charge) {
+			allowances.mutex.Unlock()
+			continue
+		}
+		allowances.wake(allowances.reserve.GiveUp(now, charge))
+		delete(allowances.waiting, charge)
+		allowances.mutex.Unlock()
 		return
-	case <-timer.C:
-	case <-ctx.Done():
 	}
-	allowances := handler.allowances
-	allowances.mutex.Lock()
-	defer allowances.mutex.Unlock()
-	allowances.wake(allowances.reserve.GiveUp(handler.options.Clock(), charge))
-	delete(allowances.waiting, charge)
 }
 
 // endCharge records the decision on a charge, and returns the refusal of a request that may not be sent.
--- a/proxy/allowance_test.go
+++ b/proxy/allowance_test.go
@@ -37,10 +37,12 @@
 	return leader.allocator.Grant(time.Now(), &args), ctx.Err()
 }
 
-func (leader *grantingLeader) lose() {
+func (leader *grantingLeader) lose() { leader.setGone(true) }
+
+func (leader *grantingLeader) setGone(isGone bool) {
 	leader.mutex.Lock()
 	defer leader.mutex.Unlock()
-	leader.isGone = true
+	leader.isGone = isGone
 }
 
 // newCharging returns a handler with a leader that has granted nothing for a time.
@@ -115,6 +117,26 @@
 	assert.Assert(t, served >= 3, "%d requests are served from what was granted", served)
 }
 
+// TestRequestWaitsForTheNextLeader guards against requests that are refused in an election although their callers have time.
+func TestRequestWaitsForTheNextLeader(t *testing.T) {
+	workspace := limitedWorkspace(10_000)
+	handler, leader := newCharging(t, workspace, 10*time.Second)
+	handler.RecordContact(time.Now())
+	leader.lose()
+	time.AfterFunc(700*time.Millisecond, func() { leader.setGone(false) })
+	charged, status, _ := handler.Charge(t.Context(), workspace, 100, 300*time.Millisecond)
+	assert.Equal(t, status, 0)
+	charged.Use()
+
+	// A leader that has been gone for long keeps no caller waiting.
+	leader.lose()
+	time.Sleep(1600 * time.Millisecond)
+	begin := time.Now()
+	_, status, _ = handler.Charge(t.Context(), workspace, 5000, 300*time.Millisecond)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begin) < 600*time.Millisecond, "refused after %v", time.Since(begin))
+}
+
 // TestHotWorkspaceDelaysNoOther guards against requests of a workspace within its allowance that wait until the leader is asked again for one that has used
 // its own.
 func TestHotWorkspaceDelaysNoOther(t *testing.T) {
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -27,6 +27,9 @@
 	return &Charged{handler, call}, 0, 0
 }
 
+// RecordContact records that the leader has answered the router.
+func (handler *Handler) RecordContact(now time.Time) { handler.state.recordContact(now) }
+
 // Use records that the request is sent.
 func (charged *Charged) Use() { charged.handler.useCharge(charged.call) }
 
--- a/throttle/reserve.go
+++ b/throttle/reserve.go
@@ -233,19 +233,35 @@
 
 // delay returns the time until the last request of the queue can be sent, as far as it is known: when those before it have had their units.
 func (account *reserveAccount) delay(now time.Time, last *Charge) time.Duration {
-	if account.rate <= 0 || now.Sub(account.rateAt) > rateTTL {
+	if !account.isRated(now) {
 		return 0
 	}
 	ahead := max(0, account.queued()-last.units-account.held())
 	return max(0, account.readyAt.Sub(now)) + time.Duration(ahead/account.rate*float64(time.Second))
 }
 
+// isRated reports whether the leader has said lately that callers ask for more than the allowance.
+func (account *reserveAccount) isRated(now time.Time) bool {
+	return account.rate > 0 && now.Sub(account.rateAt) <= rateTTL
+}
+
+// isUnanswered reports whether the leader has not said that there is too little for the requests that wait.
+func (reserve *Reserve) isUnanswered(now time.Time, account *reserveAccount) bool {
+	return reserve.failures > 0 || !account.isShort && !account.isRated(now)
+}
+
+// IsUnanswered reports whether a request waits for an answer of the leader, not for the allowance.
+func (reserve *Reserve) IsUnanswered(now time.Time, charge *Charge) bool {
+	account := reserve.accounts[charge.workspace]
+	return charge.state == ChargeWaiting && account != nil && reserve.isUnanswered(now, account)
+}
+
 // refuse ends a request that waits. The delay after which its caller returns also counts those that were told to return earlier.
 func (reserve *Reserve) refuse(now time.Time, account *reserveAccount, charge *Charge) {
-	charge.state, charge.isCutOff = ChargeRefused, reserve.failures > 0 || !account.isShort
-	rate := account.rate
-	if rate <= 0 || now.Sub(account.rateAt) > rateTTL {
-		rate = account.allowance.Rate
+	charge.state, charge.isCutOff = ChargeRefused, reserve.isUnanswered(now, account)
+	rate := account.allowance.Rate
+	if account.isRated(now) {
+		rate = account.rate
 	}
 	account.promised = max(0, account.promised-rate*now.Sub(account.promisedAt).Seconds())
 	account.promisedAt = now
