Soak: keys, revocations and their checker

Callers use valid keys, and requests with withdrawn ones are sent all the while, also to processes that stand still. The checker reports requests that run later than the bound after a withdrawal was acknowledged, that reach a target with a key or for another workspace, and valid keys that are called unknown. A 401 promises that a request has not run. Requests with withdrawn keys do not count in the served share, which keeps its bound.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -17,7 +17,9 @@
 
 // requestRecord is what callers and targets have seen of one request.
 type requestRecord struct {
-	kind       requestKind
+	kind requestKind
+	// isEntitled is set for a request that counts in the share of served ones.
+	isEntitled bool
 	executions int
 	status     int
 	isFinished bool
@@ -54,10 +56,10 @@
 	check.addViolation("%s", text)
 }
 
-func (check *checker) recordSent(id string, kind requestKind) {
+func (check *checker) recordSent(id string, kind requestKind, isEntitled bool) {
 	check.mutex.Lock()
 	defer check.mutex.Unlock()
-	check.requests[id] = &requestRecord{kind: kind}
+	check.requests[id] = &requestRecord{kind: kind, isEntitled: isEntitled}
 }
 
 // recordExecution records that a target has begun to run a request.
@@ -80,7 +82,7 @@
 
 // guaranteesNotRun reports whether a status guarantees that the request has not run and will not run.
 func guaranteesNotRun(status int) bool {
-	return status == 503 || status == 429 || status == 408 || status == 421
+	return status == 503 || status == 401 || status == 429 || status == 408 || status == 421
 }
 
 // recordAnswer records the answer that a caller got; status 0 stands for a failed call.
@@ -99,13 +101,13 @@
 	}
 }
 
-// servedShare returns the number of requests that finished after the given time, and the share of them with status 200.
+// servedShare returns the number of requests with a valid key that finished after the given time, and the share of them with status 200.
 func (check *checker) servedShare(after time.Time) (share float64, count int) {
 	check.mutex.Lock()
 	defer check.mutex.Unlock()
 	served := 0
 	for _, record := range check.requests {
-		if record.isFinished && record.finishedAt.After(after) {
+		if record.isFinished && record.isEntitled && record.finishedAt.After(after) {
 			count++
 			if record.status == 200 {
 				served++
--- a/soak/load.go
+++ b/soak/load.go
@@ -34,14 +34,15 @@
 		id := fmt.Sprintf("c%d-%d", caller, number)
 		kind := requestKind(random.IntN(3))
 		router := run.routers[random.IntN(len(run.routers))].ip
-		run.checker.recordSent(id, kind)
+		key, isEntitled := run.keys.use(id, random)
+		run.checker.recordSent(id, kind, isEntitled)
 		run.available.recordSent(id, router)
-		run.sendRequest(client, id, kind, router, random)
+		run.sendRequest(client, id, key, kind, router, random)
 		pause(ctx, time.Duration(random.Int64N(int64(2*callerInterval))))
 	}
 }
 
-func (run *runner) sendRequest(client *http.Client, id string, kind requestKind, ip string, random *rand.Rand) {
+func (run *runner) sendRequest(client *http.Client, id, key string, kind requestKind, ip string, random *rand.Rand) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+time.Second)
 	defer cancel()
 	path, model, want := [...]string{fake.PathOnce, fake.PathIdempotent, fake.PathStream}[kind], "", fake.ResponseBody(id)
@@ -53,6 +54,7 @@
 		run.checker.reportViolation(err.Error())
 		return
 	}
+	fake.SetKey(request, key)
 	response, err := client.Do(request)
 	if err != nil {
 		run.checker.recordAnswer(id, 0, "", "")
@@ -67,6 +69,9 @@
 	if fake.LeavingServer(response) != "" {
 		run.available.recordAnswer(id)
 	}
+	if violation := run.keys.checkAnswer(id, response.StatusCode); violation != "" {
+		run.checker.reportViolation(violation)
+	}
 	run.checker.recordAnswer(id, response.StatusCode, string(body), want)
 }
 
@@ -85,7 +90,7 @@
 	results := make(chan error, 1024)
 	for version := uint64(2); ctx.Err() == nil; version += 1 + random.Uint64N(3) {
 		controller := random.IntN(len(run.controllers))
-		if run.submit(client, version, controller) && random.Float64() < killAfterAckProbability {
+		if run.submit(client, version, controller, random) && random.Float64() < killAfterAckProbability {
 			fault := faultKill + 2*random.IntN(2)
 			faults.Go(func() {
 				results <- injectProcessFault(&run.controllerFault, run.controllers[controller], fault, 0, true)
@@ -105,8 +110,8 @@
 }
 
 // submit submits one version to a controller and reports whether it was acknowledged.
-func (run *runner) submit(client *http.Client, version uint64, controller int) bool {
-	body, err := fake.Configuration(version, run.models, modelsPerEngine)
+func (run *runner) submit(client *http.Client, version uint64, controller int, random *rand.Rand) bool {
+	body, err := fake.KeyedConfiguration(version, run.models, modelsPerEngine, run.keys.submit(version, random))
 	if err != nil {
 		run.checker.reportViolation(err.Error())
 		return false
@@ -126,6 +131,7 @@
 	}
 	if response.StatusCode == http.StatusOK {
 		run.checker.recordAcknowledged(version)
+		run.keys.acknowledge(version)
 	}
 	return response.StatusCode == http.StatusOK
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -37,7 +37,8 @@
 	lines := []string{"node=" + filepath.Base(proc.folder), "ip=" + proc.ip, "zone=z" + proc.ip[len(proc.ip)-1:], "internalPorts=7380,7395",
 		"seeds=" + strings.Join(proc.seeds, ","), fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeatIntervalMs=500",
 		"faultTolerance.machines=1", "bounds.fencingEnabled=true", "bounds.leaseMs=1000", "bounds.graceS=8",
-		"bounds.budgetRatio=0.2", "bounds.budgetSlack=200", "bounds.budgetWindowS=10", "limits.memoryMb=256"}
+		"bounds.budgetRatio=0.2", "bounds.budgetSlack=200", "bounds.budgetWindowS=10", "limits.memoryMb=256",
+		"bounds.failClosed=true", fmt.Sprintf("bounds.revokeMs=%d", revocationBound.Milliseconds()), "bounds.configMs=1000"}
 	if proc.isController {
 		lines = append(lines, "listen.control="+proc.ip+":8144", "dataDir="+filepath.Join(proc.folder, fmt.Sprintf("disk%d", proc.wipes)))
 	} else {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,7 @@
 	servers     []*target
 	models      []string
 	available   *availabilityChecker
+	keys        *keyring
 	targets     sync.WaitGroup
 	// controllerFault is locked while a controller has a fault, so that no two have one at the same time.
 	controllerFault sync.Mutex
@@ -74,7 +75,8 @@
 
 // Run starts the system, injects the faults of one seed and stops it; it returns ErrViolation if a guarantee was violated.
 func Run(ctx context.Context, options Options) error {
-	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), random: rand.New(rand.NewPCG(options.Seed, 1))}
+	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), keys: newKeyring(),
+		random: rand.New(rand.NewPCG(options.Seed, 1))}
 	for i := range modelCount {
 		run.models = append(run.models, fmt.Sprintf("m%d", i))
 	}
@@ -157,8 +159,10 @@
 	server := &target{options: options, address: options.Listener.Addr().String()}
 	server.options.Availability = server.availability
 	server.options.OnArrival = func(request *http.Request) {
-		if violation := run.available.recordArrival(server, request); violation != "" {
-			run.checker.reportViolation(violation)
+		for _, violation := range []string{run.available.recordArrival(server, request), run.keys.checkArrival(request)} {
+			if violation != "" {
+				run.checker.reportViolation(violation)
+			}
 		}
 	}
 	run.servers = append(run.servers, server)
@@ -174,7 +178,7 @@
 	client := &http.Client{Timeout: operatorTimeout}
 	defer client.CloseIdleConnections()
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if !run.submit(client, 1, run.random.IntN(len(run.controllers))) {
+		if !run.submit(client, 1, run.random.IntN(len(run.controllers)), run.random) {
 			continue
 		}
 		ready := 0
@@ -200,6 +204,7 @@
 		random := rand.New(rand.NewPCG(run.options.Seed, uint64(100+i)))
 		callers.Go(func() { run.runCaller(callerContext, i, random) })
 	}
+	callers.Go(func() { run.runWithdrawn(callerContext, rand.New(rand.NewPCG(run.options.Seed, 3))) })
 	operatorContext, stopOperator := context.WithCancel(callerContext)
 	operatorResult := make(chan error, 1)
 	go func() { operatorResult <- run.runOperator(operatorContext, rand.New(rand.NewPCG(run.options.Seed, 2))) }()
