--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"celerylanding.example/celerylanding/common/hlc"
 	"celerylanding.example/celerylanding/common/rpccodec"
 	"celerylanding.example/celerylanding/common/tasks"
+	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/membership"
 	"celerylanding.example/celerylanding/quorum"
@@ -81,6 +82,11 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
+	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
+	allowances *throttle.Allocator
+	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
+	board *forecast.Board
+	succession *throttle.Succession
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
 	// started is when this process started.
@@ -127,6 +133,7 @@
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: newQuarantineState(),
 		limits:     throttle.NewLedger(),
+		board:      forecast.NewBoard(),
 		origins:    resume.NewLedger(now),
 		relay:      newRelayReports(),
 	}
@@ -152,6 +159,7 @@
 	}
 	ctl.wal = log
 	address := ctl.options.Peers.Addr().String()
+	wasEmpty := recovered.IsEmpty()
 	id, err := loadMemberID(ctl.options, log, &recovered, address, fmt.Sprintf("%x", ctl.options.Seed))
 	if err != nil {
 		return err
@@ -168,6 +176,12 @@
 		MaxAppendEntries:         maxAppend,
 		Random:                   rand.New(rand.NewPCG(ctl.options.Seed, 1)),
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
+	newest, _ := ctl.core.TermsAfter(0)
+	ctl.succession = throttle.NewSuccession(now, newest)
+	if wasEmpty && !recovered.IsEmpty() {
+		// A log that has just been founded had no leader yet.
+		ctl.succession.Learn(now, newest, nil)
+	}
 	ctl.loadEngineCache()
 	ctl.options.Log.Info().Str("member", string(id)).Uint64("snapshot", recovered.Snapshot.Index).Int("entries", len(recovered.Entries)).
 		Int64("torn_bytes", recovered.TornBytes).Msg("control state recovered")
--- a/control/leader.go
+++ b/control/leader.go
@@ -46,6 +46,7 @@
 	}
 	if ctl.feed.configurationChanged {
 		ctl.feed.configurationChanged = false
+		ctl.updateAllowances(now)
 		ctl.observeAll(now)
 	}
 	if !now.Before(ctl.expireDue) {
@@ -83,6 +84,7 @@
 
 // updateRole starts and ends this node's work as the leader when its role changes.
 func (ctl *Control) updateRole(now time.Time) {
+	ctl.observeSuccession(now)
 	role, leader := ctl.core.Role(), ctl.core.Leader()
 	if role != ctl.lastRole || leader != ctl.lastLeader {
 		ctl.options.Log.Info().Str("role", role.String()).Uint64("term", ctl.core.Term()).Str("leader", string(leader)).Msg("role changed")
@@ -106,6 +108,7 @@
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
 		ctl.limits = throttle.NewLedger()
+		ctl.resetAllowances(now)
 		ctl.origins = resume.NewLedger(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
@@ -151,6 +154,7 @@
 		ctl.observeTarget(now, id)
 	}
 	for _, id := range ctl.feed.forgetSilent(now) {
+		ctl.board.Forget(id)
 		ctl.planner.ForgetRouter(id)
 	}
 	for _, target := range ctl.directory.Targets() {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -26,6 +26,8 @@
 	Origin(ctx context.Context, args feed.OriginArgs) (feed.OriginReply, error)
 	// Trial asks whether a copy of a suspicious request may run, or reports how it ended; an error means that the leader did not answer.
 	Trial(ctx context.Context, args feed.TrialArgs) (feed.TrialReply, error)
+	// Allowance asks for parts of the allowances of workspaces; an error means that the leader did not answer.
+	Allowance(ctx context.Context, args feed.AllowanceArgs) (feed.AllowanceReply, error)
 }
 
 // Options configure a handler.
@@ -57,6 +59,8 @@
 	crashes *crashTracker
 	trials  *trialGate
 	journal *resume.Journal
+	// allowances are this router's parts of the allowances of workspaces.
+	allowances *allowances
 	// probes are the connection attempts that find out whether a target has crashed, and the reports of ended trials.
 	probes   *tasks.Group
 	inFlight atomic.Int64
@@ -85,6 +89,7 @@
 		crashes:        newCrashTracker(),
 		trials:         newTrialGate(),
 		journal:        resume.NewJournal(),
+		allowances:     newAllowances(options.Node, options.Started),
 		probes:         tasks.New(requestsCtx),
 	}
 }
@@ -205,6 +210,16 @@
 	return handler.picker.LimitReports(now)
 }
 
+// LoadReports returns what this router has learned of the targets' load since the last call.
+func (handler *Handler) LoadReports(now time.Time) []feed.TargetReport {
+	return handler.picker.LoadReports(now)
+}
+
+// ApplyLoadReports records what all routers know of the targets' load.
+func (handler *Handler) ApplyLoadReports(now time.Time, reports []feed.TargetReport) {
+	handler.picker.ApplyLoadReports(now, handler.state.table(), reports)
+}
+
 // SetLimits records the leader's list of the targets that announce a limit on requests, as of a time.
 func (handler *Handler) SetLimits(at time.Time, limits []feed.TargetLimit) {
 	handler.picker.SetLimits(at, limits)
@@ -248,7 +263,10 @@
 	if handler.state.table().Routes().HasModel(call.unit.Model) {
 		defer handler.usage.begin(call.unit, call.route.LatencyObjective)()
 	}
-	refusal = handler.serve(ctx, writer, call)
+	defer handler.returnCharge(call)
+	if refusal = handler.charge(ctx, call); refusal == nil {
+		refusal = handler.serve(ctx, writer, call)
+	}
 	if refusal != nil {
 		liftWriteLimit(writer)
 		handler.writeRefusal(writer, request, call, refusal)
