--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -104,10 +104,12 @@
 // acknowledged.
 func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
 
+// RecordWatchRequest records that the process asks for word on the newest configuration, so that requests wait for it only while it is expected.
+func (handler *Handler) RecordWatchRequest(now time.Time) { handler.state.recordRequest(now) }
+
 // ReportProofAge updates the metric of the proof's age, unless nothing has been proven yet.
 func (handler *Handler) ReportProofAge(now time.Time) {
-	_, proof := handler.state.proven()
-	if age, ok := proof.Age(now); ok {
+	if age, ok := handler.state.freshness().proof.Age(now); ok {
 		handler.options.Metrics.Gauge("key_proof_age_seconds").Update(age.Seconds())
 	}
 }
@@ -208,6 +210,16 @@
 	return handler.picker.LimitReports(now)
 }
 
+// LoadReports returns what this router has learned of the targets' load since the last call.
+func (handler *Handler) LoadReports(now time.Time) []feed.TargetReport {
+	return handler.picker.LoadReports(now)
+}
+
+// ApplyLoadReports records what all routers know of the targets' load.
+func (handler *Handler) ApplyLoadReports(now time.Time, reports []feed.TargetReport) {
+	handler.picker.ApplyLoadReports(now, handler.state.table(), reports)
+}
+
 // SetLimits records the leader's list of the targets that announce a limit on requests, as of a time.
 func (handler *Handler) SetLimits(at time.Time, limits []feed.TargetLimit) {
 	handler.picker.SetLimits(at, limits)
