--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -188,3 +188,4 @@
 mutate limit-unused-sent-at-once throttle/gate.go ./throttle TestLimitAfterRare 's/min\(budget\/horizon\.Seconds\(\), limit\)/(budget \/ horizon.Seconds())/'
 mutate allowance-no-wait-for-leader proxy/allowance.go ./proxy TestRequestWaits 's/patience > 0 && allowances/false \&\& allowances/'
 mutate allowance-hot-delays-others proxy/allowance.go ./proxy TestHotWorkspaceDelays 's/case allowances\.isDue <- struct\{\}\{\}:/case chan struct{}(nil) <- struct{}{}:/'
+mutate allowance-granted-for-nothing throttle/allocator.go ./tests TestAllowanceHolds 's/\tentry\.level -= units\n//'
