--- a/soak/keys.go
+++ b/soak/keys.go
@@ -91,13 +91,13 @@
 	}
 }
 
-// use returns the key for a request, and whether a version that was acknowledged contains it and none withdraws it.
+// use returns the key for a request, and whether a version that was acknowledged contains it, none withdraws it and its workspace has no limit.
 func (ring *keyring) use(id string, random *rand.Rand) (text string, isEntitled bool) {
 	ring.mutex.Lock()
 	defer ring.mutex.Unlock()
 	key := ring.valid[random.IntN(len(ring.valid))]
 	ring.uses[id] = keyUse{key, time.Now()}
-	return key.text, !key.added.IsZero()
+	return key.text, !key.added.IsZero() && key.workspace != limitedWorkspace
 }
 
 // useWithdrawn returns a withdrawn key for a request, or false if there is none.
--- a/soak/load.go
+++ b/soak/load.go
@@ -112,6 +112,9 @@
 // submit submits one version to a controller and reports whether it was acknowledged.
 func (run *runner) submit(client *http.Client, version uint64, controller int, random *rand.Rand) bool {
 	body, err := fake.KeyedConfiguration(version, run.models, modelsPerEngine, run.keys.submit(version, random))
+	if err == nil {
+		body, err = fake.SetAllowance(body, limitedWorkspace, limitedRate, limitedBurst)
+	}
 	if err != nil {
 		run.checker.reportViolation(err.Error())
 		return false
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,6 +66,7 @@
 	models      []string
 	available   *availabilityChecker
 	keys        *keyring
+	allowances  *allowanceChecker
 	targets     sync.WaitGroup
 	// controllerFault is locked while a controller has a fault, so that no two have one at the same time.
 	controllerFault sync.Mutex
@@ -76,7 +77,8 @@
 // Run starts the system, injects the faults of one seed and stops it; it returns ErrViolation if a guarantee was violated.
 func Run(ctx context.Context, options Options) error {
 	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), keys: newKeyring(),
-		random: rand.New(rand.NewPCG(options.Seed, 1))}
+		allowances: newAllowanceChecker(),
+		random:     rand.New(rand.NewPCG(options.Seed, 1))}
 	for i := range modelCount {
 		run.models = append(run.models, fmt.Sprintf("m%d", i))
 	}
@@ -159,7 +161,8 @@
 	server := &target{options: options, address: options.Listener.Addr().String()}
 	server.options.Availability = server.availability
 	server.options.OnArrival = func(request *http.Request) {
-		for _, violation := range []string{run.available.recordArrival(server, request), run.keys.checkArrival(request)} {
+		for _, violation := range []string{run.available.recordArrival(server, request), run.keys.checkArrival(request),
+			run.allowances.recordArrival(time.Now(), request)} {
 			if violation != "" {
 				run.checker.reportViolation(violation)
 			}
@@ -235,7 +238,9 @@
 	}
 	_, all := run.checker.servedShare(time.Time{})
 	served, _ := run.checker.servedShare(time.Time{})
-	_, _ = fmt.Fprintf(run.options.Out, "seed %d: %d requests, %.2f served, %.2f at the end, version %d\n", run.options.Seed, all, served, share, version)
+	limited, most := run.allowances.summary()
+	_, _ = fmt.Fprintf(run.options.Out, "seed %d: %d requests, %.2f served, %.2f at the end, version %d; %d with a limit, at most %d in %v\n", run.options.Seed,
+		all, served, share, version, limited, most, allowanceWindow)
 }
 
 // stopProcesses kills the processes that this run has started.
