An order that is not answered is aborted, not left to the network

The order had timed out within 150 ms, but its connection was closed in order, and the kernel goes on to send what the target has not received. Connections of unanswered orders are now reset, which discards it. TestUnansweredOrderIsAborted fails before.

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -189,3 +189,4 @@
 mutate allowance-no-wait-for-leader proxy/allowance.go ./proxy TestRequestWaits 's/patience > 0 && allowances/false \&\& allowances/'
 mutate allowance-hot-delays-others proxy/allowance.go ./proxy TestHotWorkspaceDelays 's/case allowances\.isDue <- struct\{\}\{\}:/case chan struct{}(nil) <- struct{}{}:/'
 mutate allowance-granted-for-nothing throttle/allocator.go ./tests TestAllowanceHolds 's/\tentry\.level -= units\n//'
+mutate order-not-aborted upstream/exchange.go ./platform TestUnansweredOrder 's/ && request\.AbortOnFailure/ \&\& false/'
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -42,6 +43,9 @@
 	AnswerID func(header http.Header) string
 	// NewConnection closes the idle connections to the address first, so that the request is sent on a new one.
 	NewConnection bool
+	// AbortOnFailure discards what the target has not received yet if the exchange fails. Otherwise the network may deliver it when a cut has ended,
+	// long after the caller has given up.
+	AbortOnFailure bool
 }
 
 // answerID returns the ID of the request that an answer names; without AnswerID every answer counts as naming this request.
@@ -93,6 +97,9 @@
 	}
 	if err != nil {
 		stop()
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok && request.AbortOnFailure {
+			_ = tcp.SetLinger(0)
+		}
 		_ = conn.Close()
 		if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
 			pool.idleLimit.recordReset(address, now.Sub(conn.idleSince))
