--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -97,10 +97,7 @@
 	}
 	if err != nil {
 		stop()
-		if tcp, ok := conn.Conn.(*net.TCPConn); ok && request.AbortOnFailure {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		conn.closeFailed(request)
 		if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
 			pool.idleLimit.recordReset(address, now.Sub(conn.idleSince))
 		}
@@ -120,6 +117,14 @@
 	return answer, nil
 }
 
+// closeFailed closes the connection after a failed exchange.
+func (conn *pooledConn) closeFailed(request *Request) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok && request.AbortOnFailure {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // exchange writes the request and reads the header of its answer.
 func (conn *pooledConn) exchange(request *Request) (*http.Response, error) {
 	outgoing := &http.Request{
