A command says where a request would go

Operators could see only after a request where it went. celerylanding route asks a running router (POST /route beside the metrics), which answers by the functions that serve requests, played on copies: the route, the workspace and its allowance, each target with the terms of its cost or the reason why it is excluded, and whether the request would be sent, wait or be refused.

A property test plays random observations of targets: the best target that is named is the one that the next request gets, and a picker that is never asked chooses the same. The contract test sends the request after the question in 30 states.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -54,6 +54,7 @@
 	Timeline   timelineCommand   `cmd:"" help:"Merge the timelines of several processes."`
 	Experiment experimentCommand `cmd:"" help:"Simulate a workload against modelled engines, with the scheduling code of the real processes."`
 	Explain    explainCommand    `cmd:"" help:"Print the history of one request from the logs of all processes."`
+	Route      routeCommand      `cmd:"" help:"Ask a running router where a request would go now, and why, without sending it."`
 	Platform   platformCommand   `cmd:"" help:"Run a process on the users' platform, configured by the settings file that the platform writes."`
 	Demo       demoCommand       `cmd:"" help:"Run a node with fake targets on loopback."`
 }
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -55,6 +55,15 @@
 		{"timeline as HTML", "timeline --html " + line, 0, "<!DOCTYPE html>"},
 		{"timeline of a missing file", "timeline " + folder + "/none", 2, "no such file"},
 		{"targets without nodes", "demo --targets-only", 2, "--nodes is missing"},
+		{"route without a path", "route h.example", 2, "expected \"<path>\""},
+		{"route with a bad path", "route h.example a", 2, "path"},
+		{"route with a bad part", "route h.example / --part head", 2, "--part"},
+		{"route with a bad deadline", "route h.example / --deadline=-1s", 2, "--deadline"},
+		{"route with a bad number", "route h.example / --prompt-tokens many", 2, "--prompt-tokens"},
+		{"route with a negative number", "route h.example / --output-tokens=-1", 2, "--output-tokens"},
+		{"route with a bad address", "route h.example / --router here", 2, "--router"},
+		{"route with a missing body", "route h.example / --body-file " + folder + "/none", 2, "no such file"},
+		{"route of an unreachable router", "route h.example / --router 127.0.0.1:1", 4, "no answer from 127.0.0.1:1"},
 		{"invalid load time", "demo --load-time soon", 2, "--load-time"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -123,11 +123,7 @@
 	}
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	target, unreachable = picker.chooseWithinLimits(now, table, candidates, needs, false)
-	if target == nil && needs.Unit.Model == "" {
-		// No other target of the plain service is usable, so an outlier is tried.
-		target, _ = picker.chooseWithinLimits(now, table, candidates, needs, true)
-	}
+	target, unreachable = picker.find(now, table, candidates, needs)
 	if target == nil {
 		return nil, unreachable
 	}
@@ -137,6 +133,17 @@
 	return target, nil
 }
 
+// find returns the target of the request as Pick does, and counts the request for the targets' limits only.
+func (picker *Picker) find(now time.Time, table *Table, candidates []*feed.Target, needs Requirements) (target *feed.Target,
+	unreachable []celerylanding.Endpoint) {
+	target, unreachable = picker.chooseWithinLimits(now, table, candidates, needs, false)
+	if target == nil && needs.Unit.Model == "" {
+		// No other target of the plain service is usable, so an outlier is tried.
+		target, _ = picker.chooseWithinLimits(now, table, candidates, needs, true)
+	}
+	return target, unreachable
+}
+
 // HasTarget reports whether a target is usable for the request, whatever the limits that targets announce.
 func (picker *Picker) HasTarget(now time.Time, table *Table, needs Requirements) bool {
 	candidates := table.Targets(needs.Service)
@@ -176,11 +183,8 @@
 		if needs.excludes(candidate) || (needs.AvoidsLimits && picker.isLimited(now, candidate)) {
 			continue
 		}
-		cost := picker.cost(now, table, candidate, stats)
-		if preferred != nil && preferred.ID != candidate.ID {
-			cost += cacheMissCostOf(needs)
-		}
-		if cost < lowest {
+		terms := picker.terms(now, table, candidate, stats, needs, preferred)
+		if cost := terms.sum(); cost < lowest {
 			best, lowest = candidate, cost
 		}
 	}
@@ -234,10 +238,8 @@
 }
 
 func (stats *targetStats) isUsable(now time.Time, target *feed.Target) bool {
-	if now.Before(stats.backoffUntil) || !stats.wantsRequests(now) {
-		return false
-	}
-	return !target.Silent || now.Sub(stats.answeredAt) < silentGrace
+	cause, _ := stats.obstacle(now, target)
+	return cause == ""
 }
 
 // isOutlier reports whether several routers report the target as failing and this router has received no answer since its last failure.
@@ -262,9 +264,9 @@
 	return list
 }
 
-// cost returns the target's expected load as a share of its slots, plus a penalty for recent failures, one for late answers and one if the
-// target is in a failure domain other than the router's.
-func (picker *Picker) cost(now time.Time, table *Table, target *feed.Target, stats *targetStats) float64 {
+// terms returns the parts of a target's cost: its expected load as a share of its slots, and penalties for recent failures, late answers, another
+// failure domain than the router's, a limit, and a prompt that another target is preferred for.
+func (picker *Picker) terms(now time.Time, table *Table, target *feed.Target, stats *targetStats, needs Requirements, preferred *feed.Target) costTerms {
 	slots := float64(max(1, target.Slots))
 	// Without a recent load report, each router is assumed to have as many requests in flight on the target as this one.
 	load := float64(stats.inFlight * table.Routers())
@@ -272,14 +274,18 @@
 		// Requests that other routers have sent since the report are not included.
 		load = float64(stats.load.Running + stats.load.Waiting + stats.sentSinceLoad)
 	}
-	cost := load/slots + failureCost*stats.decayedFailures(now) + latenessCost*max(0, stats.decayedLateness(now)-freeLateness)
+	terms := costTerms{load: load / slots, failures: failureCost * stats.decayedFailures(now),
+		lateness: latenessCost * max(0, stats.decayedLateness(now)-freeLateness)}
 	if target.Domain != picker.domain {
-		cost += crossDomainCost
+		terms.domain = crossDomainCost
 	}
 	if picker.isLimited(now, target) {
-		cost += limitedCost
+		terms.limit = limitedCost
+	}
+	if preferred != nil && preferred.ID != target.ID {
+		terms.cacheMiss = cacheMissCostOf(needs)
 	}
-	return cost
+	return terms
 }
 
 func (stats *targetStats) decayedFailures(now time.Time) float64 {
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -23,7 +23,9 @@
 	routes    *routing.Table
 	byService map[celerylanding.ServiceID][]*feed.Target
 	byUnit    map[unitKey][]*feed.Target
-	routers   int
+	// leaving are the targets that get no new requests, of which operators are told.
+	leaving map[celerylanding.ServiceID][]*feed.Target
+	routers int
 }
 
 // Routes returns the current routes, or nil while no configuration is known.
@@ -131,11 +133,13 @@
 		routes:    roster.routes,
 		byService: make(map[celerylanding.ServiceID][]*feed.Target),
 		byUnit:    make(map[unitKey][]*feed.Target),
+		leaving:   make(map[celerylanding.ServiceID][]*feed.Target),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
 		target := known.target
 		if target.Leaving {
+			table.leaving[target.Service] = append(table.leaving[target.Service], &target)
 			continue
 		}
 		table.byService[target.Service] = append(table.byService[target.Service], &target)
--- a/proxy/access.go
+++ b/proxy/access.go
@@ -5,20 +5,27 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/access"
+	"celerylanding.example/celerylanding/routing"
 )
 
 // checkAccess finds the workspace of a request that has arrived, or refuses the request.
 func (handler *Handler) checkAccess(call *call) *refusal {
 	table, proof := handler.state.proven()
-	decision := handler.options.KeyBounds.Check(table.Routes(), proof, call.accessRequest())
-	call.workspace, call.hidesKey = decision.Workspace, table.Routes().NeedsKeys()
+	cause := handler.decideAccess(call, table.Routes(), proof)
 	if call.hidesKey {
-		handler.countAccess(call, decision.Cause)
+		handler.countAccess(call, cause)
 	}
-	if decision.Cause == access.CauseNone {
+	if cause == access.CauseNone {
 		return nil
 	}
-	return refuseAccess(call, decision.Cause)
+	return refuseAccess(call, cause)
+}
+
+// decideAccess finds the workspace of a request, or the cause of its refusal, by the routes and the proof of their freshness.
+func (handler *Handler) decideAccess(call *call, routes *routing.Table, proof access.Proof) access.Cause {
+	decision := handler.options.KeyBounds.Check(routes, proof, call.accessRequest())
+	call.workspace, call.hidesKey = decision.Workspace, routes.NeedsKeys()
+	return decision.Cause
 }
 
 // recheckAccess refuses a request whose key has been withdrawn or moved to another workspace since the request arrived.
--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -56,11 +56,7 @@
 		return nil
 	}
 	now, allowances := handler.options.Clock(), handler.allowances
-	patience := allowanceWait
-	if call.route.LatencyObjective > 0 {
-		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
-	}
-	patience = min(patience, call.deadline.Sub(now)/2)
+	patience := call.allowancePatience(now)
 	allowances.mutex.Lock()
 	charge := allowances.reserve.Begin(now, call.workspace, units, patience)
 	var done chan struct{}
@@ -80,6 +76,15 @@
 	return handler.endCharge(call, charge)
 }
 
+// allowancePatience returns how long the request waits for a part of its workspace's allowance.
+func (call *call) allowancePatience(now time.Time) time.Duration {
+	patience := allowanceWait
+	if call.route.LatencyObjective > 0 {
+		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
+	}
+	return min(patience, call.deadline.Sub(now)/2)
+}
+
 // awaitCharge waits until a charge is decided, for as long as its request can wait.
 func (handler *Handler) awaitCharge(ctx context.Context, charge *throttle.Charge, done <-chan struct{}, patience time.Duration) {
 	timer := time.NewTimer(patience)
@@ -105,15 +110,25 @@
 		scope.Counter("allowance_admitted_units").Inc(int64(charge.Units()))
 		return nil
 	}
-	delay := charge.RetryAfter() + time.Duration(rand.Float64()*allowanceSpread*float64(charge.RetryAfter()))
+	cause := "used_up"
 	if charge.IsCutOff() {
-		scope.Tagged(map[string]string{"cause": "cut_off"}).Counter("allowance_refused").Inc(1)
-		return unavailable(celerylanding.ReasonNoQuorum, max(delay, startingRetryDelay),
-			"this router has used its part of the workspace's allowance, and the leader does not answer")
+		cause = "cut_off"
 	}
-	scope.Tagged(map[string]string{"cause": "used_up"}).Counter("allowance_refused").Inc(1)
-	return &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonAllowanceUsed, retryAfter: delay,
+	scope.Tagged(map[string]string{"cause": cause}).Counter("allowance_refused").Inc(1)
+	return refuseCharge(charge).withChance(rand.Float64())
+}
+
+// refuseCharge returns the refusal of a request whose charge was refused.
+func refuseCharge(charge *throttle.Charge) *refusal {
+	delay := charge.RetryAfter()
+	refused := &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonAllowanceUsed,
 		cause: "the workspace has used its allowance"}
+	if charge.IsCutOff() {
+		delay = max(delay, startingRetryDelay)
+		refused = unavailable(celerylanding.ReasonNoQuorum, 0, "this router has used its part of the workspace's allowance, and the leader does not answer")
+	}
+	refused.retryAfter, refused.spread = delay, time.Duration(allowanceSpread*float64(charge.RetryAfter()))
+	return refused
 }
 
 // useCharge records that the request is sent to a target.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -117,7 +117,16 @@
 	reason  celerylanding.Reason
 	// retryAfter is the Retry-After delay; zero omits the header.
 	retryAfter time.Duration
-	cause      string
+	// spread is what chance may add to the delay, so that callers that are refused together don't return together.
+	spread time.Duration
+	cause  string
+}
+
+// withChance returns the refusal with the delay for a random number in [0, 1).
+func (refusal *refusal) withChance(chance float64) *refusal {
+	drawn := *refusal
+	drawn.retryAfter += time.Duration(chance * float64(drawn.spread))
+	return &drawn
 }
 
 func unavailable(reason celerylanding.Reason, retryAfter time.Duration, cause string) *refusal {
@@ -141,12 +150,12 @@
 			return call, refusal
 		}
 		if table = handler.awaitRoutes(request.Context(), call); table.Routes() == nil {
-			return call, unavailable(celerylanding.ReasonNoQuorum, startingRetryDelay, "no configuration is known yet")
+			return call, noConfiguration()
 		}
 		now = handler.options.Clock()
 		call.waited = now.Sub(call.arrived)
 	}
-	route, unmatched := handler.findRoute(now, table, request)
+	route, unmatched := handler.findRoute(now, table, request.Host, request.URL.EscapedPath())
 	if unmatched != nil {
 		return call, unmatched
 	}
@@ -166,16 +175,25 @@
 	if refusal := handler.checkReceived(call); refusal != nil {
 		return call, refusal
 	}
-	timeout := route.Timeout
-	if metadata.MaxWait > 0 {
-		timeout = min(timeout, metadata.MaxWait)
+	call.setTerms(table.Routes())
+	return call, nil
+}
+
+// setTerms sets the deadline of a request whose route is known, and what it needs.
+func (call *call) setTerms(routes *routing.Table) {
+	timeout := call.route.Timeout
+	if call.metadata.MaxWait > 0 {
+		timeout = min(timeout, call.metadata.MaxWait)
 	}
 	call.deadline = call.arrived.Add(timeout)
-	call.service = route.ChooseService(float64(xxhash.Sum64String(metadata.ID)>>11) / (1 << 53))
-	if service, ok := table.Routes().Service(call.service); ok && service.Engine != nil {
-		call.unit = loadplan.ParseUnit(metadata.Model)
+	call.service = call.route.ChooseService(float64(xxhash.Sum64String(call.metadata.ID)>>11) / (1 << 53))
+	if service, ok := routes.Service(call.service); ok && service.Engine != nil {
+		call.unit = loadplan.ParseUnit(call.metadata.Model)
 	}
-	return call, nil
+}
+
+func noConfiguration() *refusal {
+	return unavailable(celerylanding.ReasonNoQuorum, startingRetryDelay, "no configuration is known yet")
 }
 
 // setMetadata takes over what the header says of the request. Of the key it keeps the digest only.
@@ -192,15 +210,20 @@
 	if refusal := handler.checkAccess(call); refusal != nil {
 		return refusal
 	}
+	return handler.refuseQuarantined(call)
+}
+
+// refuseQuarantined refuses a request that has crashed its targets.
+func (handler *Handler) refuseQuarantined(call *call) *refusal {
 	if cause := handler.crashes.quarantineCause(call); cause != "" {
-		return unavailable(celerylanding.ReasonQuarantined, 0, cause)
+		return unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
 	}
 	return nil
 }
 
-// findRoute returns the route of a request.
-func (handler *Handler) findRoute(now time.Time, table *dispatch.Table, request *http.Request) (*routing.Route, *refusal) {
-	route, ok := table.Routes().Match(request.Host, request.URL.EscapedPath())
+// findRoute returns the route of a request for an escaped path.
+func (handler *Handler) findRoute(now time.Time, table *dispatch.Table, host, path string) (*routing.Route, *refusal) {
+	route, ok := table.Routes().Match(host, path)
 	switch {
 	case ok:
 		return route, nil
@@ -228,11 +251,7 @@
 
 // awaitRoutes waits for the first configuration within the startup window, and returns the table at the end of the wait.
 func (handler *Handler) awaitRoutes(ctx context.Context, call *call) *dispatch.Table {
-	until := handler.options.Started.Add(startupWindow)
-	if waitEnd := call.arrived.Add(time.Duration(startupWaitShare * float64(call.metadata.MaxWait))); call.metadata.MaxWait > 0 && waitEnd.Before(until) {
-		until = waitEnd
-	}
-	ctx, cancel := context.WithTimeout(ctx, until.Sub(call.arrived))
+	ctx, cancel := context.WithTimeout(ctx, handler.routesWaitEnd(call).Sub(call.arrived))
 	defer cancel()
 	defer context.AfterFunc(handler.requestsCtx, cancel)()
 	for {
@@ -248,6 +267,15 @@
 	}
 }
 
+// routesWaitEnd returns until when a request waits for the first configuration.
+func (handler *Handler) routesWaitEnd(call *call) time.Time {
+	until := handler.options.Started.Add(startupWindow)
+	if waitEnd := call.arrived.Add(time.Duration(startupWaitShare * float64(call.metadata.MaxWait))); call.metadata.MaxWait > 0 && waitEnd.Before(until) {
+		until = waitEnd
+	}
+	return until
+}
+
 // readBody buffers the whole body, so that a disconnect of the caller is detected and a retry can send the same bytes. A body that was read
 // before the configuration was known is checked against its limit afterwards.
 func (call *call) readBody(writer http.ResponseWriter, request *http.Request, limit int64) *refusal {
--- /dev/null
+++ b/proxy/explain.go
@@ -0,0 +1,224 @@
+package proxy
+
+import (
+	"net/url"
+	"time"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
+	"celerylanding.example/celerylanding/delivery"
+	"celerylanding.example/celerylanding/dispatch"
+	"celerylanding.example/celerylanding/preview"
+	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
+)
+
+// explanation is the answer to one question, while it is being found.
+type explanation struct {
+	handler *Handler
+	now     time.Time
+	call    *call
+	table   *dispatch.Table
+	proof   access.Proof
+	answer  preview.Answer
+}
+
+// Explain returns where a request would go that arrives now, and why. It decides by the functions that serve requests, on copies of what they
+// change, and sends nothing. An error names the field of the request that can't be read.
+func (handler *Handler) Explain(now time.Time, request preview.Request) (preview.Answer, error) {
+	location, err := url.ParseRequestURI(request.Path)
+	if err != nil {
+		return preview.Answer{}, celerylanding.NewFieldError("path", "%q must begin with a slash", request.Path)
+	}
+	table, proof := handler.state.proven()
+	explanation := &explanation{handler: handler, now: now, call: callOf(now, request), table: table, proof: proof}
+	viewAge := handler.state.sinceContact(now)
+	explanation.answer = preview.Answer{Node: handler.options.Node, Domain: handler.options.Domain, ViewAgeSeconds: viewAge.Seconds(),
+		Routers: table.Routers(), IsDraining: handler.draining.Load()}
+	if table.Routes() == nil {
+		explanation.explainStart()
+		return explanation.answer, nil
+	}
+	explanation.answer.Version = table.Routes().Version()
+	route, refused := handler.findRoute(now, table, request.Host, location.EscapedPath())
+	if refused != nil {
+		explanation.refuse(refused)
+		return explanation.answer, nil
+	}
+	explanation.call.route = route
+	// Only the limit on bodies is checked, since the body is here already.
+	if refused = explanation.call.readBody(nil, nil, table.Routes().Limits().BodyBytes); refused != nil {
+		explanation.refuse(refused)
+		return explanation.answer, nil
+	}
+	explanation.call.setKeyOf(table.Routes(), request.Workspace)
+	explanation.call.setTerms(table.Routes())
+	explanation.describe(request)
+	explanation.decide()
+	return explanation.answer, nil
+}
+
+// callOf returns the call that the request would be.
+func callOf(now time.Time, request preview.Request) *call {
+	call := &call{method: request.Method, requestURI: request.Path, host: request.Host, body: request.Body, isBodyRead: true, arrived: now, received: now,
+		verdict: celerylanding.NotRun, delivery: delivery.New("")}
+	call.metadata = celerylanding.CallMetadata{ID: request.ID, Model: request.Model, PromptTokens: request.PromptTokens,
+		OutputTokens: request.OutputTokens, PromptParts: request.PromptParts, Resumes: request.Resumes,
+		MaxWait: time.Duration(request.MaxWaitSeconds * float64(time.Second))}
+	if request.Resumes != "" {
+		// Any event shows that the stream has begun.
+		call.metadata.ResumeAfter = request.Resumes
+	}
+	return call
+}
+
+// setKeyOf gives the call a key of the workspace with a name, or one that no workspace has if the workspace has none.
+func (call *call) setKeyOf(routes *routing.Table, name celerylanding.WorkspaceID) {
+	if name == "" {
+		return
+	}
+	call.hasKey = true
+	if workspace := routes.Workspace(name); workspace != nil && len(workspace.Keys) > 0 {
+		call.key = workspace.Keys[0]
+	}
+}
+
+// explainStart says what becomes of a request before the first configuration.
+func (explanation *explanation) explainStart() {
+	if explanation.now.Before(explanation.handler.routesWaitEnd(explanation.call)) {
+		explanation.wait(preview.WaitForConfiguration)
+		return
+	}
+	explanation.refuse(noConfiguration())
+}
+
+func (explanation *explanation) refuse(refused *refusal) {
+	late := refused.withChance(1)
+	shortest := retrySeconds(explanation.now, explanation.call, refused)
+	explanation.answer.Outcome = preview.OutcomeRefused
+	explanation.answer.Refusal = &preview.Refusal{Status: refused.status, Reason: refused.reason, Cause: refused.cause,
+		RetryAfterSeconds: shortest, RetrySpreadSeconds: retrySeconds(explanation.now, explanation.call, late) - shortest}
+}
+
+func (explanation *explanation) wait(what preview.WaitFor) {
+	explanation.answer.Outcome, explanation.answer.WaitsFor = preview.OutcomeWaits, what
+}
+
+// describe adds the route, the workspace and the targets to the answer.
+func (explanation *explanation) describe(request preview.Request) {
+	call, answer := explanation.call, &explanation.answer
+	route := call.route
+	answer.Route = &preview.Route{Name: route.Name, Host: route.Host, Prefix: route.Prefix, Kind: route.Kind.String(), IsPublic: route.Public,
+		ObjectiveSeconds: route.LatencyObjective.Seconds(), TimeoutSeconds: call.deadline.Sub(call.arrived).Seconds()}
+	for _, share := range route.Shares {
+		answer.Route.Shares = append(answer.Route.Shares, preview.Share{Service: share.Service, Weight: share.Weight})
+	}
+	answer.Service = call.service
+	if call.unit.Model != "" {
+		answer.Unit, answer.IsUnknownModel = call.unit.String(), !explanation.table.Routes().HasModel(call.unit.Model)
+		answer.Load = explanation.handler.waker.peek(explanation.now, call.service, call.unit, call.origin)
+	}
+	routes := explanation.table.Routes()
+	if !routes.NeedsKeys() {
+		return
+	}
+	workspace := routes.Workspace(request.Workspace)
+	view := &preview.Workspace{Name: request.Workspace, IsKnown: workspace != nil, HasKeys: workspace != nil && len(workspace.Keys) > 0,
+		MaxProofAgeSeconds: explanation.handler.options.KeyBounds.Revocation.Seconds()}
+	view.Rank, view.Classes = routes.Rank(workspace, route)
+	age, hasProof := explanation.proof.Age(explanation.now)
+	view.HasProof, view.ProofAgeSeconds = hasProof, age.Seconds()
+	answer.Workspace = view
+}
+
+// decide finds out what would become of the request, in the order in which ServeHTTP decides.
+func (explanation *explanation) decide() {
+	handler, call, now := explanation.handler, explanation.call, explanation.now
+	cause := handler.decideAccess(call, explanation.table.Routes(), explanation.proof)
+	isRefused := cause != access.CauseNone
+	if isRefused {
+		explanation.refuse(refuseAccess(call, cause))
+	}
+	steps := []func() bool{
+		func() bool { return explanation.refuseIf(handler.refuseQuarantined(call)) },
+		explanation.decideAllowance,
+		func() bool {
+			if !handler.lacksOrigin(call) {
+				return false
+			}
+			explanation.wait(preview.WaitForOrigin)
+			return true
+		},
+		func() bool { return explanation.refuseIf(call.checkTime(now)) },
+	}
+	for _, isDecided := range steps {
+		isRefused = isRefused || isDecided()
+	}
+	needs := call.requirements()
+	explanation.answer.Targets = handler.picker.Explain(now, explanation.table, needs)
+	if !isRefused {
+		explanation.decideTarget(needs)
+	}
+}
+
+func (explanation *explanation) refuseIf(refused *refusal) bool {
+	if refused == nil {
+		return false
+	}
+	explanation.refuse(refused)
+	return true
+}
+
+// decideAllowance reports whether the allowance of the workspace decides what becomes of the request.
+func (explanation *explanation) decideAllowance() bool {
+	call, now := explanation.call, explanation.now
+	if call.workspace == nil || !call.workspace.Allowance.IsLimited() {
+		return false
+	}
+	allowance := call.workspace.Allowance
+	cost := allowance.Cost(call.metadata)
+	explanation.handler.allowances.mutex.Lock()
+	held := explanation.handler.allowances.reserve.Preview(now, call.workspace, cost, call.allowancePatience(now))
+	explanation.handler.allowances.mutex.Unlock()
+	unit := "requests"
+	if allowance.Unit == routing.AllowanceTokens {
+		unit = "tokens"
+	}
+	explanation.answer.Workspace.Allowance = &preview.Allowance{Unit: unit, Rate: allowance.Rate, Burst: allowance.Burst, Cost: cost, Held: held.Held,
+		Queued: held.Queued, GrantedRate: held.Rate, ReadySeconds: held.Ready.Seconds(), FailedCalls: held.Failures}
+	switch {
+	case cost <= 0 || held.Charge.State() == throttle.ChargeAdmitted:
+		return false
+	case held.Charge.State() == throttle.ChargeRefused:
+		explanation.refuse(refuseCharge(&held.Charge))
+	default:
+		explanation.wait(preview.WaitForAllowance)
+	}
+	return true
+}
+
+// decideTarget plays the choice on a snapshot, and what follows if there is no target.
+func (explanation *explanation) decideTarget(needs dispatch.Requirements) {
+	handler, call, now := explanation.handler, explanation.call, explanation.now
+	snapshot := handler.picker.Snapshot(explanation.table, call.service)
+	if target, _ := snapshot.Pick(now, explanation.table, needs); target != nil {
+		if handler.trials.isListed(call.fingerprints()[0]) {
+			explanation.wait(preview.WaitForTrial)
+			return
+		}
+		explanation.answer.Outcome, explanation.answer.Target = preview.OutcomeSent, target.ID
+		return
+	}
+	throttled := snapshot.Throttled(now, explanation.table, needs)
+	if len(throttled.Targets) > 0 {
+		call.holdBack(now)
+	}
+	switch step, refused := handler.stepWithoutTarget(now, snapshot, explanation.table, call, throttled); step {
+	case stepRefuse:
+		explanation.refuse(refused)
+	case stepAwaitLimit:
+		explanation.wait(preview.WaitForLimit)
+	default:
+		explanation.wait(preview.WaitForLoad)
+	}
+}
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -23,14 +23,10 @@
 // findOrigin finds the software version that began the stream that a call takes up. A stream of unknown origin is refused, since targets do not
 // check whether they can go on with it.
 func (handler *Handler) findOrigin(ctx context.Context, call *call) *refusal {
-	if call.route.Kind != routing.KindStream || call.metadata.ResumeAfter == "" {
+	if !handler.lacksOrigin(call) {
 		return nil
 	}
 	key := hash(call.metadata.Resumes)
-	if software, isKnown := handler.journal.Find(key); isKnown {
-		call.origin = software
-		return nil
-	}
 	for {
 		reply, err := handler.askOrigin(ctx, feed.OriginArgs{Service: call.service, Call: key})
 		now := handler.options.Clock()
@@ -51,6 +47,16 @@
 	}
 }
 
+// lacksOrigin reports whether the leader must be asked for the origin of the stream that a call takes up; otherwise it is set if there is one.
+func (handler *Handler) lacksOrigin(call *call) bool {
+	if call.route.Kind != routing.KindStream || call.metadata.ResumeAfter == "" {
+		return false
+	}
+	software, isKnown := handler.journal.Find(hash(call.metadata.Resumes))
+	call.origin = software
+	return !isKnown
+}
+
 func (handler *Handler) askOrigin(ctx context.Context, args feed.OriginArgs) (feed.OriginReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -78,20 +78,51 @@
 	}
 }
 
+// step is what a request without a target does next.
+type step uint8
+
+const (
+	stepRefuse step = iota
+	stepAwaitLimit
+	stepAwaitUnit
+)
+
+// stepWithoutTarget returns what a request does for which the picker has found no target, and the refusal if there is one.
+func (handler *Handler) stepWithoutTarget(now time.Time, picker *dispatch.Picker, table *dispatch.Table, call *call,
+	throttled dispatch.Throttled) (step, *refusal) {
+	staysThrottled := handler.staysThrottled(call, throttled)
+	switch {
+	case staysThrottled && handler.mayWaitForLimit(call):
+		return stepAwaitLimit, nil
+	case staysThrottled:
+		return stepRefuse, unavailableOrFailed(call, celerylanding.ReasonTargetsLimited, throttled.RetryDelay,
+			"the targets have reached the limits that they announce")
+	case call.unit.Model == "":
+		pause := picker.PauseRemaining(now, table, call.requirements())
+		if pause == 0 {
+			return stepRefuse, unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
+		}
+		refused := unavailableOrFailed(call, celerylanding.ReasonNoTarget, pause, "all targets have asked for a pause")
+		refused.spread = pause / 2
+		return stepRefuse, refused
+	case handler.refusesWaiting.Load() && !call.delivery.HasBegun():
+		return stepRefuse, unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
+	}
+	return stepAwaitUnit, nil
+}
+
 // awaitTarget waits until a request without a target may be tried again, or refuses it.
 func (handler *Handler) awaitTarget(ctx context.Context, now time.Time, call *call, throttled dispatch.Throttled,
 	unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
-	if handler.staysThrottled(now, call, throttled) {
-		return handler.waitForLimit(ctx, now, call, throttled.RetryDelay)
+	if len(throttled.Targets) > 0 && call.holdBack(now) {
+		handler.options.Metrics.Counter("requests_throttled").Inc(1)
 	}
-	if call.unit.Model == "" {
-		pause := handler.picker.PauseRemaining(now, handler.state.table(), call.requirements())
-		if pause == 0 {
-			return unavailableOrFailed(call, celerylanding.ReasonNoTarget, busyRetryDelay, "no target takes work")
-		}
-		// Callers that are refused together return spread over half a pause.
-		return unavailableOrFailed(call, celerylanding.ReasonNoTarget, pause+time.Duration(rand.Float64()*float64(pause)/2),
-			"all targets have asked for a pause")
+	step, refused := handler.stepWithoutTarget(now, handler.picker, handler.state.table(), call, throttled)
+	switch step {
+	case stepRefuse:
+		return refused.withChance(rand.Float64())
+	case stepAwaitLimit:
+		return handler.waitForLimit(ctx, now, call)
 	}
 	if call.wait == nil {
 		call.wait = handler.waker.join(call.service, call.unit, call.origin)
@@ -125,22 +156,20 @@
 
 // staysThrottled reports whether a request without a target waits for the limits of targets or is refused because of them: while it can still be
 // on time, and if no other target could serve it.
-func (handler *Handler) staysThrottled(now time.Time, call *call, throttled dispatch.Throttled) bool {
+func (handler *Handler) staysThrottled(call *call, throttled dispatch.Throttled) bool {
 	if len(throttled.Targets) == 0 {
 		return false
 	}
-	handler.recordThrottled(now, call)
 	return handler.mayWaitForLimit(call) || call.unit.Model == "" || !throttled.HasAlternative
 }
 
-// recordThrottled records that the limits of all targets of the request keep it back until the next attempt.
-func (handler *Handler) recordThrottled(now time.Time, call *call) {
-	if call.throttledUntil.IsZero() {
-		handler.options.Metrics.Counter("requests_throttled").Inc(1)
-	}
+// holdBack records that the limits of all targets of the request keep it back until the next attempt, and reports whether that is new.
+func (call *call) holdBack(now time.Time) bool {
+	isNew := call.throttledUntil.IsZero()
 	if !now.Before(call.throttledUntil) {
 		call.throttledUntil = now.Add(limitRetryInterval)
 	}
+	return isNew
 }
 
 // mayWaitForLimit reports whether the answer can still begin within the latency objective if the request is tried once more.
@@ -149,12 +178,8 @@
 		!handler.refusesWaiting.Load()
 }
 
-// waitForLimit waits until the limits of the targets may allow the request. It refuses a request that would be late, with the delay after which
-// its client should return.
-func (handler *Handler) waitForLimit(ctx context.Context, now time.Time, call *call, delay time.Duration) *refusal {
-	if !handler.mayWaitForLimit(call) {
-		return unavailableOrFailed(call, celerylanding.ReasonTargetsLimited, delay, "the targets have reached the limits that they announce")
-	}
+// waitForLimit waits until the limits of the targets may allow the request.
+func (handler *Handler) waitForLimit(ctx context.Context, now time.Time, call *call) *refusal {
 	isDone := !sleep(ctx, call.throttledUntil.Sub(now))
 	call.waited += handler.options.Clock().Sub(now)
 	if isDone {
@@ -170,14 +195,14 @@
 
 // checkAttemptAllowed refuses a request that has no time or no attempt left, or that has been quarantined since it arrived.
 func (handler *Handler) checkAttemptAllowed(now time.Time, call *call) *refusal {
-	if call.deadline.Sub(now) < minRemaining {
-		return deadlineExceeded(call)
+	if refusal := call.checkTime(now); refusal != nil {
+		return refusal
 	}
 	if refusal := handler.recheckAccess(call); refusal != nil {
 		return refusal
 	}
-	if cause := handler.crashes.quarantineCause(call); cause != "" {
-		return unavailableOrFailed(call, celerylanding.ReasonQuarantined, 0, cause)
+	if refusal := handler.refuseQuarantined(call); refusal != nil {
+		return refusal
 	}
 	if call.sends >= maxSends {
 		return unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, call.cause)
@@ -185,6 +210,14 @@
 	return nil
 }
 
+// checkTime refuses a request that no target could answer in time.
+func (call *call) checkTime(now time.Time) *refusal {
+	if call.deadline.Sub(now) < minRemaining {
+		return deadlineExceeded(call)
+	}
+	return nil
+}
+
 // unavailableOrFailed returns a 503 for a request that has not run, and a 502 for one that may have run.
 func unavailableOrFailed(call *call, reason celerylanding.Reason, retryAfter time.Duration, cause string) *refusal {
 	if call.verdict == celerylanding.NotRun {
@@ -203,9 +236,6 @@
 
 // waitForUnit asks the leader to load the unit, and waits for a new table or the next poll.
 func (handler *Handler) waitForUnit(ctx context.Context, call *call, unreachable []celerylanding.Endpoint, changed <-chan struct{}) *refusal {
-	if handler.refusesWaiting.Load() && !call.delivery.HasBegun() {
-		return unavailableOrFailed(call, celerylanding.ReasonDraining, minRetryDelay, "this router stops")
-	}
 	now := handler.options.Clock()
 	remaining := call.waitEnd().Sub(now)
 	reply, err := call.wait.wake(ctx, now, remaining, call.slack(now), call.refusals, unreachable)
--- a/proxy/trial.go
+++ b/proxy/trial.go
@@ -58,6 +58,14 @@
 	return len(gate.listed) == 0
 }
 
+// isListed reports whether copies of the request run one at a time.
+func (gate *trialGate) isListed(fingerprint uint64) bool {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	_, isListed := gate.listed[fingerprint]
+	return isListed
+}
+
 // begin reports whether the request needs the leader's consent, and if so, whether the leader may be asked now. Otherwise the caller waits on the
 // returned channel.
 func (gate *trialGate) begin(now time.Time, fingerprint uint64) (isNeeded, mayAsk bool, changed <-chan struct{}) {
--- a/proxy/waker.go
+++ b/proxy/waker.go
@@ -9,6 +9,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/preview"
 )
 
 const (
@@ -75,6 +76,22 @@
 	}
 }
 
+// peek returns what is known of the load of a unit, or nil if no request has waited for it lately.
+func (waker *waker) peek(now time.Time, service celerylanding.ServiceID, unit feed.Unit, software celerylanding.SoftwareVersion) *preview.Load {
+	waker.mutex.Lock()
+	defer waker.mutex.Unlock()
+	state := waker.units[wakeKey{service, unit, software}]
+	if state == nil {
+		return nil
+	}
+	load := &preview.Load{Waiting: state.waiting, FailedCalls: state.failures}
+	if !state.askedAt.IsZero() && state.err == nil {
+		load.HasAnswer, load.AnswerAgeSeconds = true, now.Sub(state.askedAt).Seconds()
+		load.ExpectedSeconds, load.IsInfeasible, load.Cause = state.reply.Expected.Seconds(), state.reply.Infeasible, state.reply.Cause
+	}
+	return load
+}
+
 // unitWait is one request's wait for a unit.
 type unitWait struct {
 	waker *waker
--- a/routing/table.go
+++ b/routing/table.go
@@ -89,6 +89,16 @@
 	return table.workspaces[digest]
 }
 
+// Workspace returns the workspace with a name, or nil if there is none.
+func (table *Table) Workspace(id celerylanding.WorkspaceID) *Workspace {
+	for i := range table.configuration.Workspaces {
+		if workspace := &table.configuration.Workspaces[i]; workspace.ID == id {
+			return workspace
+		}
+	}
+	return nil
+}
+
 // Match returns the route of the host whose prefix is the longest one that the path starts with.
 func (table *Table) Match(host, path string) (*Route, bool) {
 	for _, route := range table.hosts[hostKey(host)] {
--- a/throttle/gate.go
+++ b/throttle/gate.go
@@ -64,6 +64,17 @@
 	return &Gate{node: node, targets: make(map[celerylanding.TargetID]*gateState)}
 }
 
+// Clone returns a copy that shares nothing with the gate.
+func (gate *Gate) Clone() *Gate {
+	clone := *gate
+	clone.targets = make(map[celerylanding.TargetID]*gateState, len(gate.targets))
+	for id, state := range gate.targets {
+		copied := *state
+		clone.targets[id] = &copied
+	}
+	return &clone
+}
+
 func (gate *Gate) state(target celerylanding.TargetID, incarnation celerylanding.Incarnation) *gateState {
 	state := gate.targets[target]
 	if state == nil || state.incarnation != incarnation {
