Merge main: targets are chosen by the benefit that a model expects

A question where a request would go shows the parts of each target's expected loss, and the share of such requests that it gets, since chance spreads requests over targets that are about as good.

--- a/commands/route_text.go
+++ b/commands/route_text.go
@@ -27,7 +27,7 @@
 		rows = append(rows, loadRow(load))
 	}
 	if len(answer.Targets) > 0 {
-		rows = append(rows, "", "RANK\tTARGET\tDOMAIN\tCOST\tOF\tLOAD\tAGE\tHERE\tEXCLUDED")
+		rows = append(rows, "", "RANK\tTARGET\tDOMAIN\tSHARE\tFIRST EVENT\tTO READ\tLOSS\tOF\tLOAD\tAGE\tHERE\tEXCLUDED")
 	}
 	for i := range answer.Targets {
 		rows = append(rows, targetRow(&answer.Targets[i]))
@@ -56,9 +56,15 @@
 	return length.Round(time.Millisecond).String()
 }
 
+// mostOf is the share from which a target is named as the only one.
+const mostOf = 0.995
+
 func outcomeRow(answer *preview.Answer) string {
 	switch answer.Outcome {
 	case preview.OutcomeSent:
+		if len(answer.Targets) > 0 && answer.Targets[0].Share < mostOf {
+			return fmt.Sprintf("outcome\tsent, to %s in %.0f of 100 cases", answer.Target, 100*answer.Targets[0].Share)
+		}
 		return "outcome\tsent to " + string(answer.Target)
 	case preview.OutcomeWaits:
 		return "outcome\twaits: " + waitTexts[answer.WaitsFor]
@@ -167,6 +173,9 @@
 	return row
 }
 
+// smallestTerm is the smallest part of a loss that is printed.
+const smallestTerm = 0.005
+
 func targetRow(target *preview.Target) string {
 	rank, load, age := "-", "not reported", ""
 	if target.Rank > 0 {
@@ -174,10 +183,13 @@
 	}
 	if target.HasReport {
 		load, age = fmt.Sprintf("%d+%d of %d", target.Running, target.Waiting, target.Slots), seconds(target.ReportAgeSeconds)
+		if target.Slowdown > 0 {
+			load += fmt.Sprintf(", x%.2f", target.Slowdown)
+		}
 	}
 	var terms []string
 	for _, term := range target.Terms {
-		if term.Value != 0 {
+		if term.Value >= smallestTerm {
 			terms = append(terms, fmt.Sprintf("%s %.2f", term.Name, term.Value))
 		}
 	}
@@ -188,6 +200,6 @@
 	if target.HasLimit {
 		excluded = strings.TrimSpace(fmt.Sprintf("%s (limit %.4g/s)", excluded, target.Limit))
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%.2f\t%s\t%s\t%s\t%d\t%s", rank, target.ID, target.Domain, target.Cost, strings.Join(terms, ", "), load, age,
-		target.InFlight, excluded)
+	return fmt.Sprintf("%s\t%s\t%s\t%.0f%%\t%s\t%d\t%.2f\t%s\t%s\t%s\t%d\t%s", rank, target.ID, target.Domain, 100*target.Share,
+		seconds(target.ExpectedFirstSeconds), target.ReadTokens, target.Loss, strings.Join(terms, ", "), load, age, target.InFlight, excluded)
 }
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -1,122 +1,153 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/preview"
 )
 
-// costTerms are the parts of a target's cost, in shares of its slots.
-type costTerms struct {
-	load, failures, lateness, domain, limit, cacheMiss float64
+// lossTerms are the parts of the loss of a choice, in units of the benefit of one request that is answered in time.
+type lossTerms struct {
+	late, first, work, harm, busy, failures, domain, limit float64
 }
 
-func (terms *costTerms) sum() float64 {
-	return terms.load + terms.failures + terms.lateness + terms.domain + terms.limit + terms.cacheMiss
+func (terms *lossTerms) sum() float64 {
+	return terms.late + terms.first + terms.work + terms.harm + terms.busy + terms.failures + terms.domain + terms.limit
 }
 
 // list returns the terms with their names.
-func (terms *costTerms) list() []preview.Term {
-	return []preview.Term{{Name: "load", Value: terms.load}, {Name: "failures", Value: terms.failures}, {Name: "lateness", Value: terms.lateness},
-		{Name: "domain", Value: terms.domain}, {Name: "limit", Value: terms.limit}, {Name: "cache miss", Value: terms.cacheMiss}}
+func (terms *lossTerms) list() []preview.Term {
+	return []preview.Term{{Name: "late", Value: terms.late}, {Name: "first event", Value: terms.first}, {Name: "reading", Value: terms.work},
+		{Name: "harm", Value: terms.harm}, {Name: "busy", Value: terms.busy}, {Name: "failures", Value: terms.failures},
+		{Name: "domain", Value: terms.domain}, {Name: "limit", Value: terms.limit}}
 }
 
 // Snapshot returns a picker with a copy of what this one knows of the targets of a service. Choices by the copy change nothing in the original.
 func (picker *Picker) Snapshot(table *Table, service celerylanding.ServiceID) *Picker {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	snapshot := &Picker{domain: picker.domain, stats: make(map[celerylanding.TargetID]*targetStats), gate: picker.gate.Clone()}
+	snapshot := &Picker{domain: picker.domain, stats: make(map[celerylanding.TargetID]*targetStats),
+		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: picker.gate.Clone(), cache: picker.cache}
+	model := picker.services[service]
+	if model == nil {
+		return snapshot
+	}
+	model = model.Clone()
+	snapshot.services[service] = model
 	for _, target := range slices.Concat(table.Targets(service), table.leaving[service]) {
 		if stats := picker.stats[target.ID]; stats != nil {
 			copied := *stats
+			copied.model = stats.model.Clone(model)
 			snapshot.stats[target.ID] = &copied
 		}
 	}
 	return snapshot
 }
 
-// Explain returns what the choice for a request knows of each target of its service: first the usable ones in the order of the choice, then the
-// excluded ones by name. The choice is played on a snapshot.
+// Explain returns what the choice for a request knows of each target of its service: first the usable ones, those with the largest share before the
+// others, then the excluded ones by name. The choice is played on a snapshot.
 func (picker *Picker) Explain(now time.Time, table *Table, needs Requirements) []preview.Target {
 	snapshot := picker.Snapshot(table, needs.Service)
-	candidates := table.Targets(needs.Service)
-	if needs.Unit.Model != "" {
-		candidates = table.TargetsForUnit(needs.Service, needs.Unit)
-	}
-	ranks, held := snapshot.rank(now, table, candidates, needs)
-	preferred := affinityTarget(snapshot.sameDomain(candidates), needs)
+	candidates := table.candidates(&needs)
+	best, shares, held := snapshot.shares(now, table, candidates, needs)
+	assessment := snapshot.newAssessment(now, table, candidates, &needs)
 	var list []preview.Target
 	for _, target := range slices.Concat(table.Targets(needs.Service), table.leaving[needs.Service]) {
 		stats := snapshot.statsOf(target)
 		entry := stats.describe(now, target)
 		entry.Limit, entry.HasLimit = snapshot.gate.Limit(now, target)
-		terms := snapshot.terms(now, table, target, stats, needs, preferred)
-		entry.Cost, entry.Terms = terms.sum(), terms.list()
-		if entry.Rank = ranks[target.ID]; entry.Rank == 0 {
+		option := option{choice: Choice{Target: target}}
+		terms := snapshot.weigh(&assessment, &option, stats, entry.HasLimit)
+		entry.Loss, entry.Terms = terms.sum(), terms.list()
+		entry.ExpectedFirstSeconds, entry.ReadTokens = option.choice.Outlook.First, option.choice.Size.Tokens
+		share, isUsable := shares[target.ID]
+		if entry.Share = share; !isUsable {
 			entry.Excluded, entry.ExcludedSeconds = snapshot.exclusion(now, target, slices.Contains(candidates, target), needs)
-			if entry.Excluded == "" && held[target.ID] {
+			switch {
+			case entry.Excluded == "" && held[target.ID]:
 				entry.Excluded = preview.ExcludedLimit
-			}
-			if entry.Excluded == "" {
+			case entry.Excluded == "":
 				entry.Excluded = preview.ExcludedOther
 			}
 		}
 		list = append(list, entry)
 	}
 	slices.SortFunc(list, func(a, b preview.Target) int {
-		switch {
-		case a.Rank > 0 && b.Rank > 0:
-			return a.Rank - b.Rank
-		case a.Rank+b.Rank > 0:
-			return b.Rank - a.Rank
-		}
-		return strings.Compare(string(a.ID), string(b.ID))
+		return cmp.Or(strings.Compare(string(a.Excluded), string(b.Excluded)), cmp.Compare(b.Share, a.Share), cmp.Compare(a.Loss, b.Loss),
+			cmp.Compare(isEqual(b.ID, best), isEqual(a.ID, best)), strings.Compare(string(a.ID), string(b.ID)))
 	})
+	for i := range list {
+		if list[i].Excluded == "" {
+			list[i].Rank = i + 1
+		}
+	}
 	return list
 }
 
-// rank returns the places of the targets, from 1 for the one that the request would get, and those that would be better but for their limits.
-func (picker *Picker) rank(now time.Time, table *Table, candidates []*feed.Target, needs Requirements) (ranks map[celerylanding.TargetID]int,
-	held map[celerylanding.TargetID]bool) {
-	chosen, _ := picker.find(now, table, candidates, needs)
-	order := picker.order(now, table, candidates, needs, false)
-	if chosen != nil && !slices.Contains(order, chosen) {
-		order = picker.order(now, table, candidates, needs, true)
+// isEqual returns 1 for equal targets and 0 for others.
+func isEqual(a, b celerylanding.TargetID) int {
+	if a == b {
+		return 1
 	}
-	ranks, held = make(map[celerylanding.TargetID]int), make(map[celerylanding.TargetID]bool)
-	for _, target := range order {
-		if len(ranks) == 0 && target != chosen {
+	return 0
+}
+
+// shares returns the target that is chosen without chance, the share of such requests that each usable target would get, and the targets that are
+// passed over because of their limits. A usable target may have no share.
+func (picker *Picker) shares(now time.Time, table *Table, candidates []*feed.Target, needs Requirements) (best celerylanding.TargetID,
+	shares map[celerylanding.TargetID]float64, held map[celerylanding.TargetID]bool) {
+	gate := picker.gate.Clone()
+	choice, _, allowsOutliers := picker.find(now, table, candidates, needs)
+	if choice.Target != nil {
+		best = choice.Target.ID
+	}
+	shares, held = make(map[celerylanding.TargetID]float64), make(map[celerylanding.TargetID]bool)
+	for _, target := range candidates {
+		// Before outliers are allowed, all other targets have been tried.
+		isAllowed := gate.Allow(now, target, table.Routers())
+		if allowsOutliers && !isAllowed && !picker.statsOf(target).isOutlier(target) {
+			isAllowed = gate.Allow(now, target, table.Routers())
+		}
+		if !isAllowed {
 			held[target.ID] = true
-			continue
+			needs.Excluded = append(slices.Clip(needs.Excluded), target.ID)
 		}
-		ranks[target.ID] = len(ranks) + 1
 	}
-	return ranks, held
-}
-
-// order plays the choice without limits again and again, each time without the targets that it has chosen before.
-func (picker *Picker) order(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) []*feed.Target {
-	var order []*feed.Target
-	for {
-		best, _ := picker.choose(now, table, candidates, needs, allowOutliers)
-		if best == nil {
-			return order
+	// Where chance decides which targets are looked at, each beginning is as likely.
+	starts := 1
+	if len(candidates) > maxAssessed {
+		starts = len(candidates)
+	}
+	for start := range starts {
+		needs.Chance = (float64(start) + anyChance) / float64(starts)
+		picker.choose(now, table, candidates, needs, allowsOutliers)
+		total := 0.0
+		for _, option := range picker.options {
+			total += option.loss
+		}
+		for _, option := range picker.options {
+			// With a chance, the choice has replaced the losses by weights.
+			shares[option.choice.Target.ID] += option.loss / total / float64(starts)
 		}
-		order = append(order, best)
-		needs.Excluded = append(slices.Clip(needs.Excluded), best.ID)
 	}
+	return best, shares, held
 }
 
+// anyChance is a chance at which a choice weighs its options.
+const anyChance = 0.5
+
 // describe returns what the router has observed of a target.
 func (stats *targetStats) describe(now time.Time, target *feed.Target) preview.Target {
-	entry := preview.Target{ID: target.ID, Domain: target.Domain, Software: target.Software, InFlight: stats.inFlight, Slots: target.Slots}
+	entry := preview.Target{ID: target.ID, Domain: target.Domain, Software: target.Software, InFlight: stats.model.InFlight(), Slots: target.Slots}
 	if stats.slots > 0 {
-		entry.HasReport, entry.ReportAgeSeconds = true, now.Sub(stats.loadReportedAt).Seconds()
-		entry.Running, entry.Waiting, entry.Slots = stats.load.Running, stats.load.Waiting, stats.slots
+		entry.HasReport, entry.ReportAgeSeconds = true, now.Sub(stats.reportedAt).Seconds()
+		entry.Running, entry.Waiting, entry.Slots, entry.Slowdown = stats.load.Running, stats.load.Waiting, stats.slots, stats.load.Slowdown
 	}
 	return entry
 }
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -25,6 +25,7 @@
 	byUnit    map[unitKey][]*feed.Target
 	// leaving are the targets that get no new requests, of which operators are told.
 	leaving map[celerylanding.ServiceID][]*feed.Target
+	byID    map[celerylanding.TargetID]*feed.Target
 	routers int
 }
 
@@ -134,6 +135,7 @@
 		byService: make(map[celerylanding.ServiceID][]*feed.Target),
 		byUnit:    make(map[unitKey][]*feed.Target),
 		leaving:   make(map[celerylanding.ServiceID][]*feed.Target),
+		byID:      make(map[celerylanding.TargetID]*feed.Target),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
@@ -142,6 +144,7 @@
 			table.leaving[target.Service] = append(table.leaving[target.Service], &target)
 			continue
 		}
+		table.byID[target.ID] = &target
 		table.byService[target.Service] = append(table.byService[target.Service], &target)
 		for _, model := range target.Loaded {
 			if model.Draining {
--- a/preview/preview.go
+++ b/preview/preview.go
@@ -32,7 +32,8 @@
 
 // The outcomes.
 const (
-	// OutcomeSent means that the request would be sent to Answer.Target.
+	// OutcomeSent means that the request would be sent, most probably to Answer.Target: chance spreads requests over targets that are about as good,
+	// as the shares of the targets say.
 	OutcomeSent Outcome = "sent"
 	// OutcomeWaits means that it would wait for Answer.WaitsFor; what it then gets is not known without asking the leader.
 	OutcomeWaits Outcome = "waits"
--- a/preview/target.go
+++ b/preview/target.go
@@ -33,7 +33,7 @@
 	ExcludedOther Exclusion = "other"
 )
 
-// Term is a part of a target's cost.
+// Term is a part of a target's loss.
 type Term struct {
 	Name  string  `json:"name"`
 	Value float64 `json:"value"`
@@ -44,8 +44,11 @@
 	ID       celerylanding.TargetID        `json:"id"`
 	Domain   celerylanding.FailureDomain   `json:"domain"`
 	Software celerylanding.SoftwareVersion `json:"software,omitempty"`
-	// Rank is the place of the target in the choice, 1 for the best; zero if it is excluded.
-	Rank     int       `json:"rank,omitempty"`
+	// Rank is the place of the target in the choice, 1 for the one with the largest share; zero if it is excluded.
+	Rank int `json:"rank,omitempty"`
+	// Share is the share of such requests that the target would get now: chance spreads them over targets that are about as good. It is an estimate
+	// where some of the targets have limits.
+	Share    float64   `json:"share"`
 	Excluded Exclusion `json:"excluded,omitempty"`
 	// ExcludedSeconds is the time until the exclusion ends by itself; zero if that is not known.
 	ExcludedSeconds float64 `json:"excluded_seconds,omitempty"`
@@ -60,7 +63,12 @@
 	// Limit is the number of requests per second that the target takes from all routers, if HasLimit is set.
 	HasLimit bool    `json:"has_limit,omitempty"`
 	Limit    float64 `json:"limit,omitempty"`
-	// Cost is the sum of the terms; the target with the lowest cost is chosen.
-	Cost  float64 `json:"cost"`
+	// Slowdown is the time that work takes on the target's machine relative to the usual one, as reported; zero if it is not.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	// ExpectedFirstSeconds is the expected time to the first event, and ReadTokens the tokens of the prompt that the target would have to read.
+	ExpectedFirstSeconds float64 `json:"expected_first_seconds,omitempty"`
+	ReadTokens           int     `json:"read_tokens,omitempty"`
+	// Loss is the sum of the terms, in units of the benefit of one request that is answered in time; the lower, the larger is the share.
+	Loss  float64 `json:"loss"`
 	Terms []Term  `json:"terms,omitempty"`
 }
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -154,7 +154,7 @@
 	for _, isDecided := range steps {
 		isRefused = isRefused || isDecided()
 	}
-	needs := call.requirements()
+	needs := call.requirementsAt(now)
 	explanation.answer.Targets = handler.picker.Explain(now, explanation.table, needs)
 	if !isRefused {
 		explanation.decideTarget(needs)
@@ -201,12 +201,13 @@
 func (explanation *explanation) decideTarget(needs dispatch.Requirements) {
 	handler, call, now := explanation.handler, explanation.call, explanation.now
 	snapshot := handler.picker.Snapshot(explanation.table, call.service)
-	if target, _ := snapshot.Pick(now, explanation.table, needs); target != nil {
+	// Chance decides between targets that are about as good; whether there is one does not depend on it.
+	if choice, _ := snapshot.Choose(now, explanation.table, needs); choice.Target != nil {
 		if handler.trials.isListed(call.fingerprints()[0]) {
 			explanation.wait(preview.WaitForTrial)
 			return
 		}
-		explanation.answer.Outcome, explanation.answer.Target = preview.OutcomeSent, target.ID
+		explanation.answer.Outcome, explanation.answer.Target = preview.OutcomeSent, explanation.answer.Targets[0].ID
 		return
 	}
 	throttled := snapshot.Throttled(now, explanation.table, needs)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -65,11 +65,12 @@
 		if refusal := handler.checkAttemptAllowed(now, call); refusal != nil {
 			return nil, refusal
 		}
-		needs := call.requirements()
-		needs.AvoidsLimits = now.Before(call.throttledUntil)
-		target, unreachable := handler.picker.Pick(now, table, needs)
-		if target != nil {
-			return target, nil
+		needs := call.requirementsAt(now)
+		needs.Chance = rand.Float64()
+		choice, unreachable := handler.picker.Choose(now, table, needs)
+		if choice.Target != nil {
+			call.outlook = choice.Outlook
+			return choice.Target, nil
 		}
 		throttled := handler.picker.Throttled(now, table, needs)
 		if refusal := handler.awaitTarget(ctx, now, call, throttled, unreachable, changed); refusal != nil {
