--- a/commands/route.go
+++ b/commands/route.go
@@ -29,6 +29,7 @@
 	Model        string        `help:"Model, or MODEL/ADAPTER."`
 	PromptTokens int           `help:"Tokens of the prompt."`
 	OutputTokens int           `help:"Most tokens of the answer."`
+	Expected     int           `name:"expected-output" help:"Tokens that the caller expects in the answer."`
 	Part         []string      `help:"Part of the prompt as ID:TOKENS, in order; repeat the flag for each."`
 	Deadline     time.Duration `help:"Time for which the caller waits."`
 	ID           string        `name:"id" help:"ID of the request, which decides between the services of a route with several shares."`
@@ -71,7 +72,7 @@
 func (command *routeCommand) request() (preview.Request, error) {
 	request := preview.Request{ID: command.ID, Method: command.Method, Host: command.Host, Path: command.Path,
 		Workspace: celerylanding.WorkspaceID(command.Workspace), Model: celerylanding.ModelID(command.Model), PromptTokens: command.PromptTokens,
-		OutputTokens: command.OutputTokens, MaxWaitSeconds: command.Deadline.Seconds(), Resumes: command.Resumes}
+		OutputTokens: command.OutputTokens, ExpectedOutput: command.Expected, MaxWaitSeconds: command.Deadline.Seconds(), Resumes: command.Resumes}
 	if _, _, err := net.SplitHostPort(command.Router); err != nil {
 		return request, celerylanding.NewFieldError("--router", "%q must be ADDRESS:PORT", command.Router)
 	}
@@ -81,8 +82,8 @@
 	if command.Deadline < 0 {
 		return request, celerylanding.NewFieldError("--deadline", "%v must not be negative", command.Deadline)
 	}
-	if command.PromptTokens < 0 || command.OutputTokens < 0 {
-		return request, celerylanding.NewFieldError("--prompt-tokens, --output-tokens", "must not be negative")
+	if command.PromptTokens < 0 || command.OutputTokens < 0 || command.Expected < 0 {
+		return request, celerylanding.NewFieldError("--prompt-tokens, --output-tokens, --expected-output", "must not be negative")
 	}
 	for _, part := range command.Part {
 		at := strings.LastIndexByte(part, ':')
--- a/commands/route_test.go
+++ b/commands/route_test.go
@@ -32,11 +32,11 @@
 // TestRouteAsksWhatItIsAsked checks that the flags reach the router.
 func TestRouteAsksWhatItIsAsked(t *testing.T) {
 	question, _, code := runRoute(t, http.StatusOK, preview.Answer{Outcome: preview.OutcomeSent, Target: "t1"}, "h.example", "/a?b=c", "--method", "GET",
-		"--workspace", "w", "--model", "m/a", "--prompt-tokens", "6500", "--output-tokens", "200", "--part", "x:y:6300", "--part", "own:200",
+		"--workspace", "w", "--model", "m/a", "--prompt-tokens", "6500", "--output-tokens", "200", "--expected-output", "90", "--part", "x:y:6300", "--part", "own:200",
 		"--deadline", "1500ms", "--id", "i", "--resumes", "j")
 	assert.Equal(t, code, 0)
 	assert.DeepEqual(t, question, preview.Request{ID: "i", Method: "GET", Host: "h.example", Path: "/a?b=c", Workspace: "w", Model: "m/a",
-		PromptTokens: 6500, OutputTokens: 200, PromptParts: []celerylanding.PromptPart{{ID: "x:y", Tokens: 6300}, {ID: "own", Tokens: 200}},
+		PromptTokens: 6500, OutputTokens: 200, ExpectedOutput: 90, PromptParts: []celerylanding.PromptPart{{ID: "x:y", Tokens: 6300}, {ID: "own", Tokens: 200}},
 		MaxWaitSeconds: 1.5, Resumes: "j"})
 }
 
--- a/preview/preview.go
+++ b/preview/preview.go
@@ -15,10 +15,12 @@
 	// Workspace is the name of the caller's workspace; "" stands for a caller without a key.
 	Workspace celerylanding.WorkspaceID `json:"workspace,omitempty"`
 	// Model is the model, with its adapter, as callers name it.
-	Model        celerylanding.ModelID      `json:"model,omitempty"`
-	PromptTokens int                        `json:"prompt_tokens,omitempty"`
-	OutputTokens int                        `json:"output_tokens,omitempty"`
-	PromptParts  []celerylanding.PromptPart `json:"prompt_parts,omitempty"`
+	Model        celerylanding.ModelID `json:"model,omitempty"`
+	PromptTokens int                   `json:"prompt_tokens,omitempty"`
+	OutputTokens int                   `json:"output_tokens,omitempty"`
+	// ExpectedOutput is the caller's estimate of the tokens of the answer; zero if there is none.
+	ExpectedOutput int                        `json:"expected_output,omitempty"`
+	PromptParts    []celerylanding.PromptPart `json:"prompt_parts,omitempty"`
 	// MaxWaitSeconds is how long the caller waits; zero means that it sets no limit.
 	MaxWaitSeconds float64 `json:"max_wait_seconds,omitempty"`
 	// Resumes is the ID of the call that brought the first event of the stream that the request takes up, or "".
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -63,7 +63,7 @@
 	call := &call{method: request.Method, requestURI: request.Path, host: request.Host, body: request.Body, isBodyRead: true, arrived: now, received: now,
 		verdict: celerylanding.NotRun, delivery: delivery.New("")}
 	call.metadata = celerylanding.CallMetadata{ID: request.ID, Model: request.Model, PromptTokens: request.PromptTokens,
-		OutputTokens: request.OutputTokens, PromptParts: request.PromptParts, Resumes: request.Resumes,
+		OutputTokens: request.OutputTokens, ExpectedOutput: request.ExpectedOutput, PromptParts: request.PromptParts, Resumes: request.Resumes,
 		MaxWait: time.Duration(request.MaxWaitSeconds * float64(time.Second))}
 	if request.Resumes != "" {
 		// Any event shows that the stream has begun.
