--- a/commands/route_text.go
+++ b/commands/route_text.go
@@ -22,7 +22,7 @@
 	if route := answer.Route; route != nil {
 		rows = append(rows, routeRow(route), unitRow(answer))
 	}
-	rows = append(rows, workspaceRows(answer.Workspace)...)
+	rows = append(rows, accessRows(answer.Workspace)...)
 	if load := answer.Load; load != nil {
 		rows = append(rows, loadRow(load))
 	}
@@ -85,6 +85,7 @@
 
 var waitTexts = map[preview.WaitFor]string{
 	preview.WaitForConfiguration: "this router has no configuration yet",
+	preview.WaitForProof:         "a router that has just started or stood still expects word that its keys are current",
 	preview.WaitForAllowance:     "the leader would be asked for more of the workspace's allowance",
 	preview.WaitForOrigin:        "the leader would be asked which software began the stream",
 	preview.WaitForTrial:         "copies of the request have ended with their targets; the leader lets one run at a time",
@@ -119,7 +120,7 @@
 	return row
 }
 
-func workspaceRows(workspace *preview.Workspace) []string {
+func accessRows(workspace *preview.Workspace) []string {
 	if workspace == nil {
 		return []string{"workspace\tthe configuration has none; callers need no key"}
 	}
--- a/preview/preview.go
+++ b/preview/preview.go
@@ -49,6 +49,7 @@
 // What requests wait for.
 const (
 	WaitForConfiguration WaitFor = "configuration"
+	WaitForProof         WaitFor = "proof"
 	WaitForAllowance     WaitFor = "allowance"
 	WaitForOrigin        WaitFor = "origin"
 	WaitForTrial         WaitFor = "trial"
--- a/proxy/access.go
+++ b/proxy/access.go
@@ -1,38 +1,101 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/access"
-	"celerylanding.example/celerylanding/routing"
 )
 
+// proofWaitShare is the share of its latency objective, or without one of its timeout, for which a request waits for a proof of freshness.
+const proofWaitShare = 0.5
+
+// checkHeader refuses a request whose key is not known once its header has arrived, so that callers without a key can't make a router buffer
+// bodies. The whole request is checked when it has arrived.
+func (handler *Handler) checkHeader(ctx context.Context, call *call) *refusal {
+	decision := handler.awaitAccess(ctx, call, isKeyAwaited)
+	if !decision.Cause.IsKeyUnknown() {
+		return nil
+	}
+	handler.countAccess(call, decision.Cause)
+	return refuseAccess(call, decision.Cause)
+}
+
 // checkAccess finds the workspace of a request that has arrived, or refuses the request.
-func (handler *Handler) checkAccess(call *call) *refusal {
-	table, proof := handler.state.proven()
-	cause := handler.decideAccess(call, table.Routes(), proof)
+func (handler *Handler) checkAccess(ctx context.Context, call *call) *refusal {
+	decision := handler.awaitAccess(ctx, call, isProofAwaited)
+	call.workspace = decision.Workspace
 	if call.hidesKey {
-		handler.countAccess(call, cause)
+		handler.countAccess(call, decision.Cause)
 	}
-	if cause == access.CauseNone {
+	if decision.Cause == access.CauseNone {
 		return nil
 	}
-	return refuseAccess(call, cause)
+	return refuseAccess(call, decision.Cause)
+}
+
+// isKeyAwaited reports whether a request whose header has arrived waits for a proof.
+func isKeyAwaited(cause access.Cause) bool { return cause == access.CauseKeyMayBeNew }
+
+// isProofAwaited reports whether a request that has arrived waits for a proof.
+func isProofAwaited(cause access.Cause) bool { return cause != access.CauseNone && !cause.IsFinal() }
+
+// decideAccess decides on a request by what is known now. If it lacks a proof for one of the causes to wait for, and the proof is expected soon, wait is
+// the time for which it waits within its latency objective; otherwise it is not positive.
+func (handler *Handler) decideAccess(now time.Time, fresh *freshness, call *call,
+	isAwaited func(access.Cause) bool) (decision access.Decision, wait time.Duration) {
+	decision = handler.options.KeyBounds.Check(fresh.table.Routes(), fresh.proof, call.accessRequest())
+	call.hidesKey = fresh.table.Routes().NeedsKeys()
+	if !isAwaited(decision.Cause) || handler.refusesWaiting.Load() {
+		return decision, 0
+	}
+	return decision, fresh.renewal.WaitEnd(now, call.proofWaitEnd()).Sub(now)
 }
 
-// decideAccess finds the workspace of a request, or the cause of its refusal, by the routes and the proof of their freshness.
-func (handler *Handler) decideAccess(call *call, routes *routing.Table, proof access.Proof) access.Cause {
-	decision := handler.options.KeyBounds.Check(routes, proof, call.accessRequest())
-	call.workspace, call.hidesKey = decision.Workspace, routes.NeedsKeys()
-	return decision.Cause
+// awaitAccess decides on a request, and waits for a proof if it has to.
+func (handler *Handler) awaitAccess(ctx context.Context, call *call, isAwaited func(access.Cause) bool) access.Decision {
+	for {
+		fresh := handler.state.freshness()
+		now := handler.options.Clock()
+		decision, wait := handler.decideAccess(now, &fresh, call, isAwaited)
+		if wait <= 0 {
+			return decision
+		}
+		handler.options.Metrics.Counter("key_proof_waits").Inc(1)
+		timer := time.NewTimer(wait)
+		select {
+		case <-fresh.changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-handler.requestsCtx.Done():
+		}
+		timer.Stop()
+		call.waited += handler.options.Clock().Sub(now)
+		if ctx.Err() != nil || handler.requestsCtx.Err() != nil {
+			return decision
+		}
+	}
+}
+
+// proofWaitEnd returns the time up to which the request may wait for a proof.
+func (call *call) proofWaitEnd() time.Time {
+	patience := call.route.Timeout
+	if call.metadata.MaxWait > 0 {
+		patience = min(patience, call.metadata.MaxWait)
+	}
+	if call.route.LatencyObjective > 0 {
+		patience = min(patience, call.route.LatencyObjective)
+	}
+	return call.arrived.Add(time.Duration(proofWaitShare * float64(patience)))
 }
 
 // recheckAccess refuses a request whose key has been withdrawn or moved to another workspace since the request arrived.
 func (handler *Handler) recheckAccess(call *call) *refusal {
-	table, proof := handler.state.proven()
-	decision := handler.options.KeyBounds.Recheck(table.Routes(), proof, call.accessRequest(), call.workspace)
-	call.hidesKey = call.hidesKey || table.Routes().NeedsKeys()
+	fresh := handler.state.freshness()
+	decision := handler.options.KeyBounds.Recheck(fresh.table.Routes(), fresh.proof, call.accessRequest(), call.workspace)
+	call.hidesKey = call.hidesKey || fresh.table.Routes().NeedsKeys()
 	if decision.Cause != access.CauseNone {
 		handler.countAccess(call, decision.Cause)
 		return refuseAccess(call, decision.Cause)
--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -28,12 +28,14 @@
 	reserve *throttle.Reserve
 	// waiting holds a channel for each charge that waits; it is closed when the charge is decided.
 	waiting map[*throttle.Charge]chan struct{}
-	// isAsking is set while a goroutine asks the leader.
+	// isAsking is set while a goroutine asks the leader, and isDue receives a value when it has to ask earlier than it had planned.
 	isAsking bool
+	isDue    chan struct{}
 }
 
 func newAllowances(node celerylanding.NodeID, started time.Time) *allowances {
-	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{})}
+	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{}),
+		isDue: make(chan struct{}, 1)}
 }
 
 // wake ends the wait of charges that have been admitted; the caller holds the mutex.
@@ -64,9 +66,16 @@
 		done = make(chan struct{})
 		allowances.waiting[charge] = done
 	}
-	if !allowances.isAsking && allowances.reserve.NeedsCall(now, charge) {
-		allowances.isAsking = true
-		handler.probes.Go(handler.askAllowances)
+	if allowances.reserve.NeedsCall(now, charge) {
+		if allowances.isAsking {
+			select {
+			case allowances.isDue <- struct{}{}:
+			default:
+			}
+		} else {
+			allowances.isAsking = true
+			handler.probes.Go(handler.askAllowances)
+		}
 	}
 	allowances.mutex.Unlock()
 	if done != nil {
@@ -125,7 +134,7 @@
 		cause: "the workspace has used its allowance"}
 	if charge.IsCutOff() {
 		delay = max(delay, startingRetryDelay)
-		refused = unavailable(celerylanding.ReasonNoQuorum, 0, "this router has used its part of the workspace's allowance, and the leader does not answer")
+		refused = unavailable(celerylanding.ReasonNoQuorum, 0, "this router has used its part of the workspace's allowance, and the leader has not granted it another")
 	}
 	refused.retryAfter, refused.spread = delay, time.Duration(allowanceSpread*float64(charge.RetryAfter()))
 	return refused
@@ -168,7 +177,13 @@
 		}
 		allowances.mutex.Unlock()
 		if !isDue {
-			sleep(ctx, max(pause, time.Millisecond))
+			timer := time.NewTimer(max(pause, time.Millisecond))
+			select {
+			case <-timer.C:
+			case <-allowances.isDue:
+			case <-ctx.Done():
+			}
+			timer.Stop()
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, allowanceTimeout)
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -18,8 +18,8 @@
 	handler *Handler
 	now     time.Time
 	call    *call
+	fresh   freshness
 	table   *dispatch.Table
-	proof   access.Proof
 	answer  preview.Answer
 }
 
@@ -30,8 +30,9 @@
 	if err != nil {
 		return preview.Answer{}, celerylanding.NewFieldError("path", "%q must begin with a slash", request.Path)
 	}
-	table, proof := handler.state.proven()
-	explanation := &explanation{handler: handler, now: now, call: callOf(now, request), table: table, proof: proof}
+	fresh := handler.state.freshness()
+	table := fresh.table
+	explanation := &explanation{handler: handler, now: now, call: callOf(now, request), fresh: fresh, table: table}
 	viewAge := handler.state.sinceContact(now)
 	explanation.answer = preview.Answer{Node: handler.options.Node, Domain: handler.options.Domain, ViewAgeSeconds: viewAge.Seconds(),
 		Routers: table.Routers(), IsDraining: handler.draining.Load()}
@@ -46,11 +47,6 @@
 		return explanation.answer, nil
 	}
 	explanation.call.route = route
-	// Only the limit on bodies is checked, since the body is here already.
-	if refused = explanation.call.readBody(nil, nil, table.Routes().Limits().BodyBytes); refused != nil {
-		explanation.refuse(refused)
-		return explanation.answer, nil
-	}
 	explanation.call.setKeyOf(table.Routes(), request.Workspace)
 	explanation.call.setTerms(table.Routes())
 	explanation.describe(request)
@@ -126,7 +122,7 @@
 	view := &preview.Workspace{Name: request.Workspace, IsKnown: workspace != nil, HasKeys: workspace != nil && len(workspace.Keys) > 0,
 		MaxProofAgeSeconds: explanation.handler.options.KeyBounds.Revocation.Seconds()}
 	view.Rank, view.Classes = routes.Rank(workspace, route)
-	age, hasProof := explanation.proof.Age(explanation.now)
+	age, hasProof := explanation.fresh.proof.Age(explanation.now)
 	view.HasProof, view.ProofAgeSeconds = hasProof, age.Seconds()
 	answer.Workspace = view
 }
@@ -134,33 +130,54 @@
 // decide finds out what would become of the request, in the order in which ServeHTTP decides.
 func (explanation *explanation) decide() {
 	handler, call, now := explanation.handler, explanation.call, explanation.now
-	cause := handler.decideAccess(call, explanation.table.Routes(), explanation.proof)
-	isRefused := cause != access.CauseNone
-	if isRefused {
-		explanation.refuse(refuseAccess(call, cause))
-	}
-	steps := []func() bool{
-		func() bool { return explanation.refuseIf(handler.refuseQuarantined(call)) },
-		explanation.decideAllowance,
+	isDecided := false
+	for _, decides := range []func() bool{
+		func() bool { return explanation.decideAccess(isKeyAwaited, access.Cause.IsKeyUnknown) },
+		// Only the limit on bodies is checked, since the body is here already.
 		func() bool {
-			if !handler.lacksOrigin(call) {
-				return false
-			}
-			explanation.wait(preview.WaitForOrigin)
-			return true
+			return explanation.refuseIf(call.readBody(nil, nil, explanation.table.Routes().Limits().BodyBytes))
 		},
+		func() bool {
+			return explanation.decideAccess(isProofAwaited, func(cause access.Cause) bool { return cause != access.CauseNone })
+		},
+		func() bool { return explanation.refuseIf(handler.refuseQuarantined(call)) },
+		explanation.decideAllowance,
+		explanation.decideOrigin,
 		func() bool { return explanation.refuseIf(call.checkTime(now)) },
-	}
-	for _, isDecided := range steps {
-		isRefused = isRefused || isDecided()
+	} {
+		isDecided = isDecided || decides()
 	}
 	needs := call.requirementsAt(now)
 	explanation.answer.Targets = handler.picker.Explain(now, explanation.table, needs)
-	if !isRefused {
+	if !isDecided {
 		explanation.decideTarget(needs)
 	}
 }
 
+// decideAccess reports whether the key decides what becomes of the request, for the causes that refuse it now.
+func (explanation *explanation) decideAccess(isAwaited, refuses func(access.Cause) bool) bool {
+	decision, wait := explanation.handler.decideAccess(explanation.now, &explanation.fresh, explanation.call, isAwaited)
+	explanation.call.workspace = decision.Workspace
+	switch {
+	case wait > 0:
+		explanation.wait(preview.WaitForProof)
+	case refuses(decision.Cause):
+		explanation.refuse(refuseAccess(explanation.call, decision.Cause))
+	default:
+		return false
+	}
+	return true
+}
+
+// decideOrigin reports whether the leader must be asked which software began the stream.
+func (explanation *explanation) decideOrigin() bool {
+	if !explanation.handler.lacksOrigin(explanation.call) {
+		return false
+	}
+	explanation.wait(preview.WaitForOrigin)
+	return true
+}
+
 func (explanation *explanation) refuseIf(refused *refusal) bool {
 	if refused == nil {
 		return false
