--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -78,8 +78,8 @@
 // choose returns the choice among the candidates, and the candidates that are in backoff, silent or outliers.
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (choice Choice,
 	unreachable []celerylanding.Endpoint) {
-	assessment := assessment{now: now, routers: table.Routers(), needs: &needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
-		preferred: picker.affinityTarget(candidates, &needs), allowsOutliers: allowOutliers}
+	assessment := picker.newAssessment(now, table, candidates, &needs)
+	assessment.allowsOutliers = allowOutliers
 	picker.options = picker.options[:0]
 	if assessment.preferred != nil {
 		unreachable = picker.assess(&assessment, assessment.preferred, unreachable)
@@ -152,6 +152,11 @@
 	allowsOutliers bool
 }
 
+func (picker *Picker) newAssessment(now time.Time, table *Table, candidates []*feed.Target, needs *Requirements) assessment {
+	return assessment{now: now, routers: table.Routers(), needs: needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
+		preferred: picker.affinityTarget(candidates, needs)}
+}
+
 // assess adds a candidate to the options if it can run the request, or to the unreachable ones if it is in backoff, silent or an outlier.
 func (picker *Picker) assess(assessment *assessment, target *feed.Target, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
 	now, needs, stats := assessment.now, assessment.needs, picker.statsOf(target)
@@ -167,19 +172,27 @@
 	}
 	picker.options = append(picker.options, option{choice: Choice{Target: target}})
 	option := &picker.options[len(picker.options)-1]
+	terms := picker.weigh(assessment, option, stats, isLimited)
+	option.loss = terms.sum()
+	return unreachable
+}
+
+// weigh sets the size and the outlook of an option, and returns the parts of its loss.
+func (picker *Picker) weigh(assessment *assessment, option *option, stats *targetStats, isLimited bool) lossTerms {
+	now, needs, target := assessment.now, assessment.needs, option.choice.Target
 	option.choice.Size = forecast.NewSize(needs.PromptTokens-picker.cachedTokens(now, target, needs, target == assessment.preferred), needs.OutputTokens)
 	outlook := &option.choice.Outlook
 	stats.model.Expect(now, option.choice.Size, assessment.routers, outlook)
 	first, pauses := outlook.InTime(assessment.bounds)
-	option.loss = 1 - first*pauses + firstLoss*outlook.First + workLoss*outlook.Work + harmLoss*outlook.Harm(pauses) + busyLoss*outlook.Busy +
-		failureLoss*stats.decayedFailures(now)
+	terms := lossTerms{late: 1 - first*pauses, first: firstLoss * outlook.First, work: workLoss * outlook.Work, harm: harmLoss * outlook.Harm(pauses),
+		busy: busyLoss * outlook.Busy, failures: failureLoss * stats.decayedFailures(now)}
 	if target.Domain != picker.domain {
-		option.loss += crossDomainLoss
+		terms.domain = crossDomainLoss
 	}
 	if isLimited {
-		option.loss += limitedLoss
+		terms.limit = limitedLoss
 	}
-	return unreachable
+	return terms
 }
 
 // cachedTokens returns how much of the prompt the target is believed to keep.
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -87,11 +87,7 @@
 	candidates := table.candidates(&needs)
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	choice, unreachable = picker.chooseWithinLimits(now, table, candidates, needs, false)
-	if choice.Target == nil && needs.Unit.Model == "" {
-		// No other target of the plain service is usable, so an outlier is tried.
-		choice, _ = picker.chooseWithinLimits(now, table, candidates, needs, true)
-	}
+	choice, unreachable, _ = picker.find(now, table, candidates, needs)
 	if choice.Target == nil {
 		return Choice{}, unreachable
 	}
@@ -99,6 +95,18 @@
 	return choice, nil
 }
 
+// find returns the choice for the request, and counts the request for the targets' limits only. It reports whether outliers were allowed.
+func (picker *Picker) find(now time.Time, table *Table, candidates []*feed.Target, needs Requirements) (choice Choice,
+	unreachable []celerylanding.Endpoint, allowsOutliers bool) {
+	choice, unreachable = picker.chooseWithinLimits(now, table, candidates, needs, false)
+	if choice.Target != nil || needs.Unit.Model != "" {
+		return choice, unreachable, false
+	}
+	// No other target of the plain service is usable, so an outlier is tried.
+	choice, _ = picker.chooseWithinLimits(now, table, candidates, needs, true)
+	return choice, unreachable, true
+}
+
 // HasTarget reports whether a target is usable for the request, whatever the limits that targets announce.
 func (picker *Picker) HasTarget(now time.Time, table *Table, needs Requirements) bool {
 	picker.mutex.Lock()
@@ -122,10 +130,8 @@
 }
 
 func (stats *targetStats) isUsable(now time.Time, target *feed.Target) bool {
-	if now.Before(stats.backoffUntil) || !stats.wantsRequests(now) {
-		return false
-	}
-	return !target.Silent || now.Sub(stats.answeredAt) < silentGrace
+	cause, _ := stats.obstacle(now, target)
+	return cause == ""
 }
 
 // isOutlier reports whether several routers report the target as failing and this router has received no answer since its last failure.
