Requests of all urgencies wait equally long for a part of their workspace's allowance

A request waited for half of its latency objective, so that officers' requests (5 s) filled the queue of a workspace over its limit for 2.5 s, and parents' requests (0.5 s) were refused at once since those before them had to be granted first. Change: no request waits longer than 250 ms.

--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -13,9 +13,10 @@
 
 const (
 	// allowanceWaitShare is the share of its latency objective for which a request waits for a part of its workspace's allowance, and
-	// allowanceWait that time without an objective.
+	// maxAllowanceWait the longest such wait: enough for an answer of the leader. Less urgent requests that waited longer would use up the
+	// allowance before more urgent ones.
 	allowanceWaitShare = 0.5
-	allowanceWait      = 500 * time.Millisecond
+	maxAllowanceWait   = 250 * time.Millisecond
 	// missingLeaderWait is how long after the leader's last answer a request waits for it, since another one is usually elected by then.
 	missingLeaderWait = 2 * time.Second
 	// allowanceTimeout is the timeout of one call to the leader.
@@ -89,9 +90,9 @@
 
 // allowancePatience returns how long the request waits for a part of its workspace's allowance.
 func (call *call) allowancePatience(now time.Time) time.Duration {
-	patience := allowanceWait
+	patience := maxAllowanceWait
 	if call.route.LatencyObjective > 0 {
-		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
+		patience = min(patience, time.Duration(allowanceWaitShare*float64(call.route.LatencyObjective)))
 	}
 	return min(patience, call.deadline.Sub(now)/2)
 }
