--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -23,8 +23,10 @@
 	routes    *routing.Table
 	byService map[celerylanding.ServiceID][]*feed.Target
 	byUnit    map[unitKey][]*feed.Target
-	byID      map[celerylanding.TargetID]*feed.Target
-	routers   int
+	// leaving are the targets that get no new requests, of which operators are told.
+	leaving map[celerylanding.ServiceID][]*feed.Target
+	byID    map[celerylanding.TargetID]*feed.Target
+	routers int
 }
 
 // Routes returns the current routes, or nil while no configuration is known.
@@ -132,12 +134,14 @@
 		routes:    roster.routes,
 		byService: make(map[celerylanding.ServiceID][]*feed.Target),
 		byUnit:    make(map[unitKey][]*feed.Target),
+		leaving:   make(map[celerylanding.ServiceID][]*feed.Target),
 		byID:      make(map[celerylanding.TargetID]*feed.Target),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
 		target := known.target
 		if target.Leaving {
+			table.leaving[target.Service] = append(table.leaving[target.Service], &target)
 			continue
 		}
 		table.byID[target.ID] = &target
--- a/proxy/access.go
+++ b/proxy/access.go
@@ -15,7 +15,7 @@
 // checkHeader refuses a request whose key is not known once its header has arrived, so that callers without a key can't make a router buffer
 // bodies. The whole request is checked when it has arrived.
 func (handler *Handler) checkHeader(ctx context.Context, call *call) *refusal {
-	decision := handler.awaitAccess(ctx, call, func(cause access.Cause) bool { return cause == access.CauseKeyMayBeNew })
+	decision := handler.awaitAccess(ctx, call, isKeyAwaited)
 	if !decision.Cause.IsKeyUnknown() {
 		return nil
 	}
@@ -25,7 +25,7 @@
 
 // checkAccess finds the workspace of a request that has arrived, or refuses the request.
 func (handler *Handler) checkAccess(ctx context.Context, call *call) *refusal {
-	decision := handler.awaitAccess(ctx, call, func(cause access.Cause) bool { return cause != access.CauseNone && !cause.IsFinal() })
+	decision := handler.awaitAccess(ctx, call, isProofAwaited)
 	call.workspace = decision.Workspace
 	if call.hidesKey {
 		handler.countAccess(call, decision.Cause)
@@ -36,16 +36,31 @@
 	return refuseAccess(call, decision.Cause)
 }
 
-// awaitAccess decides on a request. If it lacks a proof for one of the causes to wait for, and the proof is expected soon, it waits for that within
-// the request's latency objective.
-func (handler *Handler) awaitAccess(ctx context.Context, call *call, isWorthWait func(access.Cause) bool) access.Decision {
+// isKeyAwaited reports whether a request whose header has arrived waits for a proof.
+func isKeyAwaited(cause access.Cause) bool { return cause == access.CauseKeyMayBeNew }
+
+// isProofAwaited reports whether a request that has arrived waits for a proof.
+func isProofAwaited(cause access.Cause) bool { return cause != access.CauseNone && !cause.IsFinal() }
+
+// decideAccess decides on a request by what is known now. If it lacks a proof for one of the causes to wait for, and the proof is expected soon, wait is
+// the time for which it waits within its latency objective; otherwise it is not positive.
+func (handler *Handler) decideAccess(now time.Time, fresh *freshness, call *call,
+	isAwaited func(access.Cause) bool) (decision access.Decision, wait time.Duration) {
+	decision = handler.options.KeyBounds.Check(fresh.table.Routes(), fresh.proof, call.accessRequest())
+	call.hidesKey = fresh.table.Routes().NeedsKeys()
+	if !isAwaited(decision.Cause) || handler.refusesWaiting.Load() {
+		return decision, 0
+	}
+	return decision, fresh.renewal.WaitEnd(now, call.proofWaitEnd()).Sub(now)
+}
+
+// awaitAccess decides on a request, and waits for a proof if it has to.
+func (handler *Handler) awaitAccess(ctx context.Context, call *call, isAwaited func(access.Cause) bool) access.Decision {
 	for {
 		fresh := handler.state.freshness()
-		decision := handler.options.KeyBounds.Check(fresh.table.Routes(), fresh.proof, call.accessRequest())
-		call.hidesKey = fresh.table.Routes().NeedsKeys()
 		now := handler.options.Clock()
-		wait := fresh.renewal.WaitEnd(now, call.proofWaitEnd()).Sub(now)
-		if !isWorthWait(decision.Cause) || wait <= 0 || handler.refusesWaiting.Load() {
+		decision, wait := handler.decideAccess(now, &fresh, call, isAwaited)
+		if wait <= 0 {
 			return decision
 		}
 		handler.options.Metrics.Counter("key_proof_waits").Inc(1)
