Leader grants nothing from what a router returns of a limit that was lowered since

Review of throttle/allocator.go: units that a router returned and asked for in one call were granted again although more was outstanding than the lowered limit allows. Honest routers don't send such a call. TestReturnedUnitsOfAHigherLimitAreNotGrantedAgain fails before.

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -190,3 +190,4 @@
 mutate allowance-hot-delays-others proxy/allowance.go ./proxy TestHotWorkspaceDelays 's/case allowances\.isDue <- struct\{\}\{\}:/case chan struct{}(nil) <- struct{}{}:/'
 mutate allowance-granted-for-nothing throttle/allocator.go ./tests TestAllowanceHolds 's/\tentry\.level -= units\n//'
 mutate order-not-aborted upstream/exchange.go ./platform TestUnansweredOrder 's/ && request\.AbortOnFailure/ \&\& false/'
+mutate allowance-returned-after-lowering throttle/allocator.go ./throttle TestReturnedUnits 's/\tentry\.level = min\(entry\.level, max\(0, allocator\.capacity\(now, entry\)-entry\.outstanding\)\)\n//'
--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -122,6 +122,8 @@
 		if asking == nil {
 			continue
 		}
+		// The limit may have been lowered since what the router returns was granted.
+		entry.level = min(entry.level, max(0, allocator.capacity(now, entry)-entry.outstanding))
 		grant := allocator.grant(now, entry, asking, gap, request)
 		grant.Workspace = request.Workspace
 		reply.Grants = append(reply.Grants, grant)
