--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -198,3 +198,4 @@
 mutate route-without-key proxy/explain.go ./platform TestExplainedRequest 's/case refuses\(decision\.Cause\):/case false \&\& refuses(decision.Cause):/'
 mutate route-without-quarantine proxy/explain.go ./platform TestExplainedRequest 's/return explanation\.refuseIf\(handler\.refuseQuarantined\(call\)\)/return false/'
 mutate route-counts-admitted proxy/explain.go ./platform TestExplainedRequest 's/(explanation\.call\.workspace = decision\.Workspace\n)/$1\texplanation.handler.countAccess(explanation.call, decision.Cause)\n/'
+mutate allowance-returned-after-lowering throttle/allocator.go ./throttle TestReturnedUnits 's/\tentry\.level = min\(entry\.level, max\(0, allocator\.capacity\(now, entry\)-entry\.outstanding\)\)\n//'
