--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
