Routers weigh what targets keep of prompts, and tell each other

A router guessed the target that keeps a prompt's beginning by rendezvous hashing, at a fixed price for a miss. It did not know what another failure domain, a former choice or a restart had changed.

Package promptcache holds a picture for each incarnation of a target: the chains of parts that it has read, learned from the router's own sends and answers and from the reports of other routers, which travel with the watch requests. The picture is bounded, forgets restarts and unloaded models, and learns from answers for how long a target keeps unused parts. The choice prices the tokens that a target must read again in proportion; where none is known to keep any, it goes by rendezvous hashing as before.

--- a/control/feed.go
+++ b/control/feed.go
@@ -5,6 +5,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/promptcache"
 )
 
 const (
@@ -70,6 +71,8 @@
 	routerTotal int
 	// relayAddresses are the relays that the leader has named.
 	relayAddresses []feed.RelayAddress
+	// prompts holds the parts of prompts that routers have reported.
+	prompts *promptcache.Board
 }
 
 // relayReport is what a relay has last reported.
@@ -81,7 +84,8 @@
 
 func newFeedState() feedState {
 	return feedState{targets: make(map[celerylanding.TargetID]*publishedTarget), routers: make(map[celerylanding.NodeID]time.Time),
-		relays: make(map[celerylanding.NodeID]relayReport), lists: make(map[listKey]*feed.TargetList)}
+		relays: make(map[celerylanding.NodeID]relayReport), lists: make(map[listKey]*feed.TargetList),
+		prompts: promptcache.NewBoard()}
 }
 
 // advance starts a new revision.
@@ -177,6 +181,7 @@
 	for _, origin := range args.Origins {
 		ctl.origins.Record(now, origin.Call, origin.Software)
 	}
+	ctl.feed.prompts.Add(now, args.Kept)
 	for _, outcome := range args.Outcomes {
 		node := outcome.Node
 		if node == "" {
@@ -302,8 +307,12 @@
 		reply.Configuration = &configuration
 	}
 	key := listKey{since: args.Revision, isRouter: args.Router}
+	keptSince := args.KeptNext
 	if args.Term != reply.Term {
-		key.since = 0
+		key.since, keptSince = 0, 0
+	}
+	if args.Router || args.Routers > 0 {
+		reply.Kept, reply.KeptNext = ctl.feed.prompts.Since(now, keptSince)
 	}
 	reply.Targets = ctl.feed.changesSince(key)
 	return reply
--- a/control/leader.go
+++ b/control/leader.go
@@ -230,7 +230,7 @@
 
 // watchLeader keeps a follower's directory up to date, so that it can take over and pass the leader's state on to routers.
 func (ctl *Control) watchLeader(ctx context.Context) error {
-	var term, revision uint64
+	var term, revision, keptNext uint64
 	var sent time.Time
 	watcher := watch.New(watch.Options{
 		Direct: true,
@@ -246,6 +246,7 @@
 			sent = ctl.options.Clock()
 			args := ctl.relay.collect(sent)
 			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
+			args.KeptNext = keptNext
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
 			return args
@@ -255,7 +256,7 @@
 			if reply.Term != term {
 				ctl.relay.repeatAll()
 			}
-			term, revision = reply.Term, reply.Revision
+			term, revision, keptNext = reply.Term, reply.Revision, reply.KeptNext
 			contact := sent
 			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, contact, reply) })
 		},
--- a/control/relay.go
+++ b/control/relay.go
@@ -19,6 +19,8 @@
 	maxPendingCrashes = 1024
 	// maxPendingOrigins bounds the streams that a relay keeps until the leader has answered.
 	maxPendingOrigins = 8192
+	// maxPendingKept bounds the parts of prompts that a relay keeps until its next report.
+	maxPendingKept = 256
 )
 
 // relayReports collects what routers report to a relay until the leader has it; it is safe for concurrent use.
@@ -30,7 +32,10 @@
 	limits   map[limitKey]*limitTotal
 	outcomes []feed.Outcome
 	origins  []feed.Origin
-	routers  map[celerylanding.NodeID]*routerUsage
+	// kept are the parts of prompts that routers have reported since the last report; they are not repeated.
+	kept    []feed.KeptPart
+	keptAt  []time.Time
+	routers map[celerylanding.NodeID]*routerUsage
 	// sent is the last report, until the leader acknowledges it.
 	sent   *feed.WatchArgs
 	sentAt time.Time
@@ -74,6 +79,11 @@
 	if len(reports.origins) < maxPendingOrigins {
 		reports.origins = append(reports.origins, args.Origins...)
 	}
+	for _, part := range args.Kept {
+		if len(reports.kept) < maxPendingKept {
+			reports.kept, reports.keptAt = append(reports.kept, part), append(reports.keptAt, now)
+		}
+	}
 	for _, fingerprint := range args.Answered {
 		if !slices.Contains(reports.answered, fingerprint) {
 			reports.answered = append(reports.answered, fingerprint)
@@ -129,6 +139,16 @@
 	return list
 }
 
+// takeKept returns the parts of prompts that have been reported since the last call, with their ages.
+func (reports *relayReports) takeKept(now time.Time) []feed.KeptPart {
+	list := reports.kept
+	for i := range list {
+		list[i].Age += now.Sub(reports.keptAt[i])
+	}
+	reports.kept, reports.keptAt = nil, nil
+	return list
+}
+
 func (reports *relayReports) addArrivals(usage feed.Usage) {
 	total := reports.total(usage.Unit)
 	total.Arrivals += usage.Arrivals
@@ -177,7 +197,7 @@
 	}
 	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Origins: reports.origins,
 		Routers: len(reports.routers),
-		Limits:  reports.takeLimits(now)}
+		Limits:  reports.takeLimits(now), Kept: reports.takeKept(now)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -249,6 +269,7 @@
 	ctl.feed.contact = sent
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
+	ctl.feed.prompts.Relay(now, reply.Kept, reply.KeptNext)
 	if reply.Revision > ctl.feed.revision {
 		ctl.feed.revision = reply.Revision
 		clear(ctl.feed.lists)
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -10,6 +10,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/promptcache"
 	"celerylanding.example/celerylanding/throttle"
 )
 
@@ -57,6 +58,8 @@
 	// PromptKey identifies the part of the prompt that other requests share; it may be "".
 	PromptKey    string
 	PromptTokens int
+	// Prompt is the beginning of the prompt that other requests may share, or nil.
+	Prompt *promptcache.Prompt
 	// Excluded lists the targets that have refused or failed the request.
 	Excluded []celerylanding.TargetID
 	// Software is the version that the target must have, for a stream that has begun; "" for any.
@@ -107,11 +110,12 @@
 	mutex  sync.Mutex
 	stats  map[celerylanding.TargetID]*targetStats
 	gate   *throttle.Gate
+	cache  *promptcache.Picture
 }
 
 // NewPicker returns a picker for the router of a node in the failure domain.
 func NewPicker(node celerylanding.NodeID, domain celerylanding.FailureDomain) *Picker {
-	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats), gate: throttle.NewGate(node)}
+	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats), gate: throttle.NewGate(node), cache: promptcache.New()}
 }
 
 // Pick returns the target with the lowest cost for the request, and counts the request as in flight there until Done. The target is nil if
@@ -166,8 +170,9 @@
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (best *feed.Target,
 	unreachable []celerylanding.Endpoint) {
 	preferred := affinityTarget(picker.sameDomain(candidates), needs)
+	kept := picker.keptTokens(now, candidates, needs)
 	lowest := math.Inf(1)
-	for _, candidate := range candidates {
+	for i, candidate := range candidates {
 		stats := picker.statsOf(candidate)
 		if !stats.isUsable(now, candidate) || (!allowOutliers && stats.isOutlier(candidate)) {
 			unreachable = append(unreachable, candidate.Endpoint())
@@ -177,7 +182,10 @@
 			continue
 		}
 		cost := picker.cost(now, table, candidate, stats)
-		if preferred != nil && preferred.ID != candidate.ID {
+		switch {
+		case kept != nil:
+			cost += missCost(needs, kept[i])
+		case preferred != nil && preferred.ID != candidate.ID:
 			cost += cacheMissCostOf(needs)
 		}
 		if cost < lowest {
--- /dev/null
+++ b/dispatch/prompts.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"time"
+
+	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/promptcache"
+)
+
+// PromptCache returns the picture of the prompt parts that targets keep, which the choice of a target uses.
+func (picker *Picker) PromptCache() *promptcache.Picture { return picker.cache }
+
+// keptTokens returns the tokens that each candidate keeps of the request's prompt, or nil if none is known to keep any.
+func (picker *Picker) keptTokens(now time.Time, candidates []*feed.Target, needs Requirements) []int {
+	if needs.Prompt == nil || needs.Prompt.SharedTokens() == 0 {
+		return nil
+	}
+	list := make([]int, len(candidates))
+	isKept := false
+	for i, candidate := range candidates {
+		list[i], _ = picker.cache.Kept(now, candidate.Endpoint(), needs.Prompt)
+		isKept = isKept || list[i] > 0
+	}
+	if !isKept {
+		return nil
+	}
+	return list
+}
+
+// missCost returns the cost of the tokens that other requests have made some target read and that this one must read again.
+func missCost(needs Requirements, kept int) float64 {
+	shared := needs.Prompt.SharedTokens()
+	return cacheMissCostOf(needs) * float64(shared-kept) / float64(shared)
+}
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -37,6 +37,15 @@
 	return table.byService[service]
 }
 
+// AllTargets returns the targets of all services that accept new requests.
+func (table *Table) AllTargets() []*feed.Target {
+	var list []*feed.Target
+	for _, targets := range table.byService {
+		list = append(list, targets...)
+	}
+	return list
+}
+
 // TargetsForUnit returns the targets that have the unit loaded for new requests.
 func (table *Table) TargetsForUnit(service celerylanding.ServiceID, unit feed.Unit) []*feed.Target {
 	return table.byUnit[unitKey{service, unit}]
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -118,6 +118,10 @@
 	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
 	// Origins list the streams that can be resumed and have begun since the last report that a leader has acknowledged.
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
+	// Kept lists the parts of prompts that targets have read since the last report, and KeptNext is the number from which on the node wants those
+	// that others have reported.
+	Kept     []KeptPart `cbor:"14,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"15,keyasint,omitempty"`
 }
 
 // LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
@@ -225,6 +229,9 @@
 	// Version is the version of the newest configuration, as of Age before the reply. A router that has it, or a later one, knows that no key had
 	// been withdrawn by then that it still accepts.
 	Version uint64 `cbor:"16,keyasint,omitempty"`
+	// Kept lists the parts of prompts that targets have read, as routers have reported them, and KeptNext is the number from which to ask next.
+	Kept     []KeptPart `cbor:"17,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"18,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
@@ -286,3 +293,15 @@
 	// Busy is set when the node had no time for the request; the other fields, except for Cause, then say nothing.
 	Busy bool `cbor:"5,keyasint,omitempty"`
 }
+
+// KeptPart is a part of prompts that a target has read and is believed to keep.
+type KeptPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Target is a hash of the target's ID and incarnation.
+	Target uint64
+	// Chain is a hash of the model, the adapter and the parts up to this one, and Tokens the length of the part.
+	Chain  uint64
+	Tokens int
+	// Age is the time since the part was last known to be read or used.
+	Age time.Duration
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -40,6 +40,7 @@
 		return false, unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, "retry budget exhausted: "+call.cause)
 	}
 	call.lastTarget, call.target, call.sentAt = target.ID, target, now
+	defer handler.beginPrompt(now, call)()
 	attemptCtx, cancel := handler.attemptContext(ctx, now, call)
 	defer cancel()
 	response, err := handler.options.Pool.Do(attemptCtx, now, target.Address, handler.targetRequest(now, call, target))
@@ -312,6 +313,7 @@
 	call.firstByte = now.Sub(call.arrived)
 	took := now.Sub(call.sentAt)
 	handler.picker.RecordFirstByte(now, call.target, took, call.route.LatencyObjective)
+	handler.recordPromptRead(now, call, took)
 	if took > call.route.LatencyObjective && call.route.LatencyObjective > 0 {
 		handler.usage.recordLate(call.unit)
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -13,6 +13,7 @@
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/loadplan"
+	"celerylanding.example/celerylanding/promptcache"
 	"celerylanding.example/celerylanding/routing"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,10 +38,12 @@
 
 // call is one request of a caller and the state of its attempts.
 type call struct {
-	metadata   celerylanding.CallMetadata
-	route      *routing.Route
-	service    celerylanding.ServiceID
-	unit       feed.Unit
+	metadata celerylanding.CallMetadata
+	route    *routing.Route
+	service  celerylanding.ServiceID
+	unit     feed.Unit
+	// prompt is the beginning of the prompt that other requests may share.
+	prompt     promptcache.Prompt
 	method     string
 	requestURI string
 	host       string
@@ -70,6 +73,9 @@
 	// target is the target of the current attempt, and sentAt when the attempt began.
 	target *feed.Target
 	sentAt time.Time
+	// promptSent is what the target was believed to keep of the prompt, and isPromptRead is set once its answer has begun.
+	promptSent   promptcache.Sent
+	isPromptRead bool
 	// head is the head of the current attempt's answer.
 	head   delivery.Answer
 	waited time.Duration
@@ -161,6 +167,7 @@
 	call.service = route.ChooseService(float64(xxhash.Sum64String(metadata.ID)>>11) / (1 << 53))
 	if service, ok := table.Routes().Service(call.service); ok && service.Engine != nil {
 		call.unit = loadplan.ParseUnit(metadata.Model)
+		call.prompt = promptcache.NewPrompt(call.unit, "", metadata.PromptParts)
 	}
 	return call, nil
 }
@@ -272,7 +279,7 @@
 // requirements returns the requirements of the request on a target.
 func (call *call) requirements() dispatch.Requirements {
 	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded,
-		Software: call.origin}
+		Software: call.origin, Prompt: &call.prompt}
 	if len(call.metadata.PromptParts) > 0 {
 		needs.PromptKey = call.unit.String() + "/" + call.metadata.PromptParts[0].ID
 	}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -87,7 +87,10 @@
 }
 
 // Update replaces the table of routes and targets.
-func (handler *Handler) Update(table *dispatch.Table) { handler.state.set(table) }
+func (handler *Handler) Update(table *dispatch.Table) {
+	handler.picker.PromptCache().Update(handler.options.Clock(), table.AllTargets())
+	handler.state.set(table)
+}
 
 // RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
 func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
