Prompts with a short beginning in common meet at the target of all their shared parts; one look-up for all candidates

Rendezvous hashing by the first part alone sent all requests of a model with the same short head to one target, and sections that came after it were read at others.

--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -169,8 +169,11 @@
 // choose returns the candidate with the lowest cost, and the candidates that are in backoff, silent or outliers.
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (best *feed.Target,
 	unreachable []celerylanding.Endpoint) {
-	preferred := affinityTarget(picker.sameDomain(candidates), needs)
 	kept := picker.keptTokens(now, candidates, needs)
+	var preferred *feed.Target
+	if kept == nil {
+		preferred = affinityTarget(picker.sameDomain(candidates), needs)
+	}
 	lowest := math.Inf(1)
 	for i, candidate := range candidates {
 		stats := picker.statsOf(candidate)
--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -15,16 +15,7 @@
 	if needs.Prompt == nil || needs.Prompt.SharedTokens() == 0 {
 		return nil
 	}
-	list := make([]int, len(candidates))
-	isKept := false
-	for i, candidate := range candidates {
-		list[i], _ = picker.cache.Kept(now, candidate.Endpoint(), needs.Prompt)
-		isKept = isKept || list[i] > 0
-	}
-	if !isKept {
-		return nil
-	}
-	return list
+	return picker.cache.KeptByEach(now, candidates, needs.Prompt)
 }
 
 // missCost returns the cost of the tokens that other requests have made some target read and that this one must read again.
--- a/promptcache/picture.go
+++ b/promptcache/picture.go
@@ -186,6 +186,30 @@
 	return memory.kept(now, prompt, memory.currentRetention(now))
 }
 
+// KeptByEach returns the number of leading tokens of the prompt that each target is believed to keep, or nil if none keeps any.
+func (picture *Picture) KeptByEach(now time.Time, targets []*feed.Target, prompt *Prompt) []int {
+	if prompt.length == 0 {
+		return nil
+	}
+	picture.mutex.Lock()
+	defer picture.mutex.Unlock()
+	var list []int
+	for i, target := range targets {
+		memory := picture.memories[target.ID]
+		if memory == nil || memory.incarnation != target.Incarnation {
+			continue
+		}
+		tokens, _ := memory.kept(now, prompt, memory.currentRetention(now))
+		if tokens > 0 && list == nil {
+			list = make([]int, len(targets))
+		}
+		if tokens > 0 {
+			list[i] = tokens
+		}
+	}
+	return list
+}
+
 // kept returns the leading tokens of the prompt that the target keeps if it keeps unused parts for the retention.
 func (memory *memory) kept(now time.Time, prompt *Prompt, retention time.Duration) (tokens int, age time.Duration) {
 	loadedAt, isLoaded := memory.loadedAt[prompt.model]
--- a/promptcache/picture_test.go
+++ b/promptcache/picture_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+func TestAffinityIsThatOfTheLongBeginning(t *testing.T) {
+	for _, check := range []struct {
+		parts []celerylanding.PromptPart
+		want  string
+	}{
+		{nil, ""},
+		{[]celerylanding.PromptPart{{ID: "a", Tokens: 90}}, "a"},
+		{[]celerylanding.PromptPart{{ID: "a", Tokens: 90}, {ID: "own", Tokens: 400}}, "a"},
+		{[]celerylanding.PromptPart{{ID: "a", Tokens: 90}, {ID: "b", Tokens: 60}, {ID: "own", Tokens: 400}}, "a/b"},
+		{dossier("h", "s", "x"), "h"},
+		{[]celerylanding.PromptPart{{ID: "a", Tokens: 90}, {ID: "b", Tokens: 600}, {ID: "c", Tokens: 600}, {ID: "own", Tokens: 400}}, "a/b"},
+	} {
+		assert.Equal(t, promptcache.Affinity(check.parts), check.want)
+	}
+}
+
 func TestShortPartsAreLeftOut(t *testing.T) {
 	picture := promptcache.New()
 	a := target("a", 1, "m")
--- a/promptcache/prompt.go
+++ b/promptcache/prompt.go
@@ -66,6 +66,23 @@
 	return prompt
 }
 
+// Affinity returns a text that is the same for prompts that are best sent to the same target where nothing is known of what targets keep: those with
+// a long beginning in common, or with all their shared parts if these are short. Many prompts have a short beginning in common.
+func Affinity(parts []celerylanding.PromptPart) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	key, total := parts[0].ID, parts[0].Tokens
+	for _, part := range parts[1:max(1, len(parts)-1)] {
+		if total >= minTokens {
+			break
+		}
+		key += "/" + part.ID
+		total += part.Tokens
+	}
+	return key
+}
+
 // writeField adds a text and its end to the digest, so that two texts can't be taken for one.
 func writeField(digest *xxhash.Digest, text string) {
 	_, _ = digest.WriteString(text)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -281,7 +281,7 @@
 	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded,
 		Software: call.origin, Prompt: &call.prompt}
 	if len(call.metadata.PromptParts) > 0 {
-		needs.PromptKey = call.unit.String() + "/" + call.metadata.PromptParts[0].ID
+		needs.PromptKey = call.unit.String() + "/" + promptcache.Affinity(call.metadata.PromptParts)
 	}
 	return needs
 }
