--- a/feed/feed.go
+++ b/feed/feed.go
@@ -120,8 +120,8 @@
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
 	// Kept lists the parts of prompts that targets have read since the last report, and KeptNext is the number from which on the node wants those
 	// that others have reported.
-	Kept     []KeptPart `cbor:"14,keyasint,omitempty"`
-	KeptNext uint64     `cbor:"15,keyasint,omitempty"`
+	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
 }
 
 // LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
@@ -230,8 +230,8 @@
 	// been withdrawn by then that it still accepts.
 	Version uint64 `cbor:"16,keyasint,omitempty"`
 	// Kept lists the parts of prompts that targets have read, as routers have reported them, and KeptNext is the number from which to ask next.
-	Kept     []KeptPart `cbor:"17,keyasint,omitempty"`
-	KeptNext uint64     `cbor:"18,keyasint,omitempty"`
+	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
