--- a/promptcache/picture_test.go
+++ b/promptcache/picture_test.go
@@ -177,7 +177,7 @@
 	assert.Equal(t, keptTokens(picture, start.Add(time.Second), a, prompt), 6300, "an earlier answer has shown them")
 }
 
-// TestRetentionIsLearned plays a target whose memory is short: it drops parts that no request has used for 3 s.
+// TestRetentionIsLearned plays a target whose memory is short: it drops parts that no request has used for 2 s, and later keeps them for longer.
 func TestRetentionIsLearned(t *testing.T) {
 	picture := promptcache.New()
 	a := target("a", 1, "m")
@@ -187,16 +187,17 @@
 	prompt := promptOf(unit, dossier("h", "s", "x"))
 	now := start
 	for range 3 {
+		assert.Equal(t, keptTokens(picture, now.Add(-time.Millisecond), a, prompt) > 0, now.After(start), "still believed in")
 		serve(picture, now, a, prompt, whole)
-		now = now.Add(8 * time.Second)
+		now = now.Add(2 * time.Second)
 	}
-	assert.Equal(t, keptTokens(picture, now, a, prompt), 0, "two late answers in a row have shown that 8 s are too long")
+	assert.Equal(t, keptTokens(picture, now, a, prompt), 0, "two late answers in a row have shown that 2 s are too long")
 	serve(picture, now, a, prompt, whole)
-	assert.Equal(t, keptTokens(picture, now.Add(2*time.Second), a, prompt), 6300)
-	now = now.Add(7 * time.Second)
+	assert.Equal(t, keptTokens(picture, now.Add(time.Second), a, prompt), 6300)
+	now = now.Add(8 * time.Second)
 	assert.Equal(t, keptTokens(picture, now, a, prompt), 0)
 	serve(picture, now, a, prompt, quick)
-	assert.Equal(t, keptTokens(picture, now.Add(6*time.Second), a, prompt), 6300, "a quick answer has proved that parts are kept for longer")
+	assert.Equal(t, keptTokens(picture, now.Add(7*time.Second), a, prompt), 6300, "a quick answer has proved that parts are kept for longer")
 }
 
 // TestOneLateAnswerProvesNothing guards against a picture that is lost with each answer that had to wait.
