--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
@@ -35,6 +36,8 @@
 	Pool        *upstream.Pool
 	Leader      Leader
 	Budget      dispatch.RetryBudgetSettings
+	// KeyBounds apply where the configuration has workspaces.
+	KeyBounds access.Bounds
 	// Started is the start time of this process, by Clock.
 	Started time.Time
 	// Clock returns the current time; its clock also advances while the machine is suspended.
@@ -95,6 +98,18 @@
 // RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
 func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
 
+// RecordNewest extends the proof of freshness by a word on the newest configuration, unless a newer one than the one in force may have been
+// acknowledged.
+func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
+
+// ReportProofAge updates the metric of the proof's age, unless nothing has been proven yet.
+func (handler *Handler) ReportProofAge(now time.Time) {
+	_, proof := handler.state.proven()
+	if age, ok := proof.Age(now); ok {
+		handler.options.Metrics.Gauge("key_proof_age_seconds").Update(age.Seconds())
+	}
+}
+
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
 
@@ -225,8 +240,10 @@
 		handler.writeRefusal(writer, request, call, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), call.deadline.Sub(handler.options.Clock()))
+	remaining := call.deadline.Sub(handler.options.Clock())
+	ctx, cancel := context.WithTimeout(request.Context(), remaining)
 	defer cancel()
+	limitWrites(writer, remaining)
 	defer context.AfterFunc(handler.requestsCtx, cancel)()
 	// Unknown model names are not counted, since their number is unbounded.
 	if handler.state.table().Routes().HasModel(call.unit.Model) {
@@ -234,6 +251,7 @@
 	}
 	refusal = handler.serve(ctx, writer, call)
 	if refusal != nil {
+		liftWriteLimit(writer)
 		handler.writeRefusal(writer, request, call, refusal)
 		return
 	}
@@ -247,4 +265,5 @@
 		// Aborts the connection, so that the partial answer does not look complete to the caller.
 		panic(http.ErrAbortHandler)
 	}
+	liftWriteLimit(writer)
 }
