--- a/promptcache/answers.go
+++ b/promptcache/answers.go
@@ -31,8 +31,13 @@
 	// tokens are those that the target keeps if it keeps unused parts for the longest time, and age the time since they were used.
 	tokens int
 	age    time.Duration
+	// believed are those that the target was believed to keep.
+	believed int
 }
 
+// Believed returns the number of leading tokens that the target was believed to keep.
+func (sent Sent) Believed() int { return sent.believed }
+
 // RecordSent records that a request is sent to a target, which reads the parts of its prompt next.
 func (picture *Picture) RecordSent(now time.Time, target *feed.Target, prompt *Prompt) Sent {
 	picture.mutex.Lock()
@@ -50,6 +55,7 @@
 	}
 	var sent Sent
 	sent.tokens, sent.age = memory.kept(now, prompt, longestRetention)
+	sent.believed, _ = memory.kept(now, prompt, memory.currentRetention(now))
 	memory.add(now, prompt, false)
 	return sent
 }
--- a/proxy/prompts.go
+++ b/proxy/prompts.go
@@ -23,12 +23,18 @@
 // recordPromptRead records that the current attempt's answer has begun.
 func (handler *Handler) recordPromptRead(now time.Time, call *call, took time.Duration) {
 	call.isPromptRead = true
+	if shared := call.prompt.SharedTokens(); shared > 0 {
+		handler.options.Metrics.Counter("prompt_tokens_shared").Inc(int64(shared))
+		handler.options.Metrics.Counter("prompt_tokens_kept").Inc(int64(call.promptSent.Believed()))
+	}
 	handler.picker.PromptCache().RecordAnswer(now, call.target, &call.prompt, call.promptSent, promptcache.Answer{Took: took})
 }
 
 // KeptParts returns the parts of prompts that targets have read since the last call.
 func (handler *Handler) KeptParts(now time.Time) []feed.KeptPart {
-	return handler.picker.PromptCache().TakeReport(now)
+	cache := handler.picker.PromptCache()
+	handler.options.Metrics.Gauge("prompt_parts").Update(float64(cache.Size()))
+	return cache.TakeReport(now)
 }
 
 // MergeKeptParts takes over the parts of prompts that other routers have reported.
