--- a/control/feed.go
+++ b/control/feed.go
@@ -16,6 +16,10 @@
 	pushInterval = 8 * time.Millisecond
 	// pushIntervalPerRouter is added to pushInterval for each router; a reply takes about a tenth of it on a small VM's processor.
 	pushIntervalPerRouter = time.Millisecond
+	// reportInterval and relayReportInterval are the times after which the request of a router and that of a relay are answered if there is news
+	// of the targets' load.
+	reportInterval      = 100 * time.Millisecond
+	relayReportInterval = 50 * time.Millisecond
 	// maxConfigurationsPerPush bounds the replies with a whole configuration in one round. One takes 1 to 2 ms to send, and watch
 	// requests time out after half a second, so on a large site no reply would arrive in time if all were sent at once.
 	maxConfigurationsPerPush = 16
@@ -157,6 +161,7 @@
 		ctl.applyReport(now, args)
 	case !isOutdated && args.Router && ctl.relays(now):
 		ctl.relay.add(now, args)
+		ctl.addReports(now, args.Reports)
 		ctl.feed.routers[args.Node] = now
 	default:
 		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
@@ -177,6 +182,7 @@
 		ctl.recordCrash(now, crash)
 	}
 	ctl.recordAnswered(args.Node, args.Answered)
+	ctl.addReports(now, args.Reports)
 	for _, report := range args.Limits {
 		ctl.recordLimit(now, report)
 	}
@@ -201,6 +207,13 @@
 	}
 }
 
+// addReports adds what routers know of the targets' load.
+func (ctl *Control) addReports(now time.Time, reports []feed.TargetReport) {
+	for _, report := range reports {
+		ctl.board.Add(now, report)
+	}
+}
+
 // findOrigin returns the software version that began a stream.
 func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
 	if !ctl.leads(now) {
@@ -252,7 +265,7 @@
 		switch {
 		case !hasState:
 			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
-		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due):
+		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due) || ctl.hasReports(now, &watcher):
 			watcher.reply <- ctl.watchReply(now, &watcher.args, includeConfiguration)
 			pushed = true
 			if includeConfiguration {
@@ -289,10 +302,26 @@
 // newestVersion returns the version of the newest configuration that any member may have acknowledged, or zero while committed entries
 // are not applied yet, as after a failed write. It may be called only while this node leads.
 func (ctl *Control) newestVersion() uint64 {
-	if ctl.index < ctl.core.CommitIndex() {
+	return provenVersion(ctl.index, ctl.core.CommitIndex(), ctl.version())
+}
+
+// provenVersion returns the version in force if all committed entries are applied, or zero.
+func provenVersion(applied, committed, version uint64) uint64 {
+	if applied < committed {
 		return 0
 	}
-	return ctl.version()
+	return version
+}
+
+// hasReports reports whether a router or relay gets news of the targets' load before its request's timeout.
+func (ctl *Control) hasReports(now time.Time, watcher *watcher) bool {
+	interval := relayReportInterval
+	if watcher.args.Router {
+		interval = reportInterval
+	} else if watcher.args.Relay == "" {
+		return false
+	}
+	return now.Sub(watcher.due) >= interval-watchTimeout && ctl.board.HasNews(watcher.args.Node)
 }
 
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
@@ -319,6 +348,9 @@
 		}
 		reply.Configuration = &configuration
 	}
+	if args.Router || args.Relay != "" {
+		reply.Reports = ctl.board.Next(now, args.Node)
+	}
 	key := listKey{since: args.Revision, isRouter: args.Router}
 	keptSince := args.KeptNext
 	if args.Term != reply.Term {
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,28 @@
 	"celerylanding.example/celerylanding/promptcache"
 )
 
+// BenchmarkChooseAmongManyHolders measures the choice of a target among 90 engines that all have the model loaded and report their load.
+func BenchmarkChooseAmongManyHolders(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var targets []feed.Target
+	var reports []feed.TargetReport
+	for number := range 90 {
+		targets = append(targets, target(fmt.Sprintf("e%d", number), 1, "m"))
+		reports = append(reports, feed.TargetReport{Target: targets[number].ID, Incarnation: 1, Slots: 10, Unread: 100 * number,
+			Load: celerylanding.TargetLoad{Running: number % 10, Slowdown: 0.5 + float64(number)/90}})
+	}
+	table := dispatch.NewRoster().Apply(now, reply(1, 1, targets...))
+	picker := dispatch.NewPicker("n", "d")
+	picker.ApplyLoadReports(now, table, reports)
+	chance := 0.0
+	for b.Loop() {
+		chance = math.Mod(chance+0.618, 1)
+		choice, _ := picker.Choose(now, table, dispatch.Requirements{Service: "s", Unit: feed.Unit{Model: "m"}, PromptKey: "p", PromptTokens: 600,
+			SharedTokens: 100, Slack: time.Second, MaxEventGap: time.Second, Chance: chance})
+		picker.Done(now, choice.Target, dispatch.ResultAnswered)
+	}
+}
+
 // BenchmarkPick measures the choice of a target among 256 engines, of which 24 have the model loaded.
 func BenchmarkPick(b *testing.B) {
 	const engines, holders = 256, 24
@@ -31,37 +54,34 @@
 	}
 }
 
-// BenchmarkPickWithPrompts measures the choice for a long prompt among 90 engines that all keep parts of prompts, of which 24 have the model loaded.
-func BenchmarkPickWithPrompts(b *testing.B) {
-	const engines, holders, parts = 90, 24, 30
+// BenchmarkChooseForKeptPrompts measures the choice for a long prompt among 90 engines that all have the model loaded, report their load and keep
+// parts of prompts, 30 of them that of the request.
+func BenchmarkChooseForKeptPrompts(b *testing.B) {
+	const engines, parts = 90, 30
 	now := time.Unix(1000, 0)
 	var targets []feed.Target
 	for number := range engines {
-		models := []celerylanding.ModelID{"other"}
-		if number < holders {
-			models = append(models, "m")
-		}
-		targets = append(targets, target(fmt.Sprintf("i-%08x", number), 1, models...))
+		targets = append(targets, target(fmt.Sprintf("i-%08x", number), 1, "m"))
 	}
-	table := dispatch.NewRoster().Apply(now, reply(1, 1, targets...))
+	snapshot := reply(1, 1, targets...)
+	snapshot.Configuration = engineService(40_000)
+	table := dispatch.NewRoster().Apply(now, snapshot)
 	picker := dispatch.NewPicker("n", "d")
 	picker.PromptCache().Update(now, table.AllTargets())
-	prompt := func(unit feed.Unit, head string) *promptcache.Prompt {
-		list := []celerylanding.PromptPart{{ID: head, Tokens: 2520}, {ID: "s", Tokens: 3780}, {ID: "own", Tokens: 2890}}
-		result := promptcache.NewPrompt(unit, "", list)
-		return &result
-	}
-	for _, target := range table.AllTargets() {
+	for index, target := range table.AllTargets() {
 		for number := range parts {
-			kept := prompt(feed.Unit{Model: target.Loaded[len(target.Loaded)-1].Model}, fmt.Sprint(number))
-			sent := picker.PromptCache().RecordSent(now, target, kept)
-			picker.PromptCache().RecordAnswer(now, target, kept, sent, promptcache.Answer{})
+			prompt := promptOf(fmt.Sprint(number + index%3*parts))
+			for range 2 {
+				picker.PromptCache().RecordAnswer(now, target, prompt, picker.PromptCache().RecordSent(now, target, prompt), promptcache.Answer{})
+			}
 		}
 	}
-	unit := feed.Unit{Model: "m"}
+	now = now.Add(time.Second)
+	needs := needsOf(promptOf("7"))
+	b.ReportAllocs()
 	for b.Loop() {
-		picked, _ := picker.Pick(now, table, dispatch.Requirements{Service: "s", Unit: unit, PromptKey: "m/7", PromptTokens: 9190,
-			Prompt: prompt(unit, "7")})
-		picker.Done(now, picked, dispatch.ResultAnswered)
+		needs.Chance = math.Mod(needs.Chance+0.618, 1)
+		choice, _ := picker.Choose(now, table, needs)
+		picker.Done(now, choice.Target, dispatch.ResultAnswered)
 	}
 }
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -23,6 +23,7 @@
 	routes    *routing.Table
 	byService map[celerylanding.ServiceID][]*feed.Target
 	byUnit    map[unitKey][]*feed.Target
+	byID      map[celerylanding.TargetID]*feed.Target
 	routers   int
 }
 
@@ -46,6 +47,18 @@
 	return list
 }
 
+// promptCapacity returns the size of the memory for prompts of each of a service's targets in tokens, or zero if it is unknown.
+func (table *Table) promptCapacity(id celerylanding.ServiceID) int {
+	if table.routes == nil {
+		return 0
+	}
+	service, ok := table.routes.Service(id)
+	if !ok || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.CacheTokens
+}
+
 // TargetsForUnit returns the targets that have the unit loaded for new requests.
 func (table *Table) TargetsForUnit(service celerylanding.ServiceID, unit feed.Unit) []*feed.Target {
 	return table.byUnit[unitKey{service, unit}]
@@ -140,6 +153,7 @@
 		routes:    roster.routes,
 		byService: make(map[celerylanding.ServiceID][]*feed.Target),
 		byUnit:    make(map[unitKey][]*feed.Target),
+		byID:      make(map[celerylanding.TargetID]*feed.Target),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
@@ -147,6 +161,7 @@
 		if target.Leaving {
 			continue
 		}
+		table.byID[target.ID] = &target
 		table.byService[target.Service] = append(table.byService[target.Service], &target)
 		for _, model := range target.Loaded {
 			if model.Draining {
--- a/promptcache/picture.go
+++ b/promptcache/picture.go
@@ -164,14 +164,6 @@
 	return memory
 }
 
-// CachedTokens implements celerylanding.PromptCache where all callers of a unit share what targets keep.
-func (picture *Picture) CachedTokens(now time.Time, endpoint celerylanding.Endpoint, model celerylanding.ModelID, adapter string,
-	parts []celerylanding.PromptPart) int {
-	prompt := NewPrompt(feed.Unit{Model: model, Adapter: adapter}, "", parts)
-	tokens, _ := picture.Kept(now, endpoint, &prompt)
-	return tokens
-}
-
 // Kept returns the number of leading tokens of the prompt that the target is believed to keep, and the time since the last of them were used.
 func (picture *Picture) Kept(now time.Time, endpoint celerylanding.Endpoint, prompt *Prompt) (tokens int, age time.Duration) {
 	if prompt.length == 0 {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -12,9 +12,11 @@
 	"celerylanding.example/celerylanding/delivery"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/loadplan"
 	"celerylanding.example/celerylanding/promptcache"
 	"celerylanding.example/celerylanding/routing"
+	"celerylanding.example/celerylanding/throttle"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,6 +26,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultBodyTimeout bounds the time in which a body must arrive while the route is not known.
 	defaultBodyTimeout = 10 * time.Second
+	// maxDiscardTime is the time after which the connection of a refused request whose body has not arrived is closed.
+	maxDiscardTime = 250 * time.Millisecond
 	// startingRetryDelay is the Retry-After delay of a node that has no configuration yet.
 	startingRetryDelay = 500 * time.Millisecond
 	// maxUnknownRouteAge is the age of the routes up to which an unknown route is reported as not found.
@@ -66,6 +70,8 @@
 	// the caller's key and the workspace that it names are not forwarded.
 	workspace *routing.Workspace
 	hidesKey  bool
+	// charge is the part of the workspace's allowance that the request has got; nil once it was sent to a target.
+	charge *throttle.Charge
 
 	// hashes are the fingerprints, once they are computed.
 	hashes []uint64
@@ -79,9 +85,15 @@
 	// to another target.
 	refusals   []celerylanding.Endpoint
 	lastTarget celerylanding.TargetID
-	// target is the target of the current attempt, and sentAt when the attempt began.
-	target *feed.Target
-	sentAt time.Time
+	// target is the target of the current attempt, outlook what it was chosen for, and sentAt when the attempt began.
+	target  *feed.Target
+	outlook forecast.Outlook
+	sentAt  time.Time
+	// streamedAt is when the current attempt's first event arrived, and longestPause the longest time between two of its events.
+	streamedAt   time.Time
+	longestPause time.Duration
+	// isUnread is set while the current attempt's prompt counts as unread by its target.
+	isUnread bool
 	// promptSent is what the target was believed to keep of the prompt, and isPromptRead is set once its answer has begun.
 	promptSent   promptcache.Sent
 	isPromptRead bool
@@ -162,11 +174,7 @@
 		call.delivery = delivery.New(metadata.ResumeAfter)
 	}
 	call.version, call.viewAge = table.Routes().Version(), handler.state.sinceContact(now)
-	if refusal := call.readBody(writer, request, table.Routes().Limits().BodyBytes); refusal != nil {
-		return call, refusal
-	}
-	call.received = handler.options.Clock()
-	if refusal := handler.checkReceived(call); refusal != nil {
+	if refusal := handler.receive(now, writer, request, call, table.Routes().Limits().BodyBytes); refusal != nil {
 		return call, refusal
 	}
 	timeout := route.Timeout
@@ -191,9 +199,25 @@
 	}
 }
 
+// receive reads the body of a request whose route is known, and refuses the request if it may not run.
+func (handler *Handler) receive(now time.Time, writer http.ResponseWriter, request *http.Request, call *call, limit int64) *refusal {
+	if !call.isBodyRead && request.ContentLength != 0 {
+		call.received = now
+		if refusal := handler.checkHeader(request.Context(), call); refusal != nil {
+			limitDiscard(writer)
+			return refusal
+		}
+	}
+	if refusal := call.readBody(writer, request, limit); refusal != nil {
+		return refusal
+	}
+	call.received = handler.options.Clock()
+	return handler.checkReceived(request.Context(), call)
+}
+
 // checkReceived refuses a request that has arrived but may not run.
-func (handler *Handler) checkReceived(call *call) *refusal {
-	if refusal := handler.checkAccess(call); refusal != nil {
+func (handler *Handler) checkReceived(ctx context.Context, call *call) *refusal {
+	if refusal := handler.checkAccess(ctx, call); refusal != nil {
 		return refusal
 	}
 	if cause := handler.crashes.quarantineCause(call); cause != "" {
@@ -289,6 +313,12 @@
 		cause: "body broke off: " + err.Error()}
 }
 
+// limitDiscard bounds the time in which the server reads and drops the body of a refused request so that its connection can be used again.
+func limitDiscard(writer http.ResponseWriter) {
+	// Connections whose reads have no deadline keep the limits of the server.
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(maxDiscardTime))
+}
+
 // bodyTimeout returns the time in which the body must arrive: that in which the request must be answered.
 func (call *call) bodyTimeout() time.Duration {
 	timeout := defaultBodyTimeout
@@ -308,10 +338,14 @@
 
 // requirements returns the requirements of the request on a target.
 func (call *call) requirements() dispatch.Requirements {
-	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens, Excluded: call.excluded,
-		Software: call.origin, Prompt: &call.prompt}
-	if len(call.metadata.PromptParts) > 0 {
-		needs.PromptKey = call.unit.String() + "/" + promptcache.Affinity(call.metadata.PromptParts)
+	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens,
+		OutputTokens: call.metadata.ExpectedOutput, Prompt: &call.prompt, Excluded: call.excluded, Software: call.origin,
+		MaxEventGap: call.route.MaxEventGap}
+	if needs.OutputTokens == 0 {
+		needs.OutputTokens = call.metadata.OutputTokens
+	}
+	if parts := call.metadata.PromptParts; len(parts) > 0 {
+		needs.PromptKey, needs.SharedTokens = call.unit.String()+"/"+parts[0].ID, parts[0].Tokens
 	}
 	return needs
 }
--- a/proxy/prompts.go
+++ b/proxy/prompts.go
@@ -27,7 +27,12 @@
 		handler.options.Metrics.Counter("prompt_tokens_shared").Inc(int64(shared))
 		handler.options.Metrics.Counter("prompt_tokens_kept").Inc(int64(call.promptSent.Believed()))
 	}
-	handler.picker.PromptCache().RecordAnswer(now, call.target, &call.prompt, call.promptSent, promptcache.Answer{Took: took})
+	answer := promptcache.Answer{Took: took}
+	if outlook := &call.outlook; outlook.Tokens > 0 {
+		answer.Speed = promptcache.Speed(outlook.ReadingTime(1))
+		answer.Whole = outlook.ExpectedFirst() + outlook.ReadingTime(call.metadata.PromptTokens-outlook.Tokens)
+	}
+	handler.picker.PromptCache().RecordAnswer(now, call.target, &call.prompt, call.promptSent, answer)
 }
 
 // KeptParts returns the parts of prompts that targets have read since the last call.
--- a/verdict.go
+++ b/verdict.go
@@ -59,6 +59,7 @@
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonKeysNotFresh     Reason = "keys_not_fresh"
+	ReasonAllowanceUsed    Reason = "allowance_used"
 )
 
 // Status returns the HTTP status code for the reason.
@@ -70,7 +71,7 @@
 		return http.StatusUnauthorized
 	case ReasonUnknownModel, ReasonUnknownService:
 		return http.StatusNotFound
-	case ReasonQueueFull:
+	case ReasonQueueFull, ReasonAllowanceUsed:
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
@@ -87,7 +88,8 @@
 // RetryAfter returns how long a caller should wait before it retries; zero means that a retry does not help.
 func (reason Reason) RetryAfter() time.Duration {
 	switch reason {
-	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited, ReasonKeysNotFresh:
+	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited, ReasonKeysNotFresh,
+		ReasonAllowanceUsed:
 		return 2 * time.Second
 	case ReasonDraining, ReasonKeyInProgress, ReasonCopyOnTrial:
 		return time.Second
