--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -54,34 +54,36 @@
 	}
 }
 
-// BenchmarkChooseForKeptPrompts measures the choice for a long prompt among 90 engines that all have the model loaded, report their load and keep
-// parts of prompts, 30 of them that of the request.
+// BenchmarkChooseForKeptPrompts measures the choice for a long prompt among 90 engines that all have the model loaded and keep parts of prompts, a
+// third of them that of the request, with room for what they keep and without.
 func BenchmarkChooseForKeptPrompts(b *testing.B) {
-	const engines, parts = 90, 30
-	now := time.Unix(1000, 0)
-	var targets []feed.Target
-	for number := range engines {
-		targets = append(targets, target(fmt.Sprintf("i-%08x", number), 1, "m"))
-	}
-	snapshot := reply(1, 1, targets...)
-	snapshot.Configuration = engineService(40_000)
-	table := dispatch.NewRoster().Apply(now, snapshot)
-	picker := dispatch.NewPicker("n", "d")
-	picker.PromptCache().Update(now, table.AllTargets())
-	for index, target := range table.AllTargets() {
-		for number := range parts {
-			prompt := promptOf(fmt.Sprint(number + index%3*parts))
-			for range 2 {
-				picker.PromptCache().RecordAnswer(now, target, prompt, picker.PromptCache().RecordSent(now, target, prompt), promptcache.Answer{})
+	for name, capacity := range map[string]int{"room": 300_000, "short": 150_000} {
+		b.Run(name, func(b *testing.B) {
+			const engines, parts = 90, 30
+			now := time.Unix(1000, 0)
+			var targets []feed.Target
+			for number := range engines {
+				targets = append(targets, target(fmt.Sprintf("i-%08x", number), 1, "m"))
 			}
-		}
-	}
-	now = now.Add(time.Second)
-	needs := needsOf(promptOf("7"))
-	b.ReportAllocs()
-	for b.Loop() {
-		needs.Chance = math.Mod(needs.Chance+0.618, 1)
-		choice, _ := picker.Choose(now, table, needs)
-		picker.Done(now, choice.Target, dispatch.ResultAnswered)
+			snapshot := reply(1, 1, targets...)
+			snapshot.Configuration = engineService(capacity)
+			table := dispatch.NewRoster().Apply(now, snapshot)
+			picker := dispatch.NewPicker("n", "d")
+			cache := picker.PromptCache()
+			cache.Update(now, table.AllTargets())
+			for index, target := range table.AllTargets() {
+				for number := range 2 * parts {
+					prompt := promptOf(fmt.Sprint(number%parts + index%3*parts))
+					cache.RecordAnswer(now, target, prompt, cache.RecordSent(now, target, prompt), promptcache.Answer{})
+				}
+			}
+			now = now.Add(time.Second)
+			needs := needsOf(promptOf("7"))
+			for b.Loop() {
+				needs.Chance = math.Mod(needs.Chance+0.618, 1)
+				choice, _ := picker.Choose(now, table, needs)
+				picker.Done(now, choice.Target, dispatch.ResultAnswered)
+			}
+		})
 	}
 }
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -80,13 +80,14 @@
 // choose returns the choice among the candidates, and the candidates that are in backoff, silent or outliers.
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (choice Choice,
 	unreachable []celerylanding.Endpoint) {
-	kept := picker.keptTokens(now, candidates, &needs)
 	assessment := assessment{now: now, routers: table.Routers(), needs: &needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
 		capacity: table.promptCapacity(needs.Service), allowsOutliers: allowOutliers}
-	if kept == nil {
+	picker.options = picker.options[:0]
+	picker.keepers = picker.appendKeepers(picker.keepers[:0], now, &needs)
+	unreachable = picker.assessKeepers(&assessment, table, candidates, unreachable)
+	if len(picker.keepers) == 0 {
 		assessment.preferred = picker.affinityTarget(candidates, &needs)
 	}
-	picker.options = picker.options[:0]
 	if assessment.preferred != nil {
 		unreachable = picker.assess(&assessment, assessment.preferred, needs.preferredTokens(), unreachable)
 	}
@@ -97,15 +98,11 @@
 		start = int(position)
 		chance = position - float64(start)
 	}
-	if kept != nil {
-		unreachable = picker.assessKeepers(&assessment, candidates, kept, start, unreachable)
-	}
 	for i := range candidates {
 		if len(picker.options) >= maxAssessed {
 			break
 		}
-		index := (start + i) % len(candidates)
-		if candidate := candidates[index]; candidate != assessment.preferred && (kept == nil || kept[index] == 0) {
+		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred && keptTokens(picker.keepers, candidate) == 0 {
 			unreachable = picker.assess(&assessment, candidate, 0, unreachable)
 		}
 	}
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -57,8 +57,9 @@
 	services map[celerylanding.ServiceID]*forecast.Service
 	gate     *throttle.Gate
 	cache    *promptcache.Picture
-	// options is reused by each choice.
+	// options and keepers are reused by each choice.
 	options []option
+	keepers []promptcache.Keeper
 }
 
 // NewPicker returns a picker for the router of a node in the failure domain.
--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -12,12 +13,22 @@
 // PromptCache returns the picture of the prompt parts that targets keep, which the choice of a target uses.
 func (picker *Picker) PromptCache() *promptcache.Picture { return picker.cache }
 
-// keptTokens returns the tokens that each candidate keeps of the request's prompt, or nil if none is known to keep any.
-func (picker *Picker) keptTokens(now time.Time, candidates []*feed.Target, needs *Requirements) []int {
-	if needs.Prompt == nil || needs.Prompt.SharedTokens() == 0 {
-		return nil
+// appendKeepers appends the targets that are believed to keep the beginning of the request's prompt.
+func (picker *Picker) appendKeepers(keepers []promptcache.Keeper, now time.Time, needs *Requirements) []promptcache.Keeper {
+	if needs.Prompt == nil {
+		return keepers
 	}
-	return picker.cache.KeptByEach(now, candidates, needs.Prompt)
+	return picker.cache.AppendKeepers(keepers, now, needs.Prompt, maxKeepers, needs.Chance)
+}
+
+// keptTokens returns how much of the prompt the target is known to keep.
+func keptTokens(keepers []promptcache.Keeper, target *feed.Target) int {
+	for i := range keepers {
+		if keepers[i].Endpoint.Incarnation == target.Incarnation && keepers[i].Endpoint.Target == target.ID {
+			return keepers[i].Tokens
+		}
+	}
+	return 0
 }
 
 // preferredTokens returns the tokens of the prompt that the target of all routers for its shared part is assumed to keep.
@@ -28,15 +39,18 @@
 	return needs.PromptTokens
 }
 
-// assessKeepers assesses the candidates that keep a part of the prompt, from the start on. Some places are left to others, which may be free.
-func (picker *Picker) assessKeepers(assessment *assessment, candidates []*feed.Target, kept []int, start int,
-	unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
-	for i := range candidates {
-		index := (start + i) % len(candidates)
-		if kept[index] > 0 && len(picker.options) < maxKeepers {
-			unreachable = picker.assess(assessment, candidates[index], kept[index], unreachable)
+// assessKeepers assesses the candidates that keep a part of the prompt, and removes the other targets from the keepers.
+func (picker *Picker) assessKeepers(assessment *assessment, table *Table, candidates []*feed.Target, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
+	kept := picker.keepers[:0]
+	for _, keeper := range picker.keepers {
+		target := table.byID[keeper.Endpoint.Target]
+		if target == nil || target.Incarnation != keeper.Endpoint.Incarnation || !slices.Contains(candidates, target) {
+			continue
 		}
+		kept = append(kept, keeper)
+		unreachable = picker.assess(assessment, target, keeper.Tokens, unreachable)
 	}
+	picker.keepers = kept
 	return unreachable
 }
 
--- a/promptcache/picture.go
+++ b/promptcache/picture.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +43,14 @@
 
 // memory is what the picture holds of one incarnation of a target.
 type memory struct {
+	picture     *Picture
+	id          celerylanding.TargetID
 	incarnation celerylanding.Incarnation
 	hash        uint64
 	parts       map[uint64]keptPart
+	// order holds the parts by the time of their last use, unless isChanged is set.
+	order     []orderedPart
+	isChanged bool
 	// held is the sum of the parts' tokens.
 	held int
 	// loadedAt is when each model was loaded again while the picture knew the target, and zero for one that was loaded before. What was kept before
@@ -62,14 +68,17 @@
 	mutex    sync.Mutex
 	memories map[celerylanding.TargetID]*memory
 	byHash   map[uint64]*memory
-	pending  []pendingPart
+	// holders are the targets that are believed to have each part.
+	holders map[uint64][]*memory
+	pending []pendingPart
 	// requestTokens is the average size of the requests sent, in tokens.
 	requestTokens float64
 }
 
 // New returns an empty picture.
 func New() *Picture {
-	return &Picture{memories: make(map[celerylanding.TargetID]*memory), byHash: make(map[uint64]*memory)}
+	return &Picture{memories: make(map[celerylanding.TargetID]*memory), byHash: make(map[uint64]*memory),
+		holders: make(map[uint64][]*memory)}
 }
 
 // endpointHash identifies an incarnation of a target in messages.
@@ -108,7 +117,7 @@
 	}
 	for id, memory := range picture.memories {
 		if !listed[id] {
-			delete(picture.byHash, memory.hash)
+			memory.forget()
 			delete(picture.memories, id)
 		}
 	}
@@ -144,11 +153,11 @@
 		return known
 	}
 	if known != nil {
-		delete(picture.byHash, known.hash)
+		known.forget()
 	} else if len(picture.memories) >= maxTargets {
 		return nil
 	}
-	known = &memory{incarnation: target.Incarnation, hash: endpointHash(target.ID, target.Incarnation), parts: make(map[uint64]keptPart),
+	known = &memory{picture: picture, id: target.ID, incarnation: target.Incarnation, hash: endpointHash(target.ID, target.Incarnation), parts: make(map[uint64]keptPart),
 		loadedAt: make(map[celerylanding.ModelID]time.Time)}
 	picture.memories[target.ID] = known
 	picture.byHash[known.hash] = known
@@ -178,28 +187,36 @@
 	return memory.kept(now, prompt, memory.currentRetention(now))
 }
 
-// KeptByEach returns the number of leading tokens of the prompt that each target is believed to keep, or nil if none keeps any.
-func (picture *Picture) KeptByEach(now time.Time, targets []*feed.Target, prompt *Prompt) []int {
+// Keeper is a target that is believed to keep the beginning of a prompt.
+type Keeper struct {
+	Endpoint celerylanding.Endpoint
+	// Tokens is the number of leading tokens that it keeps.
+	Tokens int
+}
+
+// AppendKeepers appends the targets that are believed to keep the beginning of the prompt, at most limit of them. Where there are more, chance in
+// [0, 1) decides from which one on they are looked at.
+func (picture *Picture) AppendKeepers(keepers []Keeper, now time.Time, prompt *Prompt, limit int, chance float64) []Keeper {
 	if prompt.length == 0 {
-		return nil
+		return keepers
 	}
 	picture.mutex.Lock()
 	defer picture.mutex.Unlock()
-	var list []int
-	for i, target := range targets {
-		memory := picture.memories[target.ID]
-		if memory == nil || memory.incarnation != target.Incarnation {
-			continue
-		}
-		tokens, _ := memory.kept(now, prompt, memory.currentRetention(now))
-		if tokens > 0 && list == nil {
-			list = make([]int, len(targets))
+	holders := picture.holders[prompt.links[0].chain]
+	start := 0
+	if len(holders) > limit {
+		start = int(chance * float64(len(holders)))
+	}
+	for i := range holders {
+		if len(keepers) >= limit {
+			break
 		}
-		if tokens > 0 {
-			list[i] = tokens
+		memory := holders[(start+i)%len(holders)]
+		if tokens, _ := memory.kept(now, prompt, memory.currentRetention(now)); tokens > 0 {
+			keepers = append(keepers, Keeper{celerylanding.Endpoint{Target: memory.id, Incarnation: memory.incarnation}, tokens})
 		}
 	}
-	return list
+	return keepers
 }
 
 // kept returns the leading tokens of the prompt that the target keeps if it keeps unused parts for the retention.
@@ -247,14 +264,35 @@
 
 // put stores a part.
 func (memory *memory) put(chain uint64, part keptPart) {
-	memory.held += part.tokens - memory.parts[chain].tokens
+	former, ok := memory.parts[chain]
+	if !ok {
+		memory.picture.holders[chain] = append(memory.picture.holders[chain], memory)
+	}
+	memory.held += part.tokens - former.tokens
 	memory.parts[chain] = part
+	memory.isChanged = true
 }
 
 // drop removes a part.
 func (memory *memory) drop(chain uint64) {
 	memory.held -= memory.parts[chain].tokens
 	delete(memory.parts, chain)
+	memory.isChanged = true
+	holders := memory.picture.holders
+	if i := slices.Index(holders[chain], memory); i >= 0 {
+		holders[chain] = slices.Delete(holders[chain], i, i+1)
+	}
+	if len(holders[chain]) == 0 {
+		delete(holders, chain)
+	}
+}
+
+// forget removes all parts, of a target that is gone or has restarted.
+func (memory *memory) forget() {
+	for chain := range memory.parts {
+		memory.drop(chain)
+	}
+	delete(memory.picture.byHash, memory.hash)
 }
 
 // makeRoom drops the least recently used part if the picture holds as many of the target as it may.
--- a/promptcache/weigh.go
+++ b/promptcache/weigh.go
@@ -1,6 +1,7 @@
 package promptcache
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -52,31 +53,58 @@
 
 // displaced returns the number of tokens that other requests are expected to read again if the target reads some more for a prompt: those of the
 // least recently used parts that then no longer fit into the free memory, each weighed by how often it is expected to be used while it would stay.
+// Those that don't fit even without the prompt are gone already.
 func (memory *memory) displaced(now time.Time, prompt *Prompt, reads, free int) float64 {
-	excess := reads - free + memory.held
-	if excess <= 0 {
+	if reads-free+memory.held <= 0 {
 		return 0
 	}
 	retention := memory.currentRetention(now)
-	var parts []keptPart
-	for chain, part := range memory.parts {
-		if now.Sub(part.usedAt) <= retention && !prompt.has(chain) {
-			parts = append(parts, part)
-		}
-	}
-	slices.SortFunc(parts, func(a, b keptPart) int { return a.usedAt.Compare(b.usedAt) })
+	gone := max(0, memory.held-max(0, free))
+	excess := min(reads, reads-free+memory.held)
 	var lost float64
-	for _, part := range parts {
-		if excess <= 0 {
-			break
+	parts := memory.byUse()
+	first, _ := slices.BinarySearchFunc(parts, gone, func(part orderedPart, gone int) int { return cmp.Compare(part.end, gone+1) })
+	if first < len(parts) {
+		gone -= parts[first].end - parts[first].tokens
+	}
+	for i := first; i < len(parts) && excess > 0; i++ {
+		part := &parts[i]
+		if now.Sub(part.usedAt) > retention || prompt.has(part.chain) {
+			continue
 		}
-		tokens := min(part.tokens, excess)
+		tokens := min(part.tokens-gone, excess)
+		gone = 0
 		excess -= tokens
 		lost += float64(tokens) * part.expectedUses(now, retention)
 	}
 	return lost
 }
 
+// orderedPart is a part with its chain, and the number of tokens up to its end.
+type orderedPart struct {
+	keptPart
+	chain uint64
+	end   int
+}
+
+// byUse returns the parts, the least recently used one first.
+func (memory *memory) byUse() []orderedPart {
+	if !memory.isChanged {
+		return memory.order
+	}
+	memory.order, memory.isChanged = memory.order[:0], false
+	for chain, part := range memory.parts {
+		memory.order = append(memory.order, orderedPart{part, chain, 0})
+	}
+	slices.SortFunc(memory.order, func(a, b orderedPart) int { return a.usedAt.Compare(b.usedAt) })
+	end := 0
+	for i := range memory.order {
+		end += memory.order[i].tokens
+		memory.order[i].end = end
+	}
+	return memory.order
+}
+
 // has reports whether a part belongs to the prompt.
 func (prompt *Prompt) has(chain uint64) bool {
 	for _, link := range prompt.links[:prompt.length] {
