--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -8,6 +8,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/forecast"
+	"celerylanding.example/celerylanding/promptcache"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -80,16 +81,12 @@
 // choose returns the choice among the candidates, and the candidates that are in backoff, silent or outliers.
 func (picker *Picker) choose(now time.Time, table *Table, candidates []*feed.Target, needs Requirements, allowOutliers bool) (choice Choice,
 	unreachable []celerylanding.Endpoint) {
-	assessment := assessment{now: now, routers: table.Routers(), needs: &needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
-		capacity: table.promptCapacity(needs.Service), allowsOutliers: allowOutliers}
+	assessment := picker.newAssessment(now, table, candidates, &needs)
+	assessment.allowsOutliers = allowOutliers
 	picker.options = picker.options[:0]
-	picker.keepers = picker.appendKeepers(picker.keepers[:0], now, &needs)
-	unreachable = picker.assessKeepers(&assessment, table, candidates, unreachable)
-	if len(picker.keepers) == 0 {
-		assessment.preferred = picker.affinityTarget(candidates, &needs)
-	}
+	unreachable = picker.assessKeepers(&assessment, table, unreachable)
 	if assessment.preferred != nil {
-		unreachable = picker.assess(&assessment, assessment.preferred, needs.preferredTokens(), unreachable)
+		unreachable = picker.assess(&assessment, assessment.preferred, unreachable)
 	}
 	start, chance := 0, needs.Chance
 	if len(candidates) > maxAssessed {
@@ -102,8 +99,8 @@
 		if len(picker.options) >= maxAssessed {
 			break
 		}
-		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred && keptTokens(picker.keepers, candidate) == 0 {
-			unreachable = picker.assess(&assessment, candidate, 0, unreachable)
+		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred && assessment.keptTokens(candidate) == 0 {
+			unreachable = picker.assess(&assessment, candidate, unreachable)
 		}
 	}
 	return pickOption(picker.options, chance), unreachable
@@ -156,15 +153,24 @@
 	bounds  forecast.Bounds
 	// preferred is the target that the shared part of the prompt is assigned to, or nil.
 	preferred *feed.Target
+	// keepers are the candidates that are known to keep a part of the prompt.
+	keepers []promptcache.Keeper
 	// capacity is the size of a target's memory for prompts in tokens; zero if unknown.
 	capacity       int
 	allowsOutliers bool
 }
 
-// assess adds a candidate that is believed to keep some of the prompt's tokens to the options if it can run the request, or to the unreachable ones
-// if it is in backoff, silent or an outlier.
-func (picker *Picker) assess(assessment *assessment, target *feed.Target, cached int,
-	unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
+func (picker *Picker) newAssessment(now time.Time, table *Table, candidates []*feed.Target, needs *Requirements) assessment {
+	assessment := assessment{now: now, routers: table.Routers(), needs: needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
+		capacity: table.promptCapacity(needs.Service), keepers: picker.findKeepers(now, table, candidates, needs)}
+	if len(assessment.keepers) == 0 {
+		assessment.preferred = picker.affinityTarget(candidates, needs)
+	}
+	return assessment
+}
+
+// assess adds a candidate to the options if it can run the request, or to the unreachable ones if it is in backoff, silent or an outlier.
+func (picker *Picker) assess(assessment *assessment, target *feed.Target, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
 	now, needs, stats := assessment.now, assessment.needs, picker.statsOf(target)
 	if !stats.isUsable(now, target) || (!assessment.allowsOutliers && stats.isOutlier(target)) {
 		return append(unreachable, target.Endpoint())
@@ -178,19 +184,28 @@
 	}
 	picker.options = append(picker.options, option{choice: Choice{Target: target}})
 	option := &picker.options[len(picker.options)-1]
-	option.choice.Size = forecast.NewSize(needs.PromptTokens-min(cached, needs.PromptTokens), needs.OutputTokens)
+	terms := picker.weigh(assessment, option, stats, isLimited)
+	option.loss = terms.sum()
+	return unreachable
+}
+
+// weigh sets the size and the outlook of an option, and returns the parts of its loss.
+func (picker *Picker) weigh(assessment *assessment, option *option, stats *targetStats, isLimited bool) lossTerms {
+	now, needs, target := assessment.now, assessment.needs, option.choice.Target
+	option.choice.Size = forecast.NewSize(needs.PromptTokens-picker.cachedTokens(assessment, target), needs.OutputTokens)
 	outlook := &option.choice.Outlook
 	stats.model.Expect(now, option.choice.Size, assessment.routers, outlook)
 	first, pauses := outlook.InTime(assessment.bounds)
-	option.loss = 1 - first*pauses + firstLoss*outlook.First + workLoss*outlook.Work + harmLoss*outlook.Harm(pauses) + busyLoss*outlook.Busy +
-		failureLoss*stats.decayedFailures(now) + workLoss*picker.displacedTime(assessment, target, stats, outlook)
+	terms := lossTerms{late: 1 - first*pauses, first: firstLoss * outlook.First, work: workLoss * outlook.Work, harm: harmLoss * outlook.Harm(pauses),
+		busy: busyLoss * outlook.Busy, failures: failureLoss * stats.decayedFailures(now),
+		displaced: workLoss * picker.displacedTime(assessment, target, stats, outlook)}
 	if target.Domain != picker.domain {
-		option.loss += crossDomainLoss
+		terms.domain = crossDomainLoss
 	}
 	if isLimited {
-		option.loss += limitedLoss
+		terms.limit = limitedLoss
 	}
-	return unreachable
+	return terms
 }
 
 // affinityTarget returns the target for the shared part of the prompt by rendezvous hashing among the candidates of the router's failure domain, or
--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,44 +14,56 @@
 // PromptCache returns the picture of the prompt parts that targets keep, which the choice of a target uses.
 func (picker *Picker) PromptCache() *promptcache.Picture { return picker.cache }
 
-// appendKeepers appends the targets that are believed to keep the beginning of the request's prompt.
-func (picker *Picker) appendKeepers(keepers []promptcache.Keeper, now time.Time, needs *Requirements) []promptcache.Keeper {
+// findKeepers returns the candidates that are known to keep the beginning of the request's prompt; where there are many candidates, some of them, so
+// that places are left to others, which may be free. The list is valid until the next call.
+func (picker *Picker) findKeepers(now time.Time, table *Table, candidates []*feed.Target, needs *Requirements) []promptcache.Keeper {
 	if needs.Prompt == nil {
-		return keepers
+		return nil
 	}
-	return picker.cache.AppendKeepers(keepers, now, needs.Prompt, maxKeepers, needs.Chance)
+	limit := math.MaxInt
+	if len(candidates) > maxAssessed {
+		limit = maxKeepers
+	}
+	picker.keepers = picker.cache.AppendKeepers(picker.keepers[:0], now, needs.Prompt, limit, needs.Chance)
+	picker.keepers = slices.DeleteFunc(picker.keepers, func(keeper promptcache.Keeper) bool {
+		target := table.byID[keeper.Endpoint.Target]
+		return target == nil || target.Incarnation != keeper.Endpoint.Incarnation || !slices.Contains(candidates, target)
+	})
+	return picker.keepers
 }
 
-// keptTokens returns how much of the prompt the target is known to keep.
-func keptTokens(keepers []promptcache.Keeper, target *feed.Target) int {
-	for i := range keepers {
-		if keepers[i].Endpoint.Incarnation == target.Incarnation && keepers[i].Endpoint.Target == target.ID {
-			return keepers[i].Tokens
+// keptTokens returns how much of the prompt a target keeps that is one of the keepers.
+func (assessment *assessment) keptTokens(target *feed.Target) int {
+	for i := range assessment.keepers {
+		if keeper := &assessment.keepers[i]; keeper.Endpoint.Incarnation == target.Incarnation && keeper.Endpoint.Target == target.ID {
+			return keeper.Tokens
 		}
 	}
 	return 0
 }
 
-// preferredTokens returns the tokens of the prompt that the target of all routers for its shared part is assumed to keep.
-func (needs *Requirements) preferredTokens() int {
-	if needs.SharedTokens > 0 {
-		return needs.SharedTokens
+// cachedTokens returns how much of the prompt the target is believed to keep. Where none is known to keep any, it is the one that all routers prefer.
+func (picker *Picker) cachedTokens(assessment *assessment, target *feed.Target) int {
+	needs, tokens := assessment.needs, 0
+	switch {
+	case target == assessment.preferred && needs.SharedTokens > 0:
+		tokens = needs.SharedTokens
+	case target == assessment.preferred:
+		tokens = needs.PromptTokens
+	case len(assessment.keepers) > 0:
+		if tokens = assessment.keptTokens(target); tokens == 0 && len(assessment.keepers) == maxKeepers {
+			// There may be more of them.
+			tokens, _ = picker.cache.Kept(assessment.now, target.Endpoint(), needs.Prompt)
+		}
 	}
-	return needs.PromptTokens
+	return min(tokens, needs.PromptTokens)
 }
 
-// assessKeepers assesses the candidates that keep a part of the prompt, and removes the other targets from the keepers.
-func (picker *Picker) assessKeepers(assessment *assessment, table *Table, candidates []*feed.Target, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
-	kept := picker.keepers[:0]
-	for _, keeper := range picker.keepers {
-		target := table.byID[keeper.Endpoint.Target]
-		if target == nil || target.Incarnation != keeper.Endpoint.Incarnation || !slices.Contains(candidates, target) {
-			continue
-		}
-		kept = append(kept, keeper)
-		unreachable = picker.assess(assessment, target, keeper.Tokens, unreachable)
+// assessKeepers assesses the candidates that keep a part of the prompt.
+func (picker *Picker) assessKeepers(assessment *assessment, table *Table, unreachable []celerylanding.Endpoint) []celerylanding.Endpoint {
+	for i := range assessment.keepers {
+		unreachable = picker.assess(assessment, table.byID[assessment.keepers[i].Endpoint.Target], unreachable)
 	}
-	picker.keepers = kept
 	return unreachable
 }
 
