--- a/control/leader.go
+++ b/control/leader.go
@@ -234,7 +234,7 @@
 
 // watchLeader keeps a follower's directory up to date, so that it can take over and pass the leader's state on to routers.
 func (ctl *Control) watchLeader(ctx context.Context) error {
-	var term, revision uint64
+	var term, revision, keptNext uint64
 	watcher := watch.New(watch.Options{
 		Direct: true,
 		Clock:  ctl.options.Clock,
@@ -248,6 +248,7 @@
 		NextArgs: func() feed.WatchArgs {
 			args := ctl.relay.collect(ctl.options.Clock())
 			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
+			args.KeptNext = keptNext
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
 			return args
@@ -257,7 +258,7 @@
 			if reply.Term != term {
 				ctl.relay.repeatAll()
 			}
-			term, revision = reply.Term, reply.Revision
+			term, revision, keptNext = reply.Term, reply.Revision, reply.KeptNext
 			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, sent, reply) })
 		},
 		IsPaused: func() bool { return ctl.Leader() == "" || ctl.Leader() == ctl.member.Address },
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -8,6 +8,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/forecast"
+	"celerylanding.example/celerylanding/promptcache"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -37,6 +38,8 @@
 	// maxAssessed is the number of targets among which a request's target is chosen. Where there are more, chance decides which ones are looked at;
 	// more would hardly be better.
 	maxAssessed = 12
+	// maxKeepers is the number of them that are looked at because they keep a part of the prompt.
+	maxKeepers = 8
 )
 
 // Choice is the target of a request and what the request is expected to see there.
@@ -81,6 +84,7 @@
 	assessment := picker.newAssessment(now, table, candidates, &needs)
 	assessment.allowsOutliers = allowOutliers
 	picker.options = picker.options[:0]
+	unreachable = picker.assessKeepers(&assessment, table, unreachable)
 	if assessment.preferred != nil {
 		unreachable = picker.assess(&assessment, assessment.preferred, unreachable)
 	}
@@ -95,7 +99,7 @@
 		if len(picker.options) >= maxAssessed {
 			break
 		}
-		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred {
+		if candidate := candidates[(start+i)%len(candidates)]; candidate != assessment.preferred && assessment.keptTokens(candidate) == 0 {
 			unreachable = picker.assess(&assessment, candidate, unreachable)
 		}
 	}
@@ -148,13 +152,21 @@
 	needs   *Requirements
 	bounds  forecast.Bounds
 	// preferred is the target that the shared part of the prompt is assigned to, or nil.
-	preferred      *feed.Target
+	preferred *feed.Target
+	// keepers are the candidates that are known to keep a part of the prompt.
+	keepers []promptcache.Keeper
+	// capacity is the size of a target's memory for prompts in tokens; zero if unknown.
+	capacity       int
 	allowsOutliers bool
 }
 
 func (picker *Picker) newAssessment(now time.Time, table *Table, candidates []*feed.Target, needs *Requirements) assessment {
-	return assessment{now: now, routers: table.Routers(), needs: needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
-		preferred: picker.affinityTarget(candidates, needs)}
+	assessment := assessment{now: now, routers: table.Routers(), needs: needs, bounds: forecast.NewBounds(needs.Slack, needs.MaxEventGap),
+		capacity: table.promptCapacity(needs.Service), keepers: picker.findKeepers(now, table, candidates, needs)}
+	if len(assessment.keepers) == 0 {
+		assessment.preferred = picker.affinityTarget(candidates, needs)
+	}
+	return assessment
 }
 
 // assess adds a candidate to the options if it can run the request, or to the unreachable ones if it is in backoff, silent or an outlier.
@@ -180,12 +192,13 @@
 // weigh sets the size and the outlook of an option, and returns the parts of its loss.
 func (picker *Picker) weigh(assessment *assessment, option *option, stats *targetStats, isLimited bool) lossTerms {
 	now, needs, target := assessment.now, assessment.needs, option.choice.Target
-	option.choice.Size = forecast.NewSize(needs.PromptTokens-picker.cachedTokens(now, target, needs, target == assessment.preferred), needs.OutputTokens)
+	option.choice.Size = forecast.NewSize(needs.PromptTokens-picker.cachedTokens(assessment, target), needs.OutputTokens)
 	outlook := &option.choice.Outlook
 	stats.model.Expect(now, option.choice.Size, assessment.routers, outlook)
 	first, pauses := outlook.InTime(assessment.bounds)
 	terms := lossTerms{late: 1 - first*pauses, first: firstLoss * outlook.First, work: workLoss * outlook.Work, harm: harmLoss * outlook.Harm(pauses),
-		busy: busyLoss * outlook.Busy, failures: failureLoss * stats.decayedFailures(now)}
+		busy: busyLoss * outlook.Busy, failures: failureLoss * stats.decayedFailures(now),
+		displaced: workLoss * picker.displacedTime(assessment, target, stats, outlook)}
 	if target.Domain != picker.domain {
 		terms.domain = crossDomainLoss
 	}
@@ -195,24 +208,10 @@
 	return terms
 }
 
-// cachedTokens returns how much of the prompt the target is believed to keep.
-func (picker *Picker) cachedTokens(now time.Time, target *feed.Target, needs *Requirements, isPreferred bool) int {
-	switch {
-	case picker.cache != nil:
-		tokens := picker.cache.CachedTokens(now, target.Endpoint(), needs.Unit.Model, needs.Unit.Adapter, needs.PromptParts)
-		return min(max(tokens, 0), needs.PromptTokens)
-	case !isPreferred:
-		return 0
-	case needs.SharedTokens > 0:
-		return min(needs.SharedTokens, needs.PromptTokens)
-	}
-	return needs.PromptTokens
-}
-
 // affinityTarget returns the target for the shared part of the prompt by rendezvous hashing among the candidates of the router's failure domain, or
 // among all if there are none there; nil if no part is shared. Routers with the same candidates choose the same target.
 func (picker *Picker) affinityTarget(candidates []*feed.Target, needs *Requirements) *feed.Target {
-	if needs.PromptKey == "" || picker.cache != nil {
+	if needs.PromptKey == "" {
 		return nil
 	}
 	key := xxhash.Sum64String(needs.PromptKey)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -14,18 +14,18 @@
 
 // lossTerms are the parts of the loss of a choice, in units of the benefit of one request that is answered in time.
 type lossTerms struct {
-	late, first, work, harm, busy, failures, domain, limit float64
+	late, first, work, harm, busy, failures, displaced, domain, limit float64
 }
 
 func (terms *lossTerms) sum() float64 {
-	return terms.late + terms.first + terms.work + terms.harm + terms.busy + terms.failures + terms.domain + terms.limit
+	return terms.late + terms.first + terms.work + terms.harm + terms.busy + terms.failures + terms.displaced + terms.domain + terms.limit
 }
 
 // list returns the terms with their names.
 func (terms *lossTerms) list() []preview.Term {
 	return []preview.Term{{Name: "late", Value: terms.late}, {Name: "first event", Value: terms.first}, {Name: "reading", Value: terms.work},
 		{Name: "harm", Value: terms.harm}, {Name: "busy", Value: terms.busy}, {Name: "failures", Value: terms.failures},
-		{Name: "domain", Value: terms.domain}, {Name: "limit", Value: terms.limit}}
+		{Name: "displaced", Value: terms.displaced}, {Name: "domain", Value: terms.domain}, {Name: "limit", Value: terms.limit}}
 }
 
 // Snapshot returns a picker with a copy of what this one knows of the targets of a service. Choices by the copy change nothing in the original.
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -10,6 +10,7 @@
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/forecast"
+	"celerylanding.example/celerylanding/promptcache"
 	"celerylanding.example/celerylanding/throttle"
 )
 
@@ -57,22 +58,16 @@
 	stats    map[celerylanding.TargetID]*targetStats
 	services map[celerylanding.ServiceID]*forecast.Service
 	gate     *throttle.Gate
-	cache    celerylanding.PromptCache
-	// options is reused by each choice.
+	cache    *promptcache.Picture
+	// options and keepers are reused by each choice.
 	options []option
+	keepers []promptcache.Keeper
 }
 
 // NewPicker returns a picker for the router of a node in the failure domain.
 func NewPicker(node celerylanding.NodeID, domain celerylanding.FailureDomain) *Picker {
 	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats),
-		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: throttle.NewGate(node)}
-}
-
-// SetPromptCache sets what is known of the targets' prompt caches; without it, the target is assumed to keep a prompt that is assigned to it.
-func (picker *Picker) SetPromptCache(cache celerylanding.PromptCache) {
-	picker.mutex.Lock()
-	defer picker.mutex.Unlock()
-	picker.cache = cache
+		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: throttle.NewGate(node), cache: promptcache.New()}
 }
 
 // Pick returns the target of Choose.
--- a/dispatch/requirements.go
+++ b/dispatch/requirements.go
@@ -6,6 +6,7 @@
 
 	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/feed"
+	"celerylanding.example/celerylanding/promptcache"
 )
 
 // Requirements describes the targets that a request can run on.
@@ -18,9 +19,9 @@
 	PromptTokens int
 	// SharedTokens is the number of tokens of that part; zero stands for the whole prompt.
 	SharedTokens int
-	// PromptParts are the parts of the prompt, for what is known of the targets' prompt caches.
-	PromptParts  []celerylanding.PromptPart
 	OutputTokens int
+	// Prompt is the beginning of the prompt that other requests may share, or nil.
+	Prompt *promptcache.Prompt
 	// Slack is the time that is left to begin the answer within the latency objective; zero if the request is late or has none.
 	Slack time.Duration
 	// MaxEventGap is the longest pause that the stream may have; zero for no bound.
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -40,6 +40,27 @@
 	return table.byService[service]
 }
 
+// AllTargets returns the targets of all services that accept new requests.
+func (table *Table) AllTargets() []*feed.Target {
+	var list []*feed.Target
+	for _, targets := range table.byService {
+		list = append(list, targets...)
+	}
+	return list
+}
+
+// promptCapacity returns the size of the memory for prompts of each of a service's targets in tokens, or zero if it is unknown.
+func (table *Table) promptCapacity(id celerylanding.ServiceID) int {
+	if table.routes == nil {
+		return 0
+	}
+	service, ok := table.routes.Service(id)
+	if !ok || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.CacheTokens
+}
+
 // TargetsForUnit returns the targets that have the unit loaded for new requests.
 func (table *Table) TargetsForUnit(service celerylanding.ServiceID, unit feed.Unit) []*feed.Target {
 	return table.byUnit[unitKey{service, unit}]
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -120,6 +120,10 @@
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
 	// Reports are what the node has learned of the targets' load since the last watch request.
 	Reports []TargetReport `cbor:"15,keyasint,omitempty"`
+	// Kept lists the parts of prompts that targets have read since the last report, and KeptNext is the number from which on the node wants those
+	// that others have reported.
+	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
 }
 
 // TargetReport is what one router, the routers of a relay, or all routers know of a target's load.
@@ -244,6 +248,9 @@
 	Version uint64 `cbor:"16,keyasint,omitempty"`
 	// Reports are the load of the targets of which there is news since the last reply to the node.
 	Reports []TargetReport `cbor:"18,keyasint,omitempty"`
+	// Kept lists the parts of prompts that targets have read, as routers have reported them, and KeptNext is the number from which to ask next.
+	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
+	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
@@ -305,3 +312,15 @@
 	// Busy is set when the node had no time for the request; the other fields, except for Cause, then say nothing.
 	Busy bool `cbor:"5,keyasint,omitempty"`
 }
+
+// KeptPart is a part of prompts that a target has read and is believed to keep.
+type KeptPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Target is a hash of the target's ID and incarnation.
+	Target uint64
+	// Chain is a hash of the model, the adapter and the parts up to this one, and Tokens the length of the part.
+	Chain  uint64
+	Tokens int
+	// Age is the time since the part was last known to be read or used.
+	Age time.Duration
+}
--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -34,6 +34,14 @@
 // ExpectedFirst returns First as a duration.
 func (outlook *Outlook) ExpectedFirst() time.Duration { return toDuration(outlook.First) }
 
+// ReadingTime returns the time in which the target reads a number of prompt tokens; zero if the request has none to read.
+func (outlook *Outlook) ReadingTime(tokens int) time.Duration {
+	if outlook.Tokens == 0 {
+		return 0
+	}
+	return toDuration(outlook.Work / float64(outlook.Tokens) * float64(max(0, tokens)))
+}
+
 // Pause returns the expected longest pause of the stream.
 func (outlook *Outlook) Pause() time.Duration { return toDuration(math.Exp(outlook.logPause)) }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -41,6 +41,7 @@
 	}
 	call.lastTarget, call.target, call.sentAt = target.ID, target, now
 	call.streamedAt, call.longestPause = time.Time{}, 0
+	defer handler.beginPrompt(now, call)()
 	attemptCtx, cancel := handler.attemptContext(ctx, now, call)
 	defer cancel()
 	handler.useCharge(call)
@@ -343,6 +344,7 @@
 	took := now.Sub(call.sentAt)
 	handler.recordRead(call)
 	handler.picker.RecordFirstByte(now, call.target, took, call.outlook)
+	handler.recordPromptRead(now, call, took)
 	if took > call.route.LatencyObjective && call.route.LatencyObjective > 0 {
 		handler.usage.recordLate(call.unit)
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -14,6 +14,7 @@
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/forecast"
 	"celerylanding.example/celerylanding/loadplan"
+	"celerylanding.example/celerylanding/promptcache"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/throttle"
 
@@ -41,10 +42,12 @@
 
 // call is one request of a caller and the state of its attempts.
 type call struct {
-	metadata   celerylanding.CallMetadata
-	route      *routing.Route
-	service    celerylanding.ServiceID
-	unit       feed.Unit
+	metadata celerylanding.CallMetadata
+	route    *routing.Route
+	service  celerylanding.ServiceID
+	unit     feed.Unit
+	// prompt is the beginning of the prompt that other requests may share.
+	prompt     promptcache.Prompt
 	method     string
 	requestURI string
 	host       string
@@ -91,6 +94,9 @@
 	longestPause time.Duration
 	// isUnread is set while the current attempt's prompt counts as unread by its target.
 	isUnread bool
+	// promptSent is what the target was believed to keep of the prompt, and isPromptRead is set once its answer has begun.
+	promptSent   promptcache.Sent
+	isPromptRead bool
 	// head is the head of the current attempt's answer.
 	head   delivery.Answer
 	waited time.Duration
@@ -194,6 +200,7 @@
 	call.service = call.route.ChooseService(float64(xxhash.Sum64String(call.metadata.ID)>>11) / (1 << 53))
 	if service, ok := routes.Service(call.service); ok && service.Engine != nil {
 		call.unit = loadplan.ParseUnit(call.metadata.Model)
+		call.prompt = promptcache.NewPrompt(call.unit, "", call.metadata.PromptParts)
 	}
 }
 
@@ -360,7 +367,7 @@
 // requirements returns the requirements of the request on a target.
 func (call *call) requirements() dispatch.Requirements {
 	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens,
-		OutputTokens: call.metadata.ExpectedOutput, PromptParts: call.metadata.PromptParts, Excluded: call.excluded, Software: call.origin,
+		OutputTokens: call.metadata.ExpectedOutput, Prompt: &call.prompt, Excluded: call.excluded, Software: call.origin,
 		MaxEventGap: call.route.MaxEventGap}
 	if needs.OutputTokens == 0 {
 		needs.OutputTokens = call.metadata.OutputTokens
