Replicas follow the prompt tokens of each model and the speed of engines

A model got replicas for its requests, their slots, or once its answers were late. Prompts of one model can take as much of an engine as hundreds of requests of another, and waiting for late answers costs the callers that are late.

Routers report the prompt tokens for which they chose a target by model, and relays add them up. The planner relates them to the speeds of the holders: a model whose holders are all over 1.6 times the mean pressure of the service, mostly by its own prompts, gets another replica while a prompt is unread for half of its callers' objective (Little's law). Replicas prefer engines that are fast and have little work, and lose their protection from eviction when the load moves on. Services whose targets don't report a speed are planned as before. Copies, orders and the store's bounds are as before: a replica is never loaded from the store.

--- a/control/feed.go
+++ b/control/feed.go
@@ -179,6 +179,7 @@
 	}
 	ctl.recordAnswered(args.Node, args.Answered)
 	ctl.addReports(now, args.Reports)
+	ctl.recordWork(now, args.Reports)
 	for _, report := range args.Limits {
 		ctl.recordLimit(now, report)
 	}
@@ -209,6 +210,19 @@
 	}
 }
 
+// recordWork tells the planner of the targets' load and of the models that cause it.
+func (ctl *Control) recordWork(now time.Time, reports []feed.TargetReport) {
+	for _, report := range reports {
+		for _, work := range report.Models {
+			if service := ctl.serviceOf(work.Model); service != "" {
+				ctl.planner.RecordWork(now, service, work.Model, work.Tokens)
+			}
+		}
+		load, unread := ctl.board.Load(now, report.Target)
+		ctl.planner.SetLoad(now, report.Target, load.Slowdown, unread)
+	}
+}
+
 // findOrigin returns the software version that began a stream.
 func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
 	if !ctl.leads(now) {
--- a/control/relay.go
+++ b/control/relay.go
@@ -57,6 +57,7 @@
 	}
 	total.Sent += report.Sent
 	total.Read += report.Read
+	total.Models = feed.AddModelTokens(total.Models, report.Models...)
 	if at := now.Add(-report.Age); report.Slots > 0 && (total.Slots == 0 || at.After(total.at)) {
 		total.Load, total.Slots, total.at = report.Load, report.Slots, at
 	}
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -45,6 +45,8 @@
 	isReportNew bool
 	// sent and read are the prompt tokens that were sent, and those that the target has read or will not read, since the last report.
 	sent, read int
+	// work holds the prompt tokens for which the target was chosen since the last report, by model.
+	work []feed.ModelTokens
 	// isLeaving is set once an answer has said that the target leaves, and pausedUntil is when it wants requests again.
 	isLeaving   bool
 	pausedUntil time.Time
@@ -95,7 +97,11 @@
 	if choice.Target == nil {
 		return Choice{}, unreachable
 	}
-	picker.statsOf(choice.Target).model.Begin(now, choice.Size)
+	stats := picker.statsOf(choice.Target)
+	stats.model.Begin(now, choice.Size)
+	if choice.Size.Tokens > 0 && needs.Unit.Model != "" {
+		stats.work = feed.AddModelTokens(stats.work, feed.ModelTokens{Model: needs.Unit.Model, Tokens: choice.Size.Tokens})
+	}
 	return choice, nil
 }
 
@@ -236,14 +242,14 @@
 	defer picker.mutex.Unlock()
 	var list []feed.TargetReport
 	for id, stats := range picker.stats {
-		report := feed.TargetReport{Target: id, Incarnation: stats.incarnation, Sent: stats.sent, Read: stats.read}
+		report := feed.TargetReport{Target: id, Incarnation: stats.incarnation, Sent: stats.sent, Read: stats.read, Models: stats.work}
 		if stats.isReportNew {
 			report.Load, report.Slots, report.Age = stats.load, stats.slots, now.Sub(stats.reportedAt)
 		}
-		if !stats.isReportNew && report.Sent == 0 && report.Read == 0 {
+		if !stats.isReportNew && report.Sent == 0 && report.Read == 0 && len(report.Models) == 0 {
 			continue
 		}
-		stats.isReportNew, stats.sent, stats.read = false, 0, 0
+		stats.isReportNew, stats.sent, stats.read, stats.work = false, 0, 0, nil
 		list = append(list, report)
 	}
 	slices.SortFunc(list, func(a, b feed.TargetReport) int { return cmp.Compare(a.Target, b.Target) })
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -135,6 +136,27 @@
 	Sent   int `cbor:"6,keyasint,omitempty"`
 	Read   int `cbor:"7,keyasint,omitempty"`
 	Unread int `cbor:"8,keyasint,omitempty"`
+	// Models lists the prompt tokens for which routers chose the target since the last report, by model.
+	Models []ModelTokens `cbor:"9,keyasint,omitempty"`
+}
+
+// ModelTokens is a number of prompt tokens for a model.
+type ModelTokens struct {
+	Model  celerylanding.ModelID `cbor:"1,keyasint"`
+	Tokens int                   `cbor:"2,keyasint"`
+}
+
+// AddModelTokens adds tokens to a list that holds each model once.
+func AddModelTokens(list []ModelTokens, more ...ModelTokens) []ModelTokens {
+	for _, entry := range more {
+		at := slices.IndexFunc(list, func(known ModelTokens) bool { return known.Model == entry.Model })
+		if at < 0 {
+			list = append(list, entry)
+			continue
+		}
+		list[at].Tokens += entry.Tokens
+	}
+	return list
 }
 
 // LimitReport is what one router, or the routers of a relay, know of a target that has announced a limit on requests.
--- a/forecast/board.go
+++ b/forecast/board.go
@@ -110,6 +110,15 @@
 	return list
 }
 
+// Load returns the newest load of a target and the number of its unread prompt tokens.
+func (board *Board) Load(now time.Time, id celerylanding.TargetID) (load celerylanding.TargetLoad, unread int) {
+	entry := board.entries[id]
+	if entry == nil {
+		return celerylanding.TargetLoad{}, 0
+	}
+	return entry.report.Load, int(math.Round(entry.unreadAt(now)))
+}
+
 // HasNews reports whether something has changed since the reader's last call of Next.
 func (board *Board) HasNews(reader celerylanding.NodeID) bool {
 	return board.readers[reader] < board.revision
--- a/loadplan/cost.go
+++ b/loadplan/cost.go
@@ -64,6 +64,9 @@
 	}
 	wait := planner.backlog(now, eng, nil) + planner.setupTime(eng, load.unit)
 	cost += wait.Seconds() * float64(max(1, load.count()))
+	if load.replica > 0 {
+		cost += planner.placementCost(now, eng)
+	}
 	if cost > limit {
 		return 0, false
 	}
@@ -147,7 +150,7 @@
 // cacheTTL is how long reload times and replica needs are cached; it covers a few rounds.
 const cacheTTL = 50 * time.Millisecond
 
-// cachedDuration and cachedCount are values that were computed at a time.
+// cachedDuration, cachedCount and cachedRate are values that were computed at a time.
 type cachedDuration struct {
 	value time.Duration
 	at    time.Time
@@ -158,6 +161,11 @@
 	at    time.Time
 }
 
+type cachedRate struct {
+	value float64
+	at    time.Time
+}
+
 // isFreshAt reports whether a value computed at a time is still used.
 func isFreshAt(now, computed time.Time) bool {
 	age := now.Sub(computed)
--- a/loadplan/demand.go
+++ b/loadplan/demand.go
@@ -39,7 +39,9 @@
 	// urgency is the decayed sum of the arrivals' urgencies, as of updated.
 	urgency float64
 	// late is the decayed number of late answers, as of updated.
-	late    float64
+	late float64
+	// tokens is the decayed number of prompt tokens that were sent to engines, as of updated.
+	tokens  float64
 	updated time.Time
 	// since is when the planner began to count arrivals of all units.
 	since    time.Time
@@ -77,6 +79,24 @@
 	return dem.recent(now) / dem.window(now)
 }
 
+// tokenRate returns the prompt tokens per second.
+func (dem *demand) tokenRate(now time.Time) float64 {
+	if dem == nil {
+		return 0
+	}
+	return dem.tokens * dem.decay(now) / dem.window(now)
+}
+
+// advance decays the counts up to now.
+func (dem *demand) advance(now time.Time) {
+	decay := dem.decay(now)
+	dem.arrivals *= decay
+	dem.urgency *= decay
+	dem.late *= decay
+	dem.tokens *= decay
+	dem.updated = now
+}
+
 // window returns the length in seconds of an undecayed window equivalent to the decayed counts; it is shorter soon after counting began.
 func (dem *demand) window(now time.Time) float64 {
 	counted := max(now.Sub(dem.since), minRateWindow)
@@ -110,6 +130,16 @@
 }
 
 func (planner *Planner) recordUsage(now time.Time, source usageSource, key demandKey, usage feed.Usage) {
+	dem := planner.demandOf(now, key)
+	dem.advance(now)
+	dem.arrivals += float64(usage.Arrivals)
+	dem.urgency += usage.Urgency
+	dem.late += float64(usage.Late)
+	dem.setInFlight(source, usage.InFlight)
+}
+
+// demandOf returns the demand for a unit, which begins now if there was none.
+func (planner *Planner) demandOf(now time.Time, key demandKey) *demand {
 	dem := planner.demand[key]
 	if dem == nil {
 		if planner.countedSince.IsZero() {
@@ -118,12 +148,7 @@
 		dem = &demand{updated: now, since: planner.countedSince, inFlight: make(map[usageSource]int)}
 		planner.demand[key] = dem
 	}
-	decay := dem.decay(now)
-	dem.arrivals = dem.arrivals*decay + float64(usage.Arrivals)
-	dem.urgency = dem.urgency*decay + usage.Urgency
-	dem.late = dem.late*decay + float64(usage.Late)
-	dem.updated = now
-	dem.setInFlight(source, usage.InFlight)
+	return dem
 }
 
 // ForgetRouter drops the running requests that a router has reported; the router no longer runs or can't be reached.
@@ -171,7 +196,8 @@
 		}
 	}
 	byAdapters := float64(adapters) / float64(max(1, spec.AdapterSlots))
-	return max(int(math.Ceil(max(byRate, byRunning, byAdapters))), planner.replicasForLateAnswers(now, service, id))
+	return max(int(math.Ceil(max(byRate, byRunning, byAdapters))), planner.replicasForLateAnswers(now, service, id),
+		planner.replicasForWork(now, service, id))
 }
 
 const (
--- a/loadplan/engine.go
+++ b/loadplan/engine.go
@@ -41,6 +41,7 @@
 	// limit is the number of requests per second that the engine takes, while isLimited is set.
 	limit     float64
 	isLimited bool
+	load      engineLoad
 	residents map[celerylanding.ModelID]*resident
 	// cached holds the models whose weights the engine has a local copy of.
 	cached map[celerylanding.ModelID]copyTiers
--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -142,9 +142,10 @@
 	isDiscoveryComplete bool
 	// countedSince is when the first arrival was counted.
 	countedSince time.Time
-	// reloadTimes and replicaNeeds cache values that change little from one round to the next.
+	// reloadTimes, replicaNeeds and pressures cache values that change little from one round to the next.
 	reloadTimes  map[modelKey]cachedDuration
 	replicaNeeds map[modelKey]cachedCount
+	pressures    map[celerylanding.ServiceID]cachedRate
 	// placed holds the units that are loaded or being loaded, as of placedAt.
 	placed   map[demandKey]bool
 	placedAt time.Time
@@ -168,6 +169,7 @@
 		index:        make(modelIndex),
 		reloadTimes:  make(map[modelKey]cachedDuration),
 		replicaNeeds: make(map[modelKey]cachedCount),
+		pressures:    make(map[celerylanding.ServiceID]cachedRate),
 		pending:      make(map[pendingKey]*pendingLoad),
 		demand:       make(map[demandKey]*demand),
 		changed:      make(map[celerylanding.TargetID]bool),
