Replicas by work: false speeds and reports that stop do bounded harm; models_pressed

The unread tokens of an engine of which nothing more is heard stayed as they were, and its model got another replica minutes later. Speeds are now bounded to four times the usual either way, and unread tokens are forgotten within seconds.

The leader's log line 'engines' and the gauge models_pressed tell how many models need replicas for their prompts.

--- a/control/leader.go
+++ b/control/leader.go
@@ -73,13 +73,13 @@
 func (ctl *Control) logSummary(now time.Time) {
 	summary := ctl.planner.Summary(now)
 	for name, value := range map[string]int{"engines_open": summary.Available, "engines_suspect": summary.Suspect, "models_loaded": summary.Loaded,
-		"models_without_copy": summary.NoCopy, "units_waiting": summary.Waiting, "store_loads": summary.Fetching} {
+		"models_without_copy": summary.NoCopy, "units_waiting": summary.Waiting, "models_pressed": summary.Pressed, "store_loads": summary.Fetching} {
 		ctl.options.Metrics.Gauge(name).Update(float64(value))
 	}
 	ctl.options.Log.Info().Int("engines", summary.Engines).Int("open", summary.Available).Int("suspect", summary.Suspect).
 		Int("models", summary.Models).Int("loaded", summary.Loaded).
 		Int("residents", summary.Residents).Int("one_copy", summary.SingleCopy).Int("no_copy", summary.NoCopy).
-		Int("waiting", summary.Waiting).Int("store_loads", summary.Fetching).Int("store_most", summary.FetchLimit).Msg("engines")
+		Int("waiting", summary.Waiting).Int("pressed", summary.Pressed).Int("store_loads", summary.Fetching).Int("store_most", summary.FetchLimit).Msg("engines")
 }
 
 // updateRole starts and ends this node's work as the leader when its role changes.
--- a/loadplan/summary.go
+++ b/loadplan/summary.go
@@ -18,6 +18,8 @@
 	Models, Loaded, Residents, SingleCopy, NoCopy int
 	// Waiting counts the units that requests wait for, Fetching the loads from the store in progress; FetchLimit is the limit of these.
 	Waiting, Fetching, FetchLimit int
+	// Pressed counts the models that need replicas because of the work that their prompts are.
+	Pressed int
 }
 
 // Summary returns the current counts.
@@ -41,6 +43,11 @@
 	}
 	summary.Loaded = len(loaded)
 	planner.countCopies(&summary, services)
+	for key := range planner.demand {
+		if key.unit.Adapter == "" && planner.replicasForWork(now, key.service, key.unit.Model) > 0 {
+			summary.Pressed++
+		}
+	}
 	for _, load := range planner.pending {
 		if load.replica == 0 && !planner.isServed(now, load) {
 			summary.Waiting++
--- a/loadplan/work.go
+++ b/loadplan/work.go
@@ -16,6 +16,8 @@
 	// maxWaitShare is the share of its callers' latency objective that a prompt may be unread on average before a model gets another replica: as much
 	// again is left for the slow moments of engines. A replica is kept from evictions down to half of it.
 	maxWaitShare = 0.5
+	// minSlowdown and maxSlowdown bound what an engine's false report can do; they are far from those of sound machines.
+	minSlowdown, maxSlowdown = 0.25, 4.0
 	// pressureCost is the cost in seconds of a replica on an engine under the mean pressure, or of the usual speed.
 	pressureCost = 0.1
 )
@@ -39,7 +41,7 @@
 	if !load.updated.IsZero() {
 		gain = 1 - math.Exp(-max(0, now.Sub(load.updated).Seconds())/loadMemory.Seconds())
 	}
-	load.slowdown += (slowdown - load.slowdown) * gain
+	load.slowdown += (min(max(slowdown, minSlowdown), maxSlowdown) - load.slowdown) * gain
 	load.unread += (float64(max(0, unread)) - load.unread) * gain
 	load.updated = now
 }
@@ -51,6 +53,11 @@
 	dem.tokens += float64(max(0, tokens))
 }
 
+// unreadAt returns the mean number of unread tokens. Without reports, nothing tells that prompts still wait.
+func (load *engineLoad) unreadAt(now time.Time) float64 {
+	return load.unread * math.Exp(-max(0, now.Sub(load.updated).Seconds())/loadMemory.Seconds())
+}
+
 // speed returns the speed of an engine in relation to the usual one, or 0 if it is not known.
 func (eng *engine) speed() float64 {
 	if eng.load.slowdown <= 0 || !eng.isAvailable() {
@@ -124,7 +131,7 @@
 		}
 		pressure := planner.pressure(now, eng)
 		lowest = min(lowest, pressure)
-		unread += eng.load.unread
+		unread += eng.load.unreadAt(now)
 		tokens += pressure * eng.speed()
 		isSettled = isSettled && now.Sub(resident.loadedAt) >= replicaSettleTime
 		replicas++
--- a/loadplan/work_test.go
+++ b/loadplan/work_test.go
@@ -124,3 +124,41 @@
 		})
 	}
 }
+
+// TestLoadReportsThatStop guards against the last figures before routers lost sight of the engines: nothing tells that prompts wait any more.
+func TestLoadReportsThatStop(t *testing.T) {
+	load := newLoadOfModels(t)
+	load.tokens["a"] = 5500
+	load.play(time.Second)
+	clear(load.slowdowns)
+	load.tokens["a"] = 500
+	load.play(10 * time.Second)
+	before := len(load.sim.orders)
+	assert.Assert(t, before <= 1, "the last figures were true for a moment")
+	load.tokens["a"] = 8000
+	load.play(15 * time.Second)
+	assert.Equal(t, len(load.sim.orders), before)
+}
+
+// TestEngineThatLiesAboutItsSpeed guards against one false figure that gives replicas to all models.
+func TestEngineThatLiesAboutItsSpeed(t *testing.T) {
+	for name, slowdown := range map[string]float64{"fast": 0.001, "slow": 1000} {
+		t.Run(name, func(t *testing.T) {
+			load := newLoadOfModels(t)
+			load.tokens = map[celerylanding.ModelID]int{"a": 4000, "b": 4000, "c": 8000, "d": 8000, "e": 8000}
+			load.slowdowns["e2"] = slowdown
+			load.play(30 * time.Second)
+			loads := 0
+			for _, order := range load.sim.orders {
+				if order.Kind == celerylanding.OrderLoad {
+					loads++
+				}
+			}
+			// Each engine has room for two models, so that one replica can be added on the liar, and each other engine can take one of the liar's model.
+			assert.Assert(t, loads <= 3, "%d loads", loads)
+			for model := range load.tokens {
+				assert.Assert(t, len(load.holders(model)) >= 1, "%s", model)
+			}
+		})
+	}
+}
