--- a/proxy/allowance_test.go
+++ b/proxy/allowance_test.go
@@ -53,7 +53,6 @@
 	leader := &grantingLeader{allocator: throttle.NewAllocator(now.Add(-age), 1, bounds, 1)}
 	leader.allocator.SetWorkspaces(now.Add(-age), append(others, *workspace))
 	handler := proxy.New(proxy.Options{Node: "n", Leader: leader, Started: now, Clock: time.Now, Log: zerolog.Nop(), Metrics: tally.NoopScope})
-	handler.RecordContact(now)
 	t.Cleanup(handler.Close)
 	return handler, leader
 }
@@ -66,6 +65,7 @@
 func TestRequestsBeyondAnAllowanceComeBackInTime(t *testing.T) {
 	workspace := limitedWorkspace(1000)
 	handler, _ := newCharging(t, workspace, 10*time.Second)
+	handler.RecordContact(time.Now())
 	admitted, refused, longest := 0, 0, time.Duration(0)
 	begin := time.Now()
 	for range 60 {
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -184,7 +184,7 @@
 mutate allowance-nothing-held throttle/ask.go ./throttle TestSteady 's/return target\n/return 0 * target\n/'
 mutate allowance-follower-grants control/allowances.go ./control TestOnlyTheLeader 's/!ctl\.leads\(now\) \|\| //'
 mutate allowance-kept-by-unsent proxy/allowance.go ./proxy TestUnsent 's/wake\(handler\.allowances\.reserve\.Return\(handler\.options\.Clock\(\), call\.charge\)\)/wake(nil)/'
-mutate allowance-cut-off-is-used-up throttle/reserve.go ./proxy TestRouterWithout 's/charge\.isCutOff = ChargeRefused, reserve\.failures > 0/charge.isCutOff = ChargeRefused, false/'
+mutate allowance-cut-off-is-used-up throttle/reserve.go ./proxy TestRouterWithout 's/ChargeRefused, reserve\.isUnanswered\(now, account\)/ChargeRefused, false/'
 mutate limit-unused-sent-at-once throttle/gate.go ./throttle TestLimitAfterRare 's/min\(budget\/horizon\.Seconds\(\), limit\)/(budget \/ horizon.Seconds())/'
 mutate allowance-no-wait-for-leader proxy/allowance.go ./proxy TestRequestWaits 's/patience > 0 && allowances/false \&\& allowances/'
 mutate allowance-hot-delays-others proxy/allowance.go ./proxy TestHotWorkspaceDelays 's/case allowances\.isDue <- struct\{\}\{\}:/case chan struct{}(nil) <- struct{}{}:/'
