--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -175,7 +175,7 @@
 	if !stats.isUsable(now, target) || (!assessment.allowsOutliers && stats.isOutlier(target)) {
 		return append(unreachable, target.Endpoint())
 	}
-	if needs.excludes(target) {
+	if needs.excludes(target) || stats.lacks(now, needs.Unit) {
 		return unreachable
 	}
 	isLimited := picker.isLimited(now, target)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -43,6 +44,7 @@
 	for _, target := range slices.Concat(table.Targets(service), table.leaving[service]) {
 		if stats := picker.stats[target.ID]; stats != nil {
 			copied := *stats
+			copied.misdirected = maps.Clone(stats.misdirected)
 			copied.model = stats.model.Clone(model)
 			snapshot.stats[target.ID] = &copied
 		}
@@ -168,6 +170,8 @@
 		return cause, max(0, until.Sub(now).Seconds())
 	}
 	switch {
+	case stats.lacks(now, needs.Unit):
+		return preview.ExcludedMisdirected, max(0, stats.misdirected[needs.Unit].until.Sub(now).Seconds())
 	case !needs.allowsSoftware(target):
 		return preview.ExcludedSoftware, 0
 	case stats.isOutlier(target):
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -158,6 +158,9 @@
 		"paused": {observe: func(picker *dispatch.Picker, listed *feed.Target) {
 			picker.RecordAvailability(start, listed, dispatch.Availability{Pause: 2 * time.Second})
 		}, want: preview.ExcludedPaused, seconds: 2},
+		"lacks the model by its own answer": {observe: func(picker *dispatch.Picker, listed *feed.Target) {
+			picker.RecordMisdirected(start, listed, feed.Unit{Model: "m"})
+		}, want: preview.ExcludedMisdirected, seconds: 0.3},
 		"not reached": {observe: func(picker *dispatch.Picker, listed *feed.Target) {
 			picker.Done(start, listed, dispatch.ResultUnreachable)
 		},
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -51,6 +51,8 @@
 	// isLeaving is set once an answer has said that the target leaves, and pausedUntil is when it wants requests again.
 	isLeaving   bool
 	pausedUntil time.Time
+	// misdirected holds the units that the target lacks by its own answers.
+	misdirected map[feed.Unit]misdirection
 }
 
 // Picker chooses targets; it is safe for concurrent use.
--- a/preview/target.go
+++ b/preview/target.go
@@ -27,6 +27,8 @@
 	ExcludedLacksUnit Exclusion = "lacks_unit"
 	// ExcludedUnloading means that the target is about to unload the model.
 	ExcludedUnloading Exclusion = "unloading"
+	// ExcludedMisdirected means that the target has answered lately that it lacks the unit, although the leader lists it there.
+	ExcludedMisdirected Exclusion = "misdirected"
 	// ExcludedOther means that the choice passes over the target for a reason that has no name here.
 	ExcludedOther Exclusion = "other"
 )
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -205,6 +205,7 @@
 	call.cause = "target answered " + strconv.Itoa(response.Status)
 	call.exclude(target)
 	if reply.IsMisdirected {
+		handler.picker.RecordMisdirected(handler.options.Clock(), target, call.unit)
 		call.refusals = append(call.refusals, target.Endpoint())
 	}
 	return true, nil
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -102,6 +102,8 @@
 	waited time.Duration
 	// unansweredWakes counts the wake requests that the leader did not answer.
 	unansweredWakes int
+	// unansweredSince is when the first of them ended, since the last one that the leader did answer.
+	unansweredSince time.Time
 	firstByte       time.Duration
 	cause           string
 	// caller is the connection of the caller, and hasChunks is set if its protocol has chunked bodies.
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -243,6 +243,11 @@
 	call.refusals = nil
 	if err != nil {
 		handler.logUnansweredWake(call, err)
+		if refusal := handler.refuseWithoutLeader(handler.options.Clock(), call); refusal != nil {
+			return refusal
+		}
+	} else {
+		call.unansweredSince = time.Time{}
 	}
 	if err == nil && reply.Infeasible {
 		return unavailableOrFailed(call, celerylanding.ReasonWaitTooLong, reply.Expected, reply.Cause)
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -219,3 +219,5 @@
 mutate prompts-not-followed dispatch/prompts.go ./platform TestLongPrompts 's/if tokens = assessment\.keptTokens\(target\); tokens == 0 /if _ = assessment.keptTokens(target); false /'
 mutate prompts-displace-for-free dispatch/explain.go ./dispatch TestPromptsOfOthers 's/ \+ terms\.displaced//'
 mutate prompts-kept-beyond-the-looked-at dispatch/prompts.go ./dispatch TestKeeperAmongMany 's/\t\tunreachable = picker\.assess\(assessment, table.*\n//'
+mutate misdirected-not-spared dispatch/choice.go ./dispatch TestMisdirected 's/ \|\| stats\.lacks\(now, needs\.Unit\)//'
+mutate requests-held-without-leader proxy/leaderless.go ./platform TestNothingIsHeld 's/if call\.delivery\.HasBegun\(\) \|\|/if true ||/'
