--- a/loadplan/planner.go
+++ b/loadplan/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/demand"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
 )
@@ -120,7 +121,7 @@
 	ordered []*engine
 	index   modelIndex
 	pending map[pendingKey]*pendingLoad
-	demand  map[demandKey]*demand
+	demand  map[demandKey]*demand.Demand
 	changed map[celerylanding.TargetID]bool
 	store   storeState
 	// storeLoads are the start times of recent loads from the store, oldest first.
@@ -171,7 +172,7 @@
 		replicaNeeds: make(map[modelKey]cachedCount),
 		pressures:    make(map[celerylanding.ServiceID]cachedRate),
 		pending:      make(map[pendingKey]*pendingLoad),
-		demand:       make(map[demandKey]*demand),
+		demand:       make(map[demandKey]*demand.Demand),
 		changed:      make(map[celerylanding.TargetID]bool),
 	}
 }
--- a/loadplan/preload.go
+++ b/loadplan/preload.go
@@ -48,7 +48,7 @@
 		}
 		for _, adapter := range model.Adapters {
 			unit := feed.Unit{Model: id, Adapter: adapter}
-			rate := planner.demand[demandKey{eng.service, unit}].rate(now)
+			rate := planner.demand[demandKey{eng.service, unit}].Rate(now)
 			if rate > highest && !planner.isPlaced(now, eng.service, unit) {
 				best, highest = unit, rate
 			}
--- a/loadplan/step.go
+++ b/loadplan/step.go
@@ -220,10 +220,10 @@
 		for adapter := range resident.adapters {
 			unit := feed.Unit{Model: id, Adapter: adapter}
 			dem := planner.demand[demandKey{eng.service, unit}]
-			if dem.running() > 0 {
+			if dem.Running() > 0 {
 				continue
 			}
-			rate := dem.rate(now)
+			rate := dem.Rate(now)
 			if least == nil || rate < lowest || (rate == lowest && unit.String() < least.String()) {
 				least, lowest = &unit, rate
 			}
@@ -272,11 +272,11 @@
 	planner.scaleOutDue = now.Add(scaleOutInterval)
 	var short []shortage
 	for key, dem := range planner.demand {
-		if dem.recent(now) < minDemand && dem.running() == 0 {
+		if dem.Recent(now) < minDemand && dem.Running() == 0 {
 			delete(planner.demand, key)
 			continue
 		}
-		if key.unit.Adapter != "" || dem.recent(now) < 1 {
+		if key.unit.Adapter != "" || dem.Recent(now) < 1 {
 			continue
 		}
 		serving := planner.servingEngine(key.service, key.unit.Model)
--- a/loadplan/store.go
+++ b/loadplan/store.go
@@ -195,7 +195,7 @@
 	isLargeSite := float64(pending+1) <= maxPrefetchShare*float64(len(planner.engines))
 	key, ok := planner.prefetchCandidate(now, isLargeSite)
 	// A busy model, whose replicas are overloaded, takes precedence over requests that wait for other models.
-	return key, ok && (pending < maxPrefetches || planner.demand[key].urgencyRate(now) >= busyUrgencyRate)
+	return key, ok && (pending < maxPrefetches || planner.demand[key].UrgencyRate(now) >= busyUrgencyRate)
 }
 
 // storeQueue counts the loads from the store that are in progress or queued, and the queued prefetches.
@@ -221,7 +221,7 @@
 	var best demandKey
 	highest := 0.0
 	for key, dem := range planner.demand {
-		if key.unit.Adapter != "" || dem.recent(now) < minCopyDemand {
+		if key.unit.Adapter != "" || dem.Recent(now) < minCopyDemand {
 			continue
 		}
 		copies := planner.diskCopies(key.service, key.unit.Model)
@@ -229,10 +229,10 @@
 			planner.pending[pendingKey{service: key.service, unit: key.unit, replica: prefetchReplica}] != nil {
 			continue
 		}
-		if !isLargeSite && copies > 0 && dem.urgencyRate(now) < busyUrgencyRate {
+		if !isLargeSite && copies > 0 && dem.UrgencyRate(now) < busyUrgencyRate {
 			continue
 		}
-		need := dem.urgencyRate(now) / float64(1+copies*copies*4)
+		need := dem.UrgencyRate(now) / float64(1+copies*copies*4)
 		if need > highest || (need == highest && key.unit.Model < best.unit.Model) {
 			best, highest = key, need
 		}
--- a/loadplan/summary.go
+++ b/loadplan/summary.go
@@ -43,11 +43,7 @@
 	}
 	summary.Loaded = len(loaded)
 	planner.countCopies(&summary, services)
-	for key := range planner.demand {
-		if key.unit.Adapter == "" && planner.replicasForWork(now, key.service, key.unit.Model) > 0 {
-			summary.Pressed++
-		}
-	}
+	summary.Pressed = planner.countPressed(now)
 	for _, load := range planner.pending {
 		if load.replica == 0 && !planner.isServed(now, load) {
 			summary.Waiting++
@@ -56,6 +52,17 @@
 	return summary
 }
 
+// countPressed counts the models that need replicas because of their prompts.
+func (planner *Planner) countPressed(now time.Time) int {
+	count := 0
+	for key := range planner.demand {
+		if key.unit.Adapter == "" && planner.replicasForWork(now, key.service, key.unit.Model) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // countCopies counts the services' configured models by the number of copies of their weights.
 func (planner *Planner) countCopies(summary *Summary, services map[celerylanding.ServiceID]*routing.Engine) {
 	for service, spec := range services {
--- a/loadplan/work.go
+++ b/loadplan/work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/demand"
 	"celerylanding.example/celerylanding/feed"
 )
 
@@ -48,9 +49,7 @@
 
 // RecordWork adds prompt tokens that a router has sent to engines for a model.
 func (planner *Planner) RecordWork(now time.Time, service celerylanding.ServiceID, id celerylanding.ModelID, tokens int) {
-	dem := planner.demandOf(now, demandKey{service, feed.Unit{Model: id}})
-	dem.advance(now)
-	dem.tokens += float64(max(0, tokens))
+	planner.demandOf(now, demandKey{service, feed.Unit{Model: id}}).Add(now, demand.Usage{Tokens: max(0, tokens)})
 }
 
 // unreadAt returns the mean number of unread tokens. Without reports, nothing tells that prompts still wait.
@@ -77,7 +76,7 @@
 	if speeds == 0 {
 		return 0
 	}
-	return planner.demand[demandKey{service, feed.Unit{Model: id}}].tokenRate(now) / speeds
+	return planner.demand[demandKey{service, feed.Unit{Model: id}}].TokenRate(now) / speeds
 }
 
 // pressure returns the prompt tokens per second on an engine in relation to its speed.
@@ -103,7 +102,7 @@
 	}
 	for key, dem := range planner.demand {
 		if key.service == service && key.unit.Adapter == "" {
-			tokens += dem.tokenRate(now)
+			tokens += dem.TokenRate(now)
 		}
 	}
 	cached = cachedRate{at: now}
@@ -118,8 +117,8 @@
 // takes much of the time that its callers give: one more than it has, once the newest has had time to help. It returns zero if fewer would do.
 func (planner *Planner) replicasForWork(now time.Time, service celerylanding.ServiceID, id celerylanding.ModelID) int {
 	mean, own := planner.meanPressure(now, service), planner.modelPressure(now, service, id)
-	dem := planner.demand[demandKey{service, feed.Unit{Model: id}}]
-	if mean <= 0 || own <= 0 || dem.urgency <= 0 {
+	objective := planner.demand[demandKey{service, feed.Unit{Model: id}}].Objective()
+	if mean <= 0 || own <= 0 || objective <= 0 {
 		return 0
 	}
 	replicas, isSettled := 0, true
@@ -140,7 +139,7 @@
 		return 0
 	}
 	// By Little's law, the mean time for which a token is unread.
-	wait, objective := unread/tokens, dem.arrivals/dem.urgency
+	wait := unread / tokens
 	switch {
 	case wait < maxWaitShare/2*objective:
 		return 0
