--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -74,5 +74,5 @@
 		return 0
 	}
 	room := promptcache.Room{Capacity: assessment.capacity, Running: max(stats.load.Running, stats.model.InFlight())}
-	return picker.cache.Weigh(assessment.now, target.Endpoint(), needs.Prompt, promptcache.Speed(outlook.ReadingTime(1)), room).Displaced.Seconds()
+	return picker.cache.Displaced(assessment.now, target.Endpoint(), needs.Prompt, outlook.Tokens, promptcache.Speed(outlook.ReadingTime(1)), room).Seconds()
 }
--- a/promptcache/weigh.go
+++ b/promptcache/weigh.go
@@ -44,13 +44,32 @@
 		terms.Kept, terms.Age = memory.kept(now, prompt, memory.currentRetention(now))
 		terms.Saved = speed.read(terms.Kept)
 	}
-	if room.Capacity > 0 && len(memory.parts) > 0 {
-		free := room.Capacity - int(float64(room.Running)*picture.requestTokens)
-		terms.Displaced = time.Duration(memory.displaced(now, prompt, prompt.tokens-terms.Kept, free) * float64(speed))
-	}
+	terms.Displaced = memory.displacedTime(now, prompt, prompt.tokens-terms.Kept, speed, room)
 	return terms
 }
 
+// Displaced returns the time that other requests are expected to lose if the target reads a number of the prompt's tokens.
+func (picture *Picture) Displaced(now time.Time, endpoint celerylanding.Endpoint, prompt *Prompt, reads int, speed Speed, room Room) time.Duration {
+	if room.Capacity == 0 {
+		return 0
+	}
+	picture.mutex.Lock()
+	defer picture.mutex.Unlock()
+	memory := picture.find(endpoint)
+	if memory == nil {
+		return 0
+	}
+	return memory.displacedTime(now, prompt, reads, speed, room)
+}
+
+func (memory *memory) displacedTime(now time.Time, prompt *Prompt, reads int, speed Speed, room Room) time.Duration {
+	if room.Capacity == 0 || len(memory.parts) == 0 {
+		return 0
+	}
+	free := room.Capacity - int(float64(room.Running)*memory.picture.requestTokens)
+	return time.Duration(memory.displaced(now, prompt, reads, free) * float64(speed))
+}
+
 // displaced returns the number of tokens that other requests are expected to read again if the target reads some more for a prompt: those of the
 // least recently used parts that then no longer fit into the free memory, each weighed by how often it is expected to be used while it would stay.
 // Those that don't fit even without the prompt are gone already.
