--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -13,12 +13,13 @@
 
 const (
 	// allowanceWaitShare is the share of its latency objective for which a request waits for a part of its workspace's allowance, and
-	// maxAllowanceWait the longest such wait: enough for an answer of the leader. Less urgent requests that waited longer would use up the
-	// allowance before more urgent ones.
+	// allowanceWait that time without an objective.
 	allowanceWaitShare = 0.5
-	maxAllowanceWait   = 250 * time.Millisecond
+	allowanceWait      = 500 * time.Millisecond
 	// missingLeaderWait is how long after the leader's last answer a request waits for it, since another one is usually elected by then.
 	missingLeaderWait = 2 * time.Second
+	// answerCheckInterval is the time after which such a request is looked at again, since the leader may have said meanwhile that there is too little.
+	answerCheckInterval = 50 * time.Millisecond
 	// allowanceTimeout is the timeout of one call to the leader.
 	allowanceTimeout = 300 * time.Millisecond
 	// allowanceSpread is the part by which the delay after which a caller returns is prolonged at random.
@@ -63,7 +64,7 @@
 	now, allowances := handler.options.Clock(), handler.allowances
 	patience := call.allowancePatience(now)
 	allowances.mutex.Lock()
-	charge := allowances.reserve.Begin(now, call.workspace, units, patience)
+	charge := allowances.reserve.BeginRanked(now, call.workspace, call.route.Priority, units, patience)
 	var done chan struct{}
 	if charge.State() == throttle.ChargeWaiting {
 		done = make(chan struct{})
@@ -90,9 +91,9 @@
 
 // allowancePatience returns how long the request waits for a part of its workspace's allowance.
 func (call *call) allowancePatience(now time.Time) time.Duration {
-	patience := maxAllowanceWait
+	patience := allowanceWait
 	if call.route.LatencyObjective > 0 {
-		patience = min(patience, time.Duration(allowanceWaitShare*float64(call.route.LatencyObjective)))
+		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
 	}
 	return min(patience, call.deadline.Sub(now)/2)
 }
@@ -113,7 +114,7 @@
 			timer.Stop()
 		}
 		now := handler.options.Clock()
-		patience = min(missingLeaderWait-handler.state.sinceContact(now), latest.Sub(now))
+		patience = min(missingLeaderWait-handler.state.sinceContact(now), latest.Sub(now), answerCheckInterval)
 		allowances.mutex.Lock()
 		if ctx.Err() == nil && patience > 0 && allowances.reserve.IsUnanswered(now, charge) {
 			allowances.mutex.Unlock()
