A limit that no answer has named for 3 s costs nothing, so that its end is found out

Cause: since targets are chosen by expected loss, a target that announces a limit gets no request while another one can serve all, and so no answer says that the limit has ended; the leader keeps it for 30 s. Ruled out: the leader's list, which ends with the first answer. Change: the loss for a limit applies while its last confirmation by any router is at most 3 s old; the gate still bounds what is sent.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -30,6 +30,9 @@
 	crossDomainLoss = 0.06
 	// limitedLoss is the loss at a target that announces a limit on requests. What it takes is left to the requests that can't run elsewhere.
 	limitedLoss = 0.5
+	// limitCheckInterval is the time after which a limit that no answer has named again costs nothing: requests within the limit are sent to find
+	// out whether it still holds. Otherwise a target would stay idle while others can serve all requests.
+	limitCheckInterval = 3 * time.Second
 	// evenLoss is the difference in losses at which one target gets e times as many requests as another one. Forecasts aren't more exact, and
 	// routers that know the same must not all choose the same target.
 	evenLoss = 0.02
@@ -202,7 +205,7 @@
 	if target.Domain != picker.domain {
 		terms.domain = crossDomainLoss
 	}
-	if isLimited {
+	if isLimited && picker.gate.LimitAge(now, target) <= limitCheckInterval {
 		terms.limit = limitedLoss
 	}
 	return terms
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -221,3 +221,4 @@
 mutate prompts-kept-beyond-the-looked-at dispatch/prompts.go ./dispatch TestKeeperAmongMany 's/\t\tunreachable = picker\.assess\(assessment, table.*\n/\t\t_ = i\n/'
 mutate misdirected-not-spared dispatch/choice.go ./dispatch TestMisdirected 's/ \|\| stats\.lacks\(now, needs\.Unit\)//'
 mutate requests-held-without-leader proxy/leaderless.go ./platform TestNothingIsHeld 's/if call\.delivery\.HasBegun\(\) \|\|/if true ||/'
+mutate limit-never-checked dispatch/choice.go ./dispatch TestEndedLimit 's/isLimited \&\& picker\.gate\.LimitAge\(now, target\) <= limitCheckInterval/isLimited/'
--- a/throttle/gate.go
+++ b/throttle/gate.go
@@ -115,6 +115,19 @@
 	return state.inForce(now)
 }
 
+// LimitAge returns the time since an answer of the target to any router has named its limit, as far as this router knows.
+func (gate *Gate) LimitAge(now time.Time, target *feed.Target) time.Duration {
+	state := gate.targets[target.ID]
+	if state == nil || state.incarnation != target.Incarnation {
+		return 0
+	}
+	age := now.Sub(state.answeredAt)
+	if !state.publishedAt.IsZero() {
+		age = min(age, now.Sub(state.publishedAt)+state.published.Age)
+	}
+	return age
+}
+
 func (state *gateState) inForce(now time.Time) (limit float64, isLimited bool) {
 	isOwnCurrent := now.Sub(state.answeredAt) <= ownTTL
 	isPublished := now.Sub(state.publishedAt) <= publishedGrace
