--- a/commands/route_test.go
+++ b/commands/route_test.go
@@ -45,12 +45,12 @@
 	sent := preview.Answer{Node: "n", Domain: "d", Version: 7, Outcome: preview.OutcomeSent, Target: "t1", Service: "s", Unit: "m/a",
 		Route: &preview.Route{Name: "r", Host: "h.example", Prefix: "/", Kind: "stream", ObjectiveSeconds: 0.8, TimeoutSeconds: 3},
 		Workspace: &preview.Workspace{Name: "w", IsKnown: true, HasKeys: true, Rank: 1, Classes: 4, HasProof: true, ProofAgeSeconds: 0.25, MaxProofAgeSeconds: 5,
-			Allowance: &preview.Allowance{Unit: "tokens", Rate: 100, Burst: 50, Cost: 6, Held: 40, Queued: 2}},
+			Quota: &preview.Quota{Unit: "tokens", Rate: 100, Burst: 50, Cost: 6, Held: 40, Queued: 2}},
 		Targets: []preview.Target{
 			{ID: "t1", Domain: "d", Rank: 1, Share: 1, Loss: 0.31, Terms: []preview.Term{{Name: "busy", Value: 0.31}}, HasReport: true,
 				Slowdown: 1.5, ExpectedFirstSeconds: 0.42, ReadTokens: 200, Running: 3, Waiting: 1, Slots: 8, ReportAgeSeconds: 0.4},
 			{ID: "t2", Domain: "e", Excluded: preview.ExcludedPaused, ExcludedSeconds: 2}}}
-	refused := preview.Answer{Outcome: preview.OutcomeRefused, Refusal: &preview.Refusal{Status: 429, Reason: celerylanding.ReasonAllowanceUsed,
+	refused := preview.Answer{Outcome: preview.OutcomeRefused, Refusal: &preview.Refusal{Status: 429, Reason: celerylanding.ReasonQuotaUsed,
 		Cause: "used up", RetryAfterSeconds: 1, RetrySpreadSeconds: 0.2}}
 	unknown := preview.Answer{Version: 7, Outcome: preview.OutcomeRefused, Refusal: &preview.Refusal{Status: 404, Reason: celerylanding.ReasonUnknownService}}
 	waits := preview.Answer{Outcome: preview.OutcomeWaits, WaitsFor: preview.WaitForLoad, Load: &preview.Load{Waiting: 2, HasAnswer: true, ExpectedSeconds: 3}}
@@ -64,7 +64,7 @@
 		"sent": {200, sent, nil, 0, []string{"sent to t1", "configuration 7", "r (h.example/, stream)", "model m/a", "w; urgency 2 of 4", "proven 250ms ago",
 			"40 tokens held here", "3+1 of 8, x1.50", "busy 0.31", "420ms", "paused for 2s"}},
 		"JSON":          {200, sent, []string{"--json"}, 0, []string{`"target":"t1"`, `"excluded":"paused"`}},
-		"refused":       {200, refused, nil, 0, []string{"refused with 429 allowance_used: used up; Retry-After 1.00 to 1.20"}},
+		"refused":       {200, refused, nil, 0, []string{"refused with 429 quota_used: used up; Retry-After 1.00 to 1.20"}},
 		"waits":         {200, waits, nil, 0, []string{"waits: no usable target has the model", "2 requests wait here", "loaded within 3s"}},
 		"unknown route": {200, unknown, nil, 3, []string{"no route matches h.example/a in version 7"}},
 		"no router":     {404, nil, nil, 1, []string{"answers 404", "no router"}},
--- a/commands/route_text.go
+++ b/commands/route_text.go
@@ -86,7 +86,7 @@
 var waitTexts = map[preview.WaitFor]string{
 	preview.WaitForConfiguration: "this router has no configuration yet",
 	preview.WaitForProof:         "a router that has just started or stood still expects word that its keys are current",
-	preview.WaitForAllowance:     "the leader would be asked for more of the workspace's allowance",
+	preview.WaitForQuota:         "the leader would be asked for more of the workspace's quota",
 	preview.WaitForOrigin:        "the leader would be asked which software began the stream",
 	preview.WaitForTrial:         "copies of the request have ended with their targets; the leader lets one run at a time",
 	preview.WaitForLimit:         "the targets have reached the limits that they announce",
@@ -134,17 +134,17 @@
 		name = string(workspace.Name)
 	}
 	rows := []string{fmt.Sprintf("workspace\t%s; urgency %d of %d", name, workspace.Rank+1, workspace.Classes), proofRow(workspace)}
-	allowance := workspace.Allowance
-	if allowance == nil {
+	quota := workspace.Quota
+	if quota == nil {
 		return rows
 	}
-	row := fmt.Sprintf("allowance\t%.4g %s held here, %.4g waited for, %.4g needed; %.4g/s and %.4g at once over all routers", allowance.Held, allowance.Unit,
-		allowance.Queued, allowance.Cost, allowance.Rate, allowance.Burst)
-	if allowance.GrantedRate > 0 {
-		row += fmt.Sprintf("; short: %.4g/s granted here, more in %s", allowance.GrantedRate, seconds(allowance.ReadySeconds))
+	row := fmt.Sprintf("quota\t%.4g %s held here, %.4g waited for, %.4g needed; %.4g/s and %.4g at once over all routers", quota.Held, quota.Unit,
+		quota.Queued, quota.Cost, quota.Rate, quota.Burst)
+	if quota.GrantedRate > 0 {
+		row += fmt.Sprintf("; short: %.4g/s granted here, more in %s", quota.GrantedRate, seconds(quota.ReadySeconds))
 	}
-	if allowance.FailedCalls > 0 {
-		row += fmt.Sprintf("; the leader has not answered %d calls", allowance.FailedCalls)
+	if quota.FailedCalls > 0 {
+		row += fmt.Sprintf("; the leader has not answered %d calls", quota.FailedCalls)
 	}
 	return append(rows, row)
 }
--- a/commands/show.go
+++ b/commands/show.go
@@ -55,11 +55,11 @@
 func workspaceRows(list []node.WorkspaceStatus) []string {
 	rows := []string{"WORKSPACE\tKEYS\tPRIORITY\tALLOWANCE"}
 	for _, workspace := range list {
-		allowance := "unlimited"
+		quota := "unlimited"
 		if workspace.Rate > 0 {
-			allowance = fmt.Sprintf("%g %s/s, burst %g", workspace.Rate, workspace.Unit, workspace.Burst)
+			quota = fmt.Sprintf("%g %s/s, burst %g", workspace.Rate, workspace.Unit, workspace.Burst)
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s", workspace.Workspace, workspace.Keys, workspace.Priority, allowance))
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s", workspace.Workspace, workspace.Keys, workspace.Priority, quota))
 	}
 	return rows
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -101,7 +101,7 @@
 	assert.NilError(t, err)
 	key := celerylanding.Key("k").Digest()
 	assert.DeepEqual(t, parsed.Workspaces(), []routing.Workspace{{ID: "w", Keys: []celerylanding.KeyDigest{key}, Priority: int(celerylanding.PriorityBatch),
-		Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 2.5, Burst: 4, DefaultTokens: 7}}})
+		Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: 2.5, Burst: 4, DefaultTokens: 7}}})
 	assert.Equal(t, parsed.Access().WorkspaceOf(key).ID, celerylanding.WorkspaceID("w"))
 	model, _ := parsed.Resolve("m")
 	adapter, _ := parsed.Resolve("a")
--- a/config/parse.go
+++ b/config/parse.go
@@ -28,7 +28,7 @@
 	defaultMaxReplicas      = 1
 	replicaCountLimit       = 10_000
 	queueRequestsLimit      = 1_000_000
-	allowanceLimit          = 1_000_000_000
+	quotaLimit              = 1_000_000_000
 )
 
 // reader fills a Config from the merged tree. It collects the references between sections and checks them at the end.
@@ -304,7 +304,7 @@
 func (reader *reader) readWorkspace(name string, field fieldNode) {
 	field.checkName(name)
 	workspace := routing.Workspace{ID: celerylanding.WorkspaceID(name)}
-	allowance := &workspace.Allowance
+	quota := &workspace.Quota
 	field.readMapping(fields{
 		"keys": func(field fieldNode) {
 			field.forEachItem(func(field fieldNode) {
@@ -312,16 +312,16 @@
 			})
 		},
 		"priority": func(field fieldNode) { workspace.Priority = int(readPriority(field)) },
-		"rate":     func(field fieldNode) { allowance.Rate = field.number(0, allowanceLimit) },
-		"burst":    func(field fieldNode) { allowance.Burst = field.number(0, allowanceLimit) },
+		"rate":     func(field fieldNode) { quota.Rate = field.number(0, quotaLimit) },
+		"burst":    func(field fieldNode) { quota.Burst = field.number(0, quotaLimit) },
 		"unit": func(field fieldNode) {
 			if text := field.text(); text == "tokens" {
-				allowance.Unit = routing.AllowanceTokens
+				quota.Unit = routing.QuotaTokens
 			} else if text != "requests" {
 				field.addProblem("%q must be requests or tokens", text)
 			}
 		},
-		"default_tokens": func(field fieldNode) { allowance.DefaultTokens = field.integer(0, allowanceLimit) },
+		"default_tokens": func(field fieldNode) { quota.DefaultTokens = field.integer(0, quotaLimit) },
 	})
 	reader.config.access.Workspaces = append(reader.config.access.Workspaces, workspace)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -82,8 +82,8 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
-	// allowances are what this leader has granted of the allowances of workspaces; nil before this node has led.
-	allowances *throttle.Allocator
+	// quotas are what this leader has granted of the quotas of workspaces; nil before this node has led.
+	quotas *throttle.Allocator
 	// settledTerm is the last term whose leader has outlasted all grants of its predecessors, by the log; isSettling is set while this leader has not
 	// proposed its own.
 	settledTerm uint64
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -138,7 +138,7 @@
 		Fencing:       !cluster.ignoresFences,
 		LeaseTime:     leaseTime,
 		TargetSilence: cluster.silence,
-		Allowances:    throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000},
+		Quotas:        throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000},
 		Engines:       cluster.engines,
 		Clock:         cluster.clock,
 		Log:           zerolog.Nop(),
--- a/control/leader.go
+++ b/control/leader.go
@@ -46,7 +46,7 @@
 	}
 	if ctl.feed.configurationChanged {
 		ctl.feed.configurationChanged = false
-		ctl.updateAllowances(now)
+		ctl.updateQuotas(now)
 		ctl.observeAll(now)
 	}
 	if !now.Before(ctl.expireDue) {
@@ -54,7 +54,7 @@
 		ctl.expire(now)
 	}
 	ctl.maintainQuarantine(now)
-	ctl.settleAllowances(now)
+	ctl.settleQuotas(now)
 	if ctl.mayOrder(now) && !now.Before(ctl.planDue) {
 		ctl.planDue = now.Add(planInterval + time.Duration(ctl.directory.Len())*planIntervalPerTarget)
 		ctl.execute(ctl.planner.Step(now))
@@ -108,7 +108,7 @@
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
 		ctl.limits = throttle.NewLedger()
-		ctl.resetAllowances(now)
+		ctl.resetQuotas(now)
 		ctl.origins = resume.NewLedger(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
--- a/control/messages.go
+++ b/control/messages.go
@@ -162,10 +162,10 @@
 	return service.postAndWait(func(now time.Time) { *reply = service.control.trial(now, args) })
 }
 
-// Allowance grants parts of the allowances of workspaces if this node leads.
-func (service *PeerService) Allowance(args *feed.AllowanceArgs, reply *feed.AllowanceReply) error {
+// Quota grants parts of the quotas of workspaces if this node leads.
+func (service *PeerService) Quota(args *feed.QuotaArgs, reply *feed.QuotaReply) error {
 	arrived := service.control.options.Clock()
-	return service.postAndWait(func(now time.Time) { *reply = service.control.grantAllowances(now, arrived, args) })
+	return service.postAndWait(func(now time.Time) { *reply = service.control.grantQuotas(now, arrived, args) })
 }
 
 func (service *PeerService) postAndWait(run func(now time.Time)) error {
--- a/control/options.go
+++ b/control/options.go
@@ -46,12 +46,12 @@
 	// MaxDirectRouters is the number of routers up to which all watch the leader; with more, they watch the control nodes of their own
 	// failure domains, which relay its state.
 	MaxDirectRouters int
-	// Allowances are the bounds on the use of the allowances of workspaces.
-	Allowances throttle.AllowanceBounds
-	Engines    EngineClient
-	Clock      func() time.Time
-	Log        zerolog.Logger
-	Metrics    tally.Scope
+	// Quotas are the bounds on the use of the quotas of workspaces.
+	Quotas  throttle.QuotaBounds
+	Engines EngineClient
+	Clock   func() time.Time
+	Log     zerolog.Logger
+	Metrics tally.Scope
 	// Seed seeds all random choices.
 	Seed uint64
 }
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -32,7 +32,7 @@
 	// Quarantined lists the fingerprints of requests that are refused: in a command the new ones, in a snapshot all of them, oldest first.
 	Quarantined []uint64 `cbor:"16,keyasint,omitempty"`
 	Released    []uint64 `cbor:"17,keyasint,omitempty"`
-	// SettledTerm is the term of a leader that has outlasted all grants of allowances by its predecessors.
+	// SettledTerm is the term of a leader that has outlasted all grants of quotas by its predecessors.
 	SettledTerm uint64 `cbor:"18,keyasint,omitempty"`
 }
 
--- a/control/allowances_test.go
+++ b/control/quotas_test.go
@@ -13,44 +13,44 @@
 	"celerylanding.example/celerylanding/routing"
 )
 
-// submitAllowance submits a version with one workspace.
-func (cluster *testCluster) submitAllowance(version uint64, rate float64) {
+// submitQuota submits a version with one workspace.
+func (cluster *testCluster) submitQuota(version uint64, rate float64) {
 	cluster.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	submitted := configuration(version)
-	submitted.Workspaces = []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: rate, Burst: rate}}}
+	submitted.Workspaces = []routing.Workspace{{ID: "w", Quota: routing.Quota{Rate: rate, Burst: rate}}}
 	_, err := cluster.running().ctl.Submit(ctx, submitted)
 	assert.NilError(cluster.t, err)
 }
 
-// drawAllowance asks the leader for units in the name of one router until one answers, and returns what it grants.
-func (cluster *testCluster) drawAllowance(ctx context.Context, peers *rpc.Peers, sequence *uint64, units float64) feed.AllowanceReply {
+// drawQuota asks the leader for units in the name of one router until one answers, and returns what it grants.
+func (cluster *testCluster) drawQuota(ctx context.Context, peers *rpc.Peers, sequence *uint64, units float64) feed.QuotaReply {
 	cluster.t.Helper()
 	for ctx.Err() == nil {
 		*sequence++
-		args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: *sequence, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: units, Needed: units}}}
-		var reply feed.AllowanceReply
-		if err := peers.Call(ctx, cluster.running().ctl.Leader(), "Peer.Allowance", args, &reply); err == nil && reply.Leads && len(reply.Grants) > 0 {
+		args := &feed.QuotaArgs{Node: "r", Process: 1, Sequence: *sequence, Requests: []feed.QuotaRequest{{Workspace: "w", Wanted: units, Needed: units}}}
+		var reply feed.QuotaReply
+		if err := peers.Call(ctx, cluster.running().ctl.Leader(), "Peer.Quota", args, &reply); err == nil && reply.Leads && len(reply.Grants) > 0 {
 			return reply
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	cluster.t.Fatal("no leader grants")
-	return feed.AllowanceReply{}
+	return feed.QuotaReply{}
 }
 
-// TestOnlyTheLeaderGrantsAllowances guards against an allowance that two nodes grant, or that a new leader grants once more.
-func TestOnlyTheLeaderGrantsAllowances(t *testing.T) {
+// TestOnlyTheLeaderGrantsQuotas guards against a quota that two nodes grant, or that a new leader grants once more.
+func TestOnlyTheLeaderGrantsQuotas(t *testing.T) {
 	cluster := newCluster(t, 0)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
 	defer cancel()
-	cluster.submitAllowance(1, 1000)
+	cluster.submitQuota(1, 1000)
 	peers := newTestPeers(t)
 	sequence, granted, begin := uint64(0), 0.0, time.Now()
 	draw := func(length time.Duration) (term uint64) {
 		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-			reply := cluster.drawAllowance(ctx, peers, &sequence, 500)
+			reply := cluster.drawQuota(ctx, peers, &sequence, 500)
 			granted += reply.Grants[0].Units
 			term = reply.Term
 		}
@@ -61,9 +61,9 @@
 		if node.addr == cluster.running().ctl.Leader() {
 			continue
 		}
-		var reply feed.AllowanceReply
-		args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: 1 << 40, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: 500, Needed: 500}}}
-		assert.NilError(t, peers.Call(ctx, node.addr, "Peer.Allowance", args, &reply))
+		var reply feed.QuotaReply
+		args := &feed.QuotaArgs{Node: "r", Process: 1, Sequence: 1 << 40, Requests: []feed.QuotaRequest{{Workspace: "w", Wanted: 500, Needed: 500}}}
+		assert.NilError(t, peers.Call(ctx, node.addr, "Peer.Quota", args, &reply))
 		assert.Assert(t, !reply.Leads && len(reply.Grants) == 0)
 	}
 	cluster.stopLeader()
@@ -72,7 +72,7 @@
 	most := 1000 * time.Since(begin).Seconds()
 	assert.Assert(t, granted > 1000 && granted <= most, "%.0f units granted, at most %.0f", granted, most)
 
-	cluster.submitAllowance(2, 10)
+	cluster.submitQuota(2, 10)
 	time.Sleep(300 * time.Millisecond)
 	granted = 0
 	draw(time.Second)
@@ -86,9 +86,9 @@
 		}
 	}
 	time.Sleep(time.Second)
-	var reply feed.AllowanceReply
-	args := &feed.AllowanceArgs{Node: "r", Process: 1, Sequence: 1 << 41, Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: 5, Needed: 5}}}
-	assert.NilError(t, peers.Call(ctx, address, "Peer.Allowance", args, &reply))
+	var reply feed.QuotaReply
+	args := &feed.QuotaArgs{Node: "r", Process: 1, Sequence: 1 << 41, Requests: []feed.QuotaRequest{{Workspace: "w", Wanted: 5, Needed: 5}}}
+	assert.NilError(t, peers.Call(ctx, address, "Peer.Quota", args, &reply))
 	assert.Assert(t, !reply.Leads && len(reply.Grants) == 0)
 }
 
@@ -96,7 +96,7 @@
 func (cluster *testCluster) awaitSettled(ctx context.Context, peers *rpc.Peers, sequence *uint64) uint64 {
 	cluster.t.Helper()
 	for term := uint64(0); ; {
-		reply := cluster.drawAllowance(ctx, peers, sequence, 0.001)
+		reply := cluster.drawQuota(ctx, peers, sequence, 0.001)
 		if reply.Term == term {
 			return term
 		}
@@ -113,11 +113,11 @@
 	defer cancel()
 	peers, sequence := newTestPeers(t), uint64(0)
 	for round := range uint64(2) {
-		cluster.submitAllowance(100*round+1, 1000)
+		cluster.submitQuota(100*round+1, 1000)
 		settled := cluster.awaitSettled(ctx, peers, &sequence)
 		for number := range 50 * round {
 			// Snapshots replace the log.
-			cluster.submitAllowance(100*round+2+number, 1000)
+			cluster.submitQuota(100*round+2+number, 1000)
 		}
 		for _, node := range cluster.nodes {
 			cluster.stop(node)
@@ -125,9 +125,9 @@
 		for _, node := range cluster.nodes {
 			cluster.start(node, nil, false)
 		}
-		cluster.drawAllowance(ctx, peers, &sequence, 0.001)
+		cluster.drawQuota(ctx, peers, &sequence, 0.001)
 		time.Sleep(time.Second)
-		reply := cluster.drawAllowance(ctx, peers, &sequence, 500)
+		reply := cluster.drawQuota(ctx, peers, &sequence, 500)
 		// The excess is 1900 units, of which the first leader after a settled one may hold out a fifth, and each further one half as much.
 		share := math.Ldexp(1, -int(reply.Term-settled-1))
 		assert.Check(t, reply.Grants[0].Units > 300*share && reply.Grants[0].Units < 380.1, "round %d: %.1f units granted in term %d after %d", round,
--- a/feed/allowance.go
+++ b/feed/quota.go
@@ -7,8 +7,8 @@
 	"celerylanding.example/celerylanding/routing"
 )
 
-// AllowanceRequest is what one router asks for one workspace.
-type AllowanceRequest struct {
+// QuotaRequest is what one router asks for one workspace.
+type QuotaRequest struct {
 	Workspace celerylanding.WorkspaceID `cbor:"1,keyasint"`
 	// Wanted is the number of units that the router would use soon, beyond those that it holds.
 	Wanted float64 `cbor:"2,keyasint,omitempty"`
@@ -23,13 +23,13 @@
 	// includes the units of requests that were not sent yet.
 	Held float64 `cbor:"7,keyasint,omitempty"`
 	// Unit is what the router counts.
-	Unit routing.AllowanceUnit `cbor:"8,keyasint,omitempty"`
+	Unit routing.QuotaUnit `cbor:"8,keyasint,omitempty"`
 }
 
-// AllowanceArgs ask the leader for parts of the allowances of workspaces.
-type AllowanceArgs struct {
+// QuotaArgs ask the leader for parts of the quotas of workspaces.
+type QuotaArgs struct {
 	Node     celerylanding.NodeID `cbor:"1,keyasint"`
-	Requests []AllowanceRequest   `cbor:"2,keyasint"`
+	Requests []QuotaRequest       `cbor:"2,keyasint"`
 	// Process identifies this start of the router's process, and Sequence rises with each of its calls.
 	Process  uint64 `cbor:"3,keyasint"`
 	Sequence uint64 `cbor:"4,keyasint"`
@@ -37,21 +37,21 @@
 	Term uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// AllowanceGrant is the part of a workspace's allowance that a router may use.
-type AllowanceGrant struct {
+// QuotaGrant is the part of a workspace's quota that a router may use.
+type QuotaGrant struct {
 	Workspace celerylanding.WorkspaceID `cbor:"1,keyasint"`
 	Units     float64                   `cbor:"2,keyasint,omitempty"`
 	// TTL is the time for which the router may use the units, counted from the sending of its request.
 	TTL time.Duration `cbor:"3,keyasint,omitempty"`
 	// Wait is the expected time until what is needed can be granted, if it could not be.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
-	// Rate is the number of units per second that the router can get while callers ask for more than the allowance; otherwise it is 0.
+	// Rate is the number of units per second that the router can get while callers ask for more than the quota; otherwise it is 0.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// AllowanceReply holds the leader's grants.
-type AllowanceReply struct {
-	Leads  bool             `cbor:"1,keyasint"`
-	Grants []AllowanceGrant `cbor:"2,keyasint,omitempty"`
-	Term   uint64           `cbor:"3,keyasint,omitempty"`
+// QuotaReply holds the leader's grants.
+type QuotaReply struct {
+	Leads  bool         `cbor:"1,keyasint"`
+	Grants []QuotaGrant `cbor:"2,keyasint,omitempty"`
+	Term   uint64       `cbor:"3,keyasint,omitempty"`
 }
--- a/node/operator.go
+++ b/node/operator.go
@@ -64,8 +64,8 @@
 	var list []WorkspaceStatus
 	for _, workspace := range configuration.Workspaces() {
 		list = append(list, WorkspaceStatus{Workspace: workspace.ID, Keys: len(workspace.Keys),
-			Priority: celerylanding.Priority(workspace.Priority).String(), Rate: workspace.Allowance.Rate, Burst: workspace.Allowance.Burst,
-			Unit: workspace.Allowance.Unit.String()})
+			Priority: celerylanding.Priority(workspace.Priority).String(), Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst,
+			Unit: workspace.Quota.Unit.String()})
 	}
 	return list
 }
--- a/preview/preview.go
+++ b/preview/preview.go
@@ -50,7 +50,7 @@
 const (
 	WaitForConfiguration WaitFor = "configuration"
 	WaitForProof         WaitFor = "proof"
-	WaitForAllowance     WaitFor = "allowance"
+	WaitForQuota         WaitFor = "quota"
 	WaitForOrigin        WaitFor = "origin"
 	WaitForTrial         WaitFor = "trial"
 	WaitForLimit         WaitFor = "limit"
@@ -127,14 +127,14 @@
 	Classes int `json:"classes"`
 	// HasProof is set if the keys are proven to have been current ProofAgeSeconds ago. A known key is accepted up to the age MaxProofAgeSeconds,
 	// or without a proof if that is zero.
-	HasProof           bool       `json:"has_proof"`
-	ProofAgeSeconds    float64    `json:"proof_age_seconds,omitempty"`
-	MaxProofAgeSeconds float64    `json:"max_proof_age_seconds,omitempty"`
-	Allowance          *Allowance `json:"allowance,omitempty"`
+	HasProof           bool    `json:"has_proof"`
+	ProofAgeSeconds    float64 `json:"proof_age_seconds,omitempty"`
+	MaxProofAgeSeconds float64 `json:"max_proof_age_seconds,omitempty"`
+	Quota              *Quota  `json:"quota,omitempty"`
 }
 
-// Allowance is what is left of a workspace's allowance at this router.
-type Allowance struct {
+// Quota is what is left of a workspace's quota at this router.
+type Quota struct {
 	// Unit is requests or tokens; Rate units per second and Burst more at once are those of all routers together.
 	Unit  string  `json:"unit"`
 	Rate  float64 `json:"rate"`
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -70,7 +70,7 @@
 	// the caller's key and the workspace that it names are not forwarded.
 	workspace *routing.Workspace
 	hidesKey  bool
-	// charge is the part of the workspace's allowance that the request has got; nil once it was sent to a target.
+	// charge is the part of the workspace's quota that the request has got; nil once it was sent to a target.
 	charge *throttle.Charge
 
 	// hashes are the fingerprints, once they are computed.
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -141,7 +141,7 @@
 			return explanation.decideAccess(isProofAwaited, func(cause access.Cause) bool { return cause != access.CauseNone })
 		},
 		func() bool { return explanation.refuseIf(handler.refuseQuarantined(call)) },
-		explanation.decideAllowance,
+		explanation.decideQuota,
 		explanation.decideOrigin,
 		func() bool { return explanation.refuseIf(call.checkTime(now)) },
 	} {
@@ -186,22 +186,22 @@
 	return true
 }
 
-// decideAllowance reports whether the allowance of the workspace decides what becomes of the request.
-func (explanation *explanation) decideAllowance() bool {
+// decideQuota reports whether the quota of the workspace decides what becomes of the request.
+func (explanation *explanation) decideQuota() bool {
 	call, now := explanation.call, explanation.now
-	if call.workspace == nil || !call.workspace.Allowance.IsLimited() {
+	if call.workspace == nil || !call.workspace.Quota.IsLimited() {
 		return false
 	}
-	allowance := call.workspace.Allowance
-	cost := allowance.Cost(call.metadata)
-	explanation.handler.allowances.mutex.Lock()
-	held := explanation.handler.allowances.reserve.Preview(now, call.workspace, call.route.Priority, cost, call.allowancePatience(now))
-	explanation.handler.allowances.mutex.Unlock()
+	quota := call.workspace.Quota
+	cost := quota.Cost(call.metadata)
+	explanation.handler.quotas.mutex.Lock()
+	held := explanation.handler.quotas.reserve.Preview(now, call.workspace, call.route.Priority, cost, call.quotaPatience(now))
+	explanation.handler.quotas.mutex.Unlock()
 	unit := "requests"
-	if allowance.Unit == routing.AllowanceTokens {
+	if quota.Unit == routing.QuotaTokens {
 		unit = "tokens"
 	}
-	explanation.answer.Workspace.Allowance = &preview.Allowance{Unit: unit, Rate: allowance.Rate, Burst: allowance.Burst, Cost: cost, Held: held.Held,
+	explanation.answer.Workspace.Quota = &preview.Quota{Unit: unit, Rate: quota.Rate, Burst: quota.Burst, Cost: cost, Held: held.Held,
 		Queued: held.Queued, GrantedRate: held.Rate, ReadySeconds: held.Ready.Seconds(), FailedCalls: held.Failures}
 	switch {
 	case cost <= 0 || held.Charge.State() == throttle.ChargeAdmitted:
@@ -209,7 +209,7 @@
 	case held.Charge.State() == throttle.ChargeRefused:
 		explanation.refuse(refuseCharge(&held.Charge))
 	default:
-		explanation.wait(preview.WaitForAllowance)
+		explanation.wait(preview.WaitForQuota)
 	}
 	return true
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -26,8 +26,8 @@
 	Origin(ctx context.Context, args feed.OriginArgs) (feed.OriginReply, error)
 	// Trial asks whether a copy of a suspicious request may run, or reports how it ended; an error means that the leader did not answer.
 	Trial(ctx context.Context, args feed.TrialArgs) (feed.TrialReply, error)
-	// Allowance asks for parts of the allowances of workspaces; an error means that the leader did not answer.
-	Allowance(ctx context.Context, args feed.AllowanceArgs) (feed.AllowanceReply, error)
+	// Quota asks for parts of the quotas of workspaces; an error means that the leader did not answer.
+	Quota(ctx context.Context, args feed.QuotaArgs) (feed.QuotaReply, error)
 }
 
 // Options configure a handler.
@@ -59,8 +59,8 @@
 	crashes *crashTracker
 	trials  *trialGate
 	journal *resume.Journal
-	// allowances are this router's parts of the allowances of workspaces.
-	allowances *allowances
+	// quotas are this router's parts of the quotas of workspaces.
+	quotas *quotas
 	// probes are the connection attempts that find out whether a target has crashed, and the reports of ended trials.
 	probes   *tasks.Group
 	inFlight atomic.Int64
@@ -89,7 +89,7 @@
 		crashes:        newCrashTracker(),
 		trials:         newTrialGate(),
 		journal:        resume.NewJournal(),
-		allowances:     newAllowances(options.Node, options.Started),
+		quotas:         newQuotas(options.Node, options.Started),
 		probes:         tasks.New(requestsCtx),
 	}
 }
--- a/proxy/allowance.go
+++ b/proxy/quota.go
@@ -12,22 +12,22 @@
 )
 
 const (
-	// allowanceWaitShare is the share of its latency objective for which a request waits for a part of its workspace's allowance, and
-	// allowanceWait that time without an objective.
-	allowanceWaitShare = 0.5
-	allowanceWait      = 500 * time.Millisecond
+	// quotaWaitShare is the share of its latency objective for which a request waits for a part of its workspace's quota, and
+	// quotaWait that time without an objective.
+	quotaWaitShare = 0.5
+	quotaWait      = 500 * time.Millisecond
 	// missingLeaderWait is how long after the leader's last answer a request waits for it, since another one is usually elected by then.
 	missingLeaderWait = 2 * time.Second
 	// answerCheckInterval is the time after which such a request is looked at again, since the leader may have said meanwhile that there is too little.
 	answerCheckInterval = 50 * time.Millisecond
-	// allowanceTimeout is the timeout of one call to the leader.
-	allowanceTimeout = 300 * time.Millisecond
-	// allowanceSpread is the part by which the delay after which a caller returns is prolonged at random.
-	allowanceSpread = 0.2
+	// quotaTimeout is the timeout of one call to the leader.
+	quotaTimeout = 300 * time.Millisecond
+	// quotaSpread is the part by which the delay after which a caller returns is prolonged at random.
+	quotaSpread = 0.2
 )
 
-// allowances charges the requests of workspaces with a limit, and asks the leader for parts of their allowances.
-type allowances struct {
+// quotas charges the requests of workspaces with a limit, and asks the leader for parts of their quotas.
+type quotas struct {
 	mutex   sync.Mutex
 	reserve *throttle.Reserve
 	// waiting holds a channel for each charge that waits; it is closed when the charge is decided.
@@ -37,51 +37,51 @@
 	isDue    chan struct{}
 }
 
-func newAllowances(node celerylanding.NodeID, started time.Time) *allowances {
-	return &allowances{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{}),
+func newQuotas(node celerylanding.NodeID, started time.Time) *quotas {
+	return &quotas{reserve: throttle.NewReserve(node, uint64(started.UnixNano())), waiting: make(map[*throttle.Charge]chan struct{}),
 		isDue: make(chan struct{}, 1)}
 }
 
 // wake ends the wait of charges that have been admitted; the caller holds the mutex.
-func (allowances *allowances) wake(admitted []*throttle.Charge) {
+func (quotas *quotas) wake(admitted []*throttle.Charge) {
 	for _, charge := range admitted {
-		if done := allowances.waiting[charge]; done != nil {
+		if done := quotas.waiting[charge]; done != nil {
 			close(done)
-			delete(allowances.waiting, charge)
+			delete(quotas.waiting, charge)
 		}
 	}
 }
 
-// charge charges a request to its workspace, and refuses it if the allowance has too little left for as long as the request can wait.
+// charge charges a request to its workspace, and refuses it if the quota has too little left for as long as the request can wait.
 func (handler *Handler) charge(ctx context.Context, call *call) *refusal {
-	if call.workspace == nil || !call.workspace.Allowance.IsLimited() {
+	if call.workspace == nil || !call.workspace.Quota.IsLimited() {
 		return nil
 	}
-	units := call.workspace.Allowance.Cost(call.metadata)
+	units := call.workspace.Quota.Cost(call.metadata)
 	if units <= 0 {
 		return nil
 	}
-	now, allowances := handler.options.Clock(), handler.allowances
-	patience := call.allowancePatience(now)
-	allowances.mutex.Lock()
-	charge := allowances.reserve.BeginRanked(now, call.workspace, call.route.Priority, units, patience)
+	now, quotas := handler.options.Clock(), handler.quotas
+	patience := call.quotaPatience(now)
+	quotas.mutex.Lock()
+	charge := quotas.reserve.BeginRanked(now, call.workspace, call.route.Priority, units, patience)
 	var done chan struct{}
 	if charge.State() == throttle.ChargeWaiting {
 		done = make(chan struct{})
-		allowances.waiting[charge] = done
+		quotas.waiting[charge] = done
 	}
-	if allowances.reserve.NeedsCall(now, charge) {
-		if allowances.isAsking {
+	if quotas.reserve.NeedsCall(now, charge) {
+		if quotas.isAsking {
 			select {
-			case allowances.isDue <- struct{}{}:
+			case quotas.isDue <- struct{}{}:
 			default:
 			}
 		} else {
-			allowances.isAsking = true
-			handler.probes.Go(handler.askAllowances)
+			quotas.isAsking = true
+			handler.probes.Go(handler.askQuotas)
 		}
 	}
-	allowances.mutex.Unlock()
+	quotas.mutex.Unlock()
 	if done != nil {
 		handler.awaitCharge(ctx, call, charge, done, patience)
 		call.waited += handler.options.Clock().Sub(now)
@@ -89,11 +89,11 @@
 	return handler.endCharge(call, charge)
 }
 
-// allowancePatience returns how long the request waits for a part of its workspace's allowance.
-func (call *call) allowancePatience(now time.Time) time.Duration {
-	patience := allowanceWait
+// quotaPatience returns how long the request waits for a part of its workspace's quota.
+func (call *call) quotaPatience(now time.Time) time.Duration {
+	patience := quotaWait
 	if call.route.LatencyObjective > 0 {
-		patience = time.Duration(allowanceWaitShare * float64(call.route.LatencyObjective))
+		patience = time.Duration(quotaWaitShare * float64(call.route.LatencyObjective))
 	}
 	return min(patience, call.deadline.Sub(now)/2)
 }
@@ -101,7 +101,7 @@
 // awaitCharge waits until a charge is decided, for as long as its request can wait. While the leader does not answer, the request waits for the next one:
 // a late answer is worth more to its caller than none.
 func (handler *Handler) awaitCharge(ctx context.Context, call *call, charge *throttle.Charge, done <-chan struct{}, patience time.Duration) {
-	allowances := handler.allowances
+	quotas := handler.quotas
 	latest := call.deadline.Add(-call.deadline.Sub(handler.options.Clock()) / 2)
 	for {
 		timer := time.NewTimer(patience)
@@ -115,14 +115,14 @@
 		}
 		now := handler.options.Clock()
 		patience = min(missingLeaderWait-handler.state.sinceContact(now), latest.Sub(now), answerCheckInterval)
-		allowances.mutex.Lock()
-		if ctx.Err() == nil && patience > 0 && allowances.reserve.IsUnanswered(now, charge) {
-			allowances.mutex.Unlock()
+		quotas.mutex.Lock()
+		if ctx.Err() == nil && patience > 0 && quotas.reserve.IsUnanswered(now, charge) {
+			quotas.mutex.Unlock()
 			continue
 		}
-		allowances.wake(allowances.reserve.GiveUp(now, charge))
-		delete(allowances.waiting, charge)
-		allowances.mutex.Unlock()
+		quotas.wake(quotas.reserve.GiveUp(now, charge))
+		delete(quotas.waiting, charge)
+		quotas.mutex.Unlock()
 		return
 	}
 }
@@ -132,27 +132,27 @@
 	scope := handler.options.Metrics.Tagged(map[string]string{"workspace": string(charge.Workspace())})
 	if charge.State() == throttle.ChargeAdmitted {
 		call.charge = charge
-		scope.Counter("allowance_admitted_units").Inc(int64(charge.Units()))
+		scope.Counter("quota_admitted_units").Inc(int64(charge.Units()))
 		return nil
 	}
 	cause := "used_up"
 	if charge.IsCutOff() {
 		cause = "cut_off"
 	}
-	scope.Tagged(map[string]string{"cause": cause}).Counter("allowance_refused").Inc(1)
+	scope.Tagged(map[string]string{"cause": cause}).Counter("quota_refused").Inc(1)
 	return refuseCharge(charge).withChance(rand.Float64())
 }
 
 // refuseCharge returns the refusal of a request whose charge was refused.
 func refuseCharge(charge *throttle.Charge) *refusal {
 	delay := charge.RetryAfter()
-	refused := &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonAllowanceUsed,
-		cause: "the workspace has used its allowance"}
+	refused := &refusal{status: http.StatusTooManyRequests, verdict: celerylanding.NotRun, reason: celerylanding.ReasonQuotaUsed,
+		cause: "the workspace has used its quota"}
 	if charge.IsCutOff() {
 		delay = max(delay, startingRetryDelay)
-		refused = unavailable(celerylanding.ReasonNoQuorum, 0, "this router has used its part of the workspace's allowance, and the leader has not granted it another")
+		refused = unavailable(celerylanding.ReasonNoQuorum, 0, "this router has used its part of the workspace's quota, and the leader has not granted it another")
 	}
-	refused.retryAfter, refused.spread = delay, time.Duration(allowanceSpread*float64(charge.RetryAfter()))
+	refused.retryAfter, refused.spread = delay, time.Duration(quotaSpread*float64(charge.RetryAfter()))
 	return refused
 }
 
@@ -161,9 +161,9 @@
 	if call.charge == nil {
 		return
 	}
-	handler.allowances.mutex.Lock()
-	defer handler.allowances.mutex.Unlock()
-	handler.allowances.reserve.Use(call.charge)
+	handler.quotas.mutex.Lock()
+	defer handler.quotas.mutex.Unlock()
+	handler.quotas.reserve.Use(call.charge)
 	call.charge = nil
 }
 
@@ -172,47 +172,47 @@
 	if call.charge == nil {
 		return
 	}
-	handler.allowances.mutex.Lock()
-	defer handler.allowances.mutex.Unlock()
-	handler.allowances.wake(handler.allowances.reserve.Return(handler.options.Clock(), call.charge))
+	handler.quotas.mutex.Lock()
+	defer handler.quotas.mutex.Unlock()
+	handler.quotas.wake(handler.quotas.reserve.Return(handler.options.Clock(), call.charge))
 	call.charge = nil
 }
 
-// askAllowances asks the leader for parts of the allowances, until no request waits and enough is held.
-func (handler *Handler) askAllowances(ctx context.Context) {
-	allowances := handler.allowances
+// askQuotas asks the leader for parts of the quotas, until no request waits and enough is held.
+func (handler *Handler) askQuotas(ctx context.Context) {
+	quotas := handler.quotas
 	for {
-		allowances.mutex.Lock()
+		quotas.mutex.Lock()
 		sent := handler.options.Clock()
-		args, isDue := allowances.reserve.Ask(sent)
-		pause, isWaiting := allowances.reserve.NextAsk(sent)
+		args, isDue := quotas.reserve.Ask(sent)
+		pause, isWaiting := quotas.reserve.NextAsk(sent)
 		if ctx.Err() != nil || !isDue && !isWaiting {
-			allowances.isAsking = false
-			allowances.mutex.Unlock()
+			quotas.isAsking = false
+			quotas.mutex.Unlock()
 			return
 		}
-		allowances.mutex.Unlock()
+		quotas.mutex.Unlock()
 		if !isDue {
 			timer := time.NewTimer(max(pause, time.Millisecond))
 			select {
 			case <-timer.C:
-			case <-allowances.isDue:
+			case <-quotas.isDue:
 			case <-ctx.Done():
 			}
 			timer.Stop()
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, allowanceTimeout)
-		reply, err := handler.options.Leader.Allowance(callCtx, *args)
+		callCtx, cancel := context.WithTimeout(ctx, quotaTimeout)
+		reply, err := handler.options.Leader.Quota(callCtx, *args)
 		cancel()
-		allowances.mutex.Lock()
+		quotas.mutex.Lock()
 		now := handler.options.Clock()
 		if err != nil {
-			handler.options.Metrics.Counter("allowance_calls_failed").Inc(1)
-			allowances.reserve.HandleFailure(now)
+			handler.options.Metrics.Counter("quota_calls_failed").Inc(1)
+			quotas.reserve.HandleFailure(now)
 		} else {
-			allowances.wake(allowances.reserve.HandleReply(now, sent, args, &reply))
+			quotas.wake(quotas.reserve.HandleReply(now, sent, args, &reply))
 		}
-		allowances.mutex.Unlock()
+		quotas.mutex.Unlock()
 	}
 }
--- a/proxy/allowance_rank_test.go
+++ b/proxy/quota_rank_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestUrgentRequestsOfAWorkspaceGoFirst guards against requests with a long latency objective that wait longer for a part of the allowance of a
-// workspace that asks for twice its limit, and so use up what more urgent ones would get; and against an allowance that is left unused.
+// TestUrgentRequestsOfAWorkspaceGoFirst guards against requests with a long latency objective that wait longer for a part of the quota of a
+// workspace that asks for twice its limit, and so use up what more urgent ones would get; and against a quota that is left unused.
 func TestUrgentRequestsOfAWorkspaceGoFirst(t *testing.T) {
 	const (
 		rate     = 20_000
--- a/proxy/allowance_test.go
+++ b/proxy/quota_test.go
@@ -18,7 +18,7 @@
 	"celerylanding.example/celerylanding/throttle"
 )
 
-// grantingLeader grants parts of an allowance.
+// grantingLeader grants parts of a quota.
 type grantingLeader struct {
 	fakeLeader
 	mutex     sync.Mutex
@@ -27,12 +27,12 @@
 	calls     int
 }
 
-func (leader *grantingLeader) Allowance(ctx context.Context, args feed.AllowanceArgs) (feed.AllowanceReply, error) {
+func (leader *grantingLeader) Quota(ctx context.Context, args feed.QuotaArgs) (feed.QuotaReply, error) {
 	leader.mutex.Lock()
 	defer leader.mutex.Unlock()
 	leader.calls++
 	if leader.isGone {
-		return feed.AllowanceReply{}, errors.New("no leader is known")
+		return feed.QuotaReply{}, errors.New("no leader is known")
 	}
 	return leader.allocator.Grant(time.Now(), &args), ctx.Err()
 }
@@ -49,7 +49,7 @@
 func newCharging(t *testing.T, workspace *routing.Workspace, age time.Duration, others ...routing.Workspace) (*proxy.Handler, *grantingLeader) {
 	t.Helper()
 	now := time.Now()
-	bounds := throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000}
+	bounds := throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000}
 	leader := &grantingLeader{allocator: throttle.NewAllocator(now.Add(-age), 1, bounds, 1)}
 	leader.allocator.SetWorkspaces(now.Add(-age), append(others, *workspace))
 	handler := proxy.New(proxy.Options{Node: "n", Leader: leader, Started: now, Clock: time.Now, Log: zerolog.Nop(), Metrics: tally.NoopScope})
@@ -58,11 +58,11 @@
 }
 
 func limitedWorkspace(rate float64) *routing.Workspace {
-	return &routing.Workspace{ID: "w", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: rate, Burst: rate}}
+	return &routing.Workspace{ID: "w", Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: rate, Burst: rate}}
 }
 
-// TestRequestsBeyondAnAllowanceComeBackInTime guards against requests beyond an allowance that are sent or held, and against a delay that is not true.
-func TestRequestsBeyondAnAllowanceComeBackInTime(t *testing.T) {
+// TestRequestsBeyondAnQuotaComeBackInTime guards against requests beyond a quota that are sent or held, and against a delay that is not true.
+func TestRequestsBeyondAnQuotaComeBackInTime(t *testing.T) {
 	workspace := limitedWorkspace(1000)
 	handler, _ := newCharging(t, workspace, 10*time.Second)
 	handler.RecordContact(time.Now())
@@ -85,7 +85,7 @@
 	assert.Assert(t, refused > 10 && longest >= time.Second && longest <= 10*time.Second, "%d refused, back in %v", refused, longest)
 }
 
-// TestUnsentRequestGivesItsUnitsBack guards against an allowance that is used up by requests that reach no target.
+// TestUnsentRequestGivesItsUnitsBack guards against a quota that is used up by requests that reach no target.
 func TestUnsentRequestGivesItsUnitsBack(t *testing.T) {
 	workspace := limitedWorkspace(1000)
 	handler, _ := newCharging(t, workspace, 10*time.Second)
@@ -96,7 +96,7 @@
 	}
 }
 
-// TestRouterWithoutLeaderRefusesAsNotRun guards against a router that says that an allowance is used up although it only does not reach the leader, and
+// TestRouterWithoutLeaderRefusesAsNotRun guards against a router that says that a quota is used up although it only does not reach the leader, and
 // against one that stops at once when it does not.
 func TestRouterWithoutLeaderRefusesAsNotRun(t *testing.T) {
 	workspace := limitedWorkspace(10_000)
@@ -138,10 +138,10 @@
 	assert.Assert(t, time.Since(begin) < 600*time.Millisecond, "refused after %v", time.Since(begin))
 }
 
-// TestHotWorkspaceDelaysNoOther guards against requests of a workspace within its allowance that wait until the leader is asked again for one that has used
+// TestHotWorkspaceDelaysNoOther guards against requests of a workspace within its quota that wait until the leader is asked again for one that has used
 // its own.
 func TestHotWorkspaceDelaysNoOther(t *testing.T) {
-	hot, other := limitedWorkspace(1000), routing.Workspace{ID: "other", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 30_000, Burst: 30_000}}
+	hot, other := limitedWorkspace(1000), routing.Workspace{ID: "other", Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: 30_000, Burst: 30_000}}
 	handler, _ := newCharging(t, hot, 10*time.Second, other)
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
--- a/proxy/waker_test.go
+++ b/proxy/waker_test.go
@@ -36,9 +36,9 @@
 	return feed.OriginReply{Leads: true}, leader.err
 }
 
-// Allowance grants nothing.
-func (leader *fakeLeader) Allowance(context.Context, feed.AllowanceArgs) (feed.AllowanceReply, error) {
-	return feed.AllowanceReply{Leads: true}, leader.err
+// Quota grants nothing.
+func (leader *fakeLeader) Quota(context.Context, feed.QuotaArgs) (feed.QuotaReply, error) {
+	return feed.QuotaReply{Leads: true}, leader.err
 }
 
 // Trial lets each copy run.
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -42,7 +42,7 @@
 			return celerylanding.NewFieldError(field+".name", "%q must be a unique name", workspace.ID)
 		}
 		names[workspace.ID] = true
-		if err := workspace.Allowance.validate(); err != nil {
+		if err := workspace.Quota.validate(); err != nil {
 			return celerylanding.ErrBadField.New("%s (%s): %s", field, workspace.ID, celerylanding.MessageOf(err))
 		}
 		for at, digest := range workspace.Keys {
@@ -55,17 +55,17 @@
 	return nil
 }
 
-func (allowance Allowance) validate() error {
+func (quota Quota) validate() error {
 	// The negated comparisons also refuse NaN.
 	switch {
-	case allowance.Unit != AllowanceRequests && allowance.Unit != AllowanceTokens:
-		return celerylanding.NewFieldError("unit", "%d is unknown", allowance.Unit)
-	case !(allowance.Rate >= 0):
-		return celerylanding.NewFieldError("rate", "%v must not be negative", allowance.Rate)
-	case !(allowance.Burst >= 0):
-		return celerylanding.NewFieldError("burst", "%v must not be negative", allowance.Burst)
-	case allowance.DefaultTokens < 0:
-		return celerylanding.NewFieldError("default_tokens", "%d must not be negative", allowance.DefaultTokens)
+	case quota.Unit != QuotaRequests && quota.Unit != QuotaTokens:
+		return celerylanding.NewFieldError("unit", "%d is unknown", quota.Unit)
+	case !(quota.Rate >= 0):
+		return celerylanding.NewFieldError("rate", "%v must not be negative", quota.Rate)
+	case !(quota.Burst >= 0):
+		return celerylanding.NewFieldError("burst", "%v must not be negative", quota.Burst)
+	case quota.DefaultTokens < 0:
+		return celerylanding.NewFieldError("default_tokens", "%d must not be negative", quota.DefaultTokens)
 	}
 	return nil
 }
--- a/routing/workspace_test.go
+++ b/routing/workspace_test.go
@@ -17,7 +17,7 @@
 func withWorkspaces() *routing.Configuration {
 	valid := configuration()
 	valid.Workspaces = []routing.Workspace{
-		{ID: "w", Keys: []celerylanding.KeyDigest{digest("k"), digest("l"), digest("l")}, Allowance: routing.Allowance{Rate: 2, Burst: 1}},
+		{ID: "w", Keys: []celerylanding.KeyDigest{digest("k"), digest("l"), digest("l")}, Quota: routing.Quota{Rate: 2, Burst: 1}},
 		{ID: "v", Keys: []celerylanding.KeyDigest{digest("m")}}}
 	return valid
 }
@@ -28,10 +28,10 @@
 		"workspaces[1].keys[0]":    func(c *routing.Configuration) { c.Workspaces[1].Keys[0] = digest("k") },
 		"workspaces[1].name":       func(c *routing.Configuration) { c.Workspaces[1].ID = "w" },
 		"workspaces[0].name":       func(c *routing.Configuration) { c.Workspaces[0].ID = "" },
-		"workspaces[0] (w): rate":  func(c *routing.Configuration) { c.Workspaces[0].Allowance.Rate = -1 },
-		"workspaces[0] (w): burst": func(c *routing.Configuration) { c.Workspaces[0].Allowance.Burst = math.NaN() },
-		"workspaces[1] (v): unit":  func(c *routing.Configuration) { c.Workspaces[1].Allowance.Unit = 7 },
-		"default_tokens":           func(c *routing.Configuration) { c.Workspaces[1].Allowance.DefaultTokens = -1 },
+		"workspaces[0] (w): rate":  func(c *routing.Configuration) { c.Workspaces[0].Quota.Rate = -1 },
+		"workspaces[0] (w): burst": func(c *routing.Configuration) { c.Workspaces[0].Quota.Burst = math.NaN() },
+		"workspaces[1] (v): unit":  func(c *routing.Configuration) { c.Workspaces[1].Quota.Unit = 7 },
+		"default_tokens":           func(c *routing.Configuration) { c.Workspaces[1].Quota.DefaultTokens = -1 },
 	} {
 		t.Run(want, func(t *testing.T) {
 			invalid := withWorkspaces()
--- a/soak/load.go
+++ b/soak/load.go
@@ -113,7 +113,7 @@
 func (run *runner) submit(client *http.Client, version uint64, controller int, random *rand.Rand) bool {
 	body, err := fake.KeyedConfiguration(version, run.models, modelsPerEngine, run.keys.submit(version, random))
 	if err == nil {
-		body, err = fake.SetAllowance(body, limitedWorkspace, limitedRate, limitedBurst)
+		body, err = fake.SetQuota(body, limitedWorkspace, limitedRate, limitedBurst)
 	}
 	if err != nil {
 		run.checker.reportViolation(err.Error())
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,7 +66,7 @@
 	models      []string
 	available   *availabilityChecker
 	keys        *keyring
-	allowances  *allowanceChecker
+	quotas      *quotaChecker
 	targets     sync.WaitGroup
 	// controllerFault is locked while a controller has a fault, so that no two have one at the same time.
 	controllerFault sync.Mutex
@@ -77,8 +77,8 @@
 // Run starts the system, injects the faults of one seed and stops it; it returns ErrViolation if a guarantee was violated.
 func Run(ctx context.Context, options Options) error {
 	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), keys: newKeyring(),
-		allowances: newAllowanceChecker(),
-		random:     rand.New(rand.NewPCG(options.Seed, 1))}
+		quotas: newQuotaChecker(),
+		random: rand.New(rand.NewPCG(options.Seed, 1))}
 	for i := range modelCount {
 		run.models = append(run.models, fmt.Sprintf("m%d", i))
 	}
@@ -162,7 +162,7 @@
 	server.options.Availability = server.availability
 	server.options.OnArrival = func(request *http.Request) {
 		for _, violation := range []string{run.available.recordArrival(server, request), run.keys.checkArrival(request),
-			run.allowances.recordArrival(time.Now(), request)} {
+			run.quotas.recordArrival(time.Now(), request)} {
 			if violation != "" {
 				run.checker.reportViolation(violation)
 			}
@@ -238,9 +238,9 @@
 	}
 	_, all := run.checker.servedShare(time.Time{})
 	served, _ := run.checker.servedShare(time.Time{})
-	limited, most := run.allowances.summary()
+	limited, most := run.quotas.summary()
 	_, _ = fmt.Fprintf(run.options.Out, "seed %d: %d requests, %.2f served, %.2f at the end, version %d; %d with a limit, at most %d in %v\n", run.options.Seed,
-		all, served, share, version, limited, most, allowanceWindow)
+		all, served, share, version, limited, most, quotaWindow)
 }
 
 // stopProcesses kills the processes that this run has started.
--- a/tests/allowance_test.go
+++ b/tests/quota_test.go
@@ -20,29 +20,29 @@
 	hotKey, calmKey             = "ring-of-the-hot", "ring-of-the-calm"
 	hotWorkspace, calmWorkspace = "hot", "calm"
 	behindLink                  = "behind a link"
-	// allowanceRate and allowanceBurst limit the hot workspace; allowanceWindow and allowanceOverage are the platform's defaults.
-	allowanceRate    = 20.0
-	allowanceBurst   = 20.0
-	allowanceWindow  = 8 * time.Second
-	allowanceOverage = 0.1
+	// quotaRate and quotaBurst limit the hot workspace; quotaWindow and quotaOverage are the platform's defaults.
+	quotaRate    = 20.0
+	quotaBurst   = 20.0
+	quotaWindow  = 8 * time.Second
+	quotaOverage = 0.1
 )
 
-// Allowance passes on a router's request for units.
-func (end *linkEnd) Allowance(args *feed.AllowanceArgs, reply *feed.AllowanceReply) error {
+// Quota passes on a router's request for units.
+func (end *linkEnd) Quota(args *feed.QuotaArgs, reply *feed.QuotaReply) error {
 	link := end.link
 	if err := link.pass(end.index); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(link.ends, forwardTimeout)
 	defer cancel()
-	if err := link.peers.Call(ctx, link.controllers[end.index], "Peer.Allowance", args, reply); err != nil {
+	if err := link.peers.Call(ctx, link.controllers[end.index], "Peer.Quota", args, reply); err != nil {
 		return err
 	}
 	return link.pass(end.index)
 }
 
-// allowanceFleet is a fleet whose engines record when they begin to run requests, by workspace.
-type allowanceFleet struct {
+// quotaFleet is a fleet whose engines record when they begin to run requests, by workspace.
+type quotaFleet struct {
 	*fleet
 	mutex sync.Mutex
 	runs  map[string][]time.Time
@@ -50,8 +50,8 @@
 	answers map[string]map[int]int
 }
 
-func newAllowanceFleet(t *testing.T) *allowanceFleet {
-	fleet := &allowanceFleet{runs: make(map[string][]time.Time)}
+func newQuotaFleet(t *testing.T) *quotaFleet {
+	fleet := &quotaFleet{runs: make(map[string][]time.Time)}
 	fleet.takeAnswers()
 	fleet.fleet = newFleet(t, 4, func(int) fake.Options {
 		return fake.Options{HasAllLoaded: true, OnArrival: func(request *http.Request) {
@@ -64,7 +64,7 @@
 	return fleet
 }
 
-func (fleet *allowanceFleet) takeAnswers() map[string]map[int]int {
+func (fleet *quotaFleet) takeAnswers() map[string]map[int]int {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	answers := fleet.answers
@@ -73,11 +73,11 @@
 }
 
 // limit submits a version in which the hot workspace has a limit.
-func (fleet *allowanceFleet) limit(version uint64) {
+func (fleet *quotaFleet) limit(version uint64) {
 	fleet.t.Helper()
 	body, err := fake.KeyedConfiguration(version, fleet.models, len(fleet.models), map[string][]string{hotWorkspace: {hotKey}, calmWorkspace: {calmKey}})
 	assert.NilError(fleet.t, err)
-	body, err = fake.SetAllowance(body, hotWorkspace, allowanceRate, allowanceBurst)
+	body, err = fake.SetQuota(body, hotWorkspace, quotaRate, quotaBurst)
 	assert.NilError(fleet.t, err)
 	fleet.await("the configuration", func() bool {
 		request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodPut, "http://"+fleet.controls[0]+"/config", bytes.NewReader(body))
@@ -91,7 +91,7 @@
 	})
 }
 
-func (fleet *allowanceFleet) await(what string, check func() bool) {
+func (fleet *quotaFleet) await(what string, check func() bool) {
 	fleet.t.Helper()
 	for end := time.Now().Add(awaitTimeout); !check(); pause(fleet.t.Context(), 50*time.Millisecond) {
 		assert.Assert(fleet.t, time.Now().Before(end), what)
@@ -99,7 +99,7 @@
 }
 
 // send sends requests of both workspaces to each router for a time: of the hot one as many as its whole rate at each router, of the other a few.
-func (fleet *allowanceFleet) send(length time.Duration) {
+func (fleet *quotaFleet) send(length time.Duration) {
 	ctx, cancel := context.WithTimeout(fleet.t.Context(), length)
 	defer cancel()
 	var calls sync.WaitGroup
@@ -113,12 +113,12 @@
 				calls.Go(func() { fleet.ask(router, fmt.Sprintf("%s-%d-%d", key, number, time.Now().UnixNano()), key) })
 			}
 		}
-		pause(ctx, time.Second/allowanceRate)
+		pause(ctx, time.Second/quotaRate)
 	}
 	calls.Wait()
 }
 
-func (fleet *allowanceFleet) ask(router *fleetProcess, id, key string) {
+func (fleet *quotaFleet) ask(router *fleetProcess, id, key string) {
 	const timeout = 2 * time.Second
 	ctx, cancel := context.WithTimeout(fleet.t.Context(), timeout+time.Second)
 	defer cancel()
@@ -142,12 +142,12 @@
 }
 
 // most returns the largest number of runs of the hot workspace in a window, and how many there were.
-func (fleet *allowanceFleet) most() (most, all int) {
+func (fleet *quotaFleet) most() (most, all int) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	runs, first := fleet.runs[hotWorkspace], 0
 	for last, at := range runs {
-		for at.Sub(runs[first]) > allowanceWindow {
+		for at.Sub(runs[first]) > quotaWindow {
 			first++
 		}
 		most = max(most, last-first+1)
@@ -155,10 +155,10 @@
 	return most, len(runs)
 }
 
-// TestAllowanceHoldsBesideACutAndANewLeader guards against a workspace that gets more than its allowance over all routers while one is cut off and the
+// TestQuotaHoldsBesideACutAndANewLeader guards against a workspace that gets more than its quota over all routers while one is cut off and the
 // leader is killed, against one that gets much less, and against other workspaces that pay for it.
-func TestAllowanceHoldsBesideACutAndANewLeader(t *testing.T) {
-	fleet := newAllowanceFleet(t)
+func TestQuotaHoldsBesideACutAndANewLeader(t *testing.T) {
+	fleet := newQuotaFleet(t)
 	siteCount.Add(1)
 	link := fleet.newLink(3)
 	fleet.routers = append(fleet.routers, fleet.add("router", fleet.ip(1, routerCount), routerCount, link.seeds()))
@@ -180,12 +180,12 @@
 	disturbed := fleet.takeAnswers()
 
 	most, all := fleet.most()
-	bound := int((allowanceRate*allowanceWindow.Seconds() + allowanceBurst) * (1 + allowanceOverage))
+	bound := int((quotaRate*quotaWindow.Seconds() + quotaBurst) * (1 + quotaOverage))
 	t.Logf("%d requests of the hot workspace run in %v, at most %d in a window, allowed %d; in touch %v, disturbed %v", all, took, most, bound, inTouch,
 		disturbed)
 	assert.Check(t, most <= bound, "%d requests in a window, allowed %d", most, bound)
-	assert.Check(t, float64(all) >= 0.6*allowanceRate*took.Seconds(), "%d requests of the hot workspace run in %v", all, took)
-	assert.Check(t, inTouch[hotKey][http.StatusTooManyRequests] > inTouch[hotKey][http.StatusOK]/2, "beyond the allowance: %v", inTouch[hotKey])
+	assert.Check(t, float64(all) >= 0.6*quotaRate*took.Seconds(), "%d requests of the hot workspace run in %v", all, took)
+	assert.Check(t, inTouch[hotKey][http.StatusTooManyRequests] > inTouch[hotKey][http.StatusOK]/2, "beyond the quota: %v", inTouch[hotKey])
 	for _, answers := range []map[string]map[int]int{inTouch, disturbed} {
 		calm, total := answers[calmKey], 0
 		for _, count := range calm {
--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -23,11 +23,11 @@
 	maxWait = 30 * time.Second
 )
 
-// Allocator is the leader's record of the allowances of workspaces: it grants parts of them to routers. What it and routers hold of an allowance
+// Allocator is the leader's record of the quotas of workspaces: it grants parts of them to routers. What it and routers hold of a quota
 // never exceeds a capacity, and grows by no more than the rate, so that the use in each window is bounded by their sum, whatever part of the
 // routers is cut off. It is not safe for concurrent use.
 type Allocator struct {
-	bounds AllowanceBounds
+	bounds QuotaBounds
 	term   uint64
 	// changes is the number of changes of the leader after which grants may be in use until settledAt.
 	changes   int
@@ -37,7 +37,7 @@
 
 // account is the state of one workspace.
 type account struct {
-	allowance routing.Allowance
+	quota routing.Quota
 	// level is the number of units that can be granted, as of refilledAt.
 	level      float64
 	refilledAt time.Time
@@ -58,7 +58,7 @@
 	process uint64
 }
 
-// holder is what the leader knows of a router that uses an allowance.
+// holder is what the leader knows of a router that uses a quota.
 type holder struct {
 	sequence uint64
 	askedAt  time.Time
@@ -71,7 +71,7 @@
 
 // NewAllocator returns the allocator of the leader of a term, which has granted nothing yet; changes is the number of changes of the leader, including
 // the one to this leader, since one of them was settled.
-func NewAllocator(now time.Time, term uint64, bounds AllowanceBounds, changes int) *Allocator {
+func NewAllocator(now time.Time, term uint64, bounds QuotaBounds, changes int) *Allocator {
 	return &Allocator{bounds: bounds, term: term, changes: changes, settledAt: now.Add(outstandingTTL),
 		accounts: make(map[celerylanding.WorkspaceID]*account)}
 }
@@ -79,7 +79,7 @@
 // IsSettled reports whether all grants of earlier leaders have expired.
 func (allocator *Allocator) IsSettled(now time.Time) bool { return !now.Before(allocator.settledAt) }
 
-// SetWorkspaces replaces the allowances by those of a configuration.
+// SetWorkspaces replaces the quotas by those of a configuration.
 func (allocator *Allocator) SetWorkspaces(now time.Time, workspaces []routing.Workspace) {
 	for id, entry := range allocator.accounts {
 		allocator.refill(now, entry)
@@ -94,27 +94,27 @@
 		switch {
 		case entry == nil:
 			entry = &account{refilledAt: now, holders: make(map[holderID]*holder)}
-		case entry.allowance.Unit != workspace.Allowance.Unit:
+		case entry.quota.Unit != workspace.Quota.Unit:
 			entry = &account{refilledAt: now, emptyUntil: now.Add(outstandingTTL), holders: make(map[holderID]*holder)}
 		}
-		entry.allowance, entry.isRemoved = workspace.Allowance, false
+		entry.quota, entry.isRemoved = workspace.Quota, false
 		allocator.accounts[workspace.ID] = entry
 	}
 }
 
 // Grant decides what a router gets.
-func (allocator *Allocator) Grant(now time.Time, args *feed.AllowanceArgs) feed.AllowanceReply {
-	reply := feed.AllowanceReply{Leads: true, Term: allocator.term}
+func (allocator *Allocator) Grant(now time.Time, args *feed.QuotaArgs) feed.QuotaReply {
+	reply := feed.QuotaReply{Leads: true, Term: allocator.term}
 	id := holderID{args.Node, args.Process}
 	for i := range args.Requests {
 		request := &args.Requests[i]
 		entry := allocator.accounts[request.Workspace]
 		switch {
-		case entry == nil || entry.isRemoved || entry.allowance.Unit != request.Unit:
+		case entry == nil || entry.isRemoved || entry.quota.Unit != request.Unit:
 			continue
-		case !entry.allowance.IsLimited():
+		case !entry.quota.IsLimited():
 			// The router does not know yet that the limit has ended.
-			reply.Grants = append(reply.Grants, feed.AllowanceGrant{Workspace: request.Workspace, Units: request.Wanted, TTL: grantTTL})
+			reply.Grants = append(reply.Grants, feed.QuotaGrant{Workspace: request.Workspace, Units: request.Wanted, TTL: grantTTL})
 			continue
 		}
 		allocator.refill(now, entry)
@@ -136,9 +136,9 @@
 	case now.Before(entry.emptyUntil):
 		return 0
 	case !allocator.IsSettled(now):
-		return allocator.bounds.earlyCapacity(entry.allowance, allocator.changes)
+		return allocator.bounds.earlyCapacity(entry.quota, allocator.changes)
 	}
-	return allocator.bounds.capacity(entry.allowance)
+	return allocator.bounds.capacity(entry.quota)
 }
 
 // refill adds what the rate gives since the last time, up to the capacity.
@@ -147,7 +147,7 @@
 		entry.expire(now)
 	}
 	room := max(0, allocator.capacity(now, entry)-entry.outstanding)
-	gained := entry.allowance.Rate * max(0, now.Sub(entry.refilledAt)).Seconds()
+	gained := entry.quota.Rate * max(0, now.Sub(entry.refilledAt)).Seconds()
 	entry.level = min(entry.level+gained, room)
 	if now.After(entry.refilledAt) {
 		entry.refilledAt = now
@@ -175,7 +175,7 @@
 }
 
 // record takes over a router's report, and returns its state and the time since its last request; nil if the request is older than another one.
-func (entry *account) record(now time.Time, id holderID, args *feed.AllowanceArgs, request *feed.AllowanceRequest, isOwnTerm bool) (*holder, time.Duration) {
+func (entry *account) record(now time.Time, id holderID, args *feed.QuotaArgs, request *feed.QuotaRequest, isOwnTerm bool) (*holder, time.Duration) {
 	asking := entry.holders[id]
 	gap := firstAskTime
 	if asking == nil {
@@ -201,7 +201,7 @@
 }
 
 // grant decides what a router gets of an account.
-func (allocator *Allocator) grant(now time.Time, entry *account, asking *holder, gap time.Duration, request *feed.AllowanceRequest) feed.AllowanceGrant {
+func (allocator *Allocator) grant(now time.Time, entry *account, asking *holder, gap time.Duration, request *feed.QuotaRequest) feed.QuotaGrant {
 	capacity := allocator.capacity(now, entry)
 	spare := max(0, entry.level-reserveShare*capacity)
 	needed := min(request.Needed, request.Wanted)
@@ -211,14 +211,14 @@
 	if entry.demand > 0 {
 		part = min(1, asking.demand/entry.demand)
 	}
-	if entry.demand <= entry.allowance.Rate {
+	if entry.demand <= entry.quota.Rate {
 		asking.owed = 0
-		grant := feed.AllowanceGrant{Units: min(needed, entry.level), TTL: grantTTL}
+		grant := feed.QuotaGrant{Units: min(needed, entry.level), TTL: grantTTL}
 		if grant.Units < least {
 			grant.Units = 0
 		}
 		if grant.Units < needed {
-			grant.Wait = waitFor(least-entry.level, entry.allowance.Rate)
+			grant.Wait = waitFor(least-entry.level, entry.quota.Rate)
 		} else {
 			most := part*capacity*(1-reserveShare) - asking.outstanding - grant.Units
 			grant.Units += max(0, min(request.Wanted-needed, spare-grant.Units, most))
@@ -226,7 +226,7 @@
 		entry.hand(asking, grant.Units)
 		return grant
 	}
-	grant := feed.AllowanceGrant{TTL: grantTTL, Rate: entry.allowance.Rate * part}
+	grant := feed.QuotaGrant{TTL: grantTTL, Rate: entry.quota.Rate * part}
 	gained := grant.Rate * gap.Seconds()
 	if entry.level < reserveShare/2*capacity {
 		// Saves for requests larger than what is left.
@@ -250,7 +250,7 @@
 		asking.owed -= grant.Units
 	}
 	if grant.Units < needed {
-		grant.Wait = max(waitFor(-asking.owed, grant.Rate), waitFor(least-entry.level, entry.allowance.Rate))
+		grant.Wait = max(waitFor(-asking.owed, grant.Rate), waitFor(least-entry.level, entry.quota.Rate))
 	}
 	return grant
 }
--- a/throttle/allocator_test.go
+++ b/throttle/allocator_test.go
@@ -27,10 +27,10 @@
 
 // hoarders are routers that report truly what they hold, but ask for more than they need and use it when it hurts most.
 type hoarders struct {
-	random    *rand.Rand
-	now       time.Time
-	bounds    throttle.AllowanceBounds
-	allowance routing.Allowance
+	random *rand.Rand
+	now    time.Time
+	bounds throttle.QuotaBounds
+	quota  routing.Quota
 	// listed are the workspaces of the configuration.
 	listed    []routing.Workspace
 	allocator *throttle.Allocator
@@ -53,7 +53,7 @@
 	process, sequence, term uint64
 	lots                    []hoard
 	// delayed are requests that the leader has not received yet, although the router has given up on them.
-	delayed []*feed.AllowanceArgs
+	delayed []*feed.QuotaArgs
 }
 
 // hoarderMode is what all routers do for a time: nothing, hold what they get, or use it at once.
@@ -88,15 +88,15 @@
 func (world *hoarders) configure() {
 	if world.allocator != nil {
 		for i := range world.listed {
-			world.listed[i].Allowance = world.allowance
+			world.listed[i].Quota = world.quota
 		}
 		world.allocator.SetWorkspaces(world.now, world.listed)
 	}
 }
 
-func (router *hoarder) request(now time.Time, number int, units, returned float64) *feed.AllowanceArgs {
+func (router *hoarder) request(now time.Time, number int, units, returned float64) *feed.QuotaArgs {
 	router.sequence++
-	request := feed.AllowanceRequest{Workspace: "w", Wanted: units, Needed: units, Demand: units}
+	request := feed.QuotaRequest{Workspace: "w", Wanted: units, Needed: units, Demand: units}
 	for i := range router.lots {
 		if lot := &router.lots[i]; lot.term == router.term && now.Before(lot.expires) {
 			back := min(returned, lot.units)
@@ -106,8 +106,8 @@
 			request.Held += lot.units
 		}
 	}
-	return &feed.AllowanceArgs{Node: celerylanding.NodeID(fmt.Sprint(number)), Process: router.process, Sequence: router.sequence, Term: router.term,
-		Requests: []feed.AllowanceRequest{request}}
+	return &feed.QuotaArgs{Node: celerylanding.NodeID(fmt.Sprint(number)), Process: router.process, Sequence: router.sequence, Term: router.term,
+		Requests: []feed.QuotaRequest{request}}
 }
 
 // ask lets a router ask for units; the reply may be lost, or the request late.
@@ -115,9 +115,9 @@
 	router := world.routers[number]
 	returned := 0.0
 	if world.random.IntN(10) == 0 {
-		returned = world.random.Float64() * 2 * world.allowance.Rate
+		returned = world.random.Float64() * 2 * world.quota.Rate
 	}
-	units := world.random.Float64() * 4 * world.allowance.Rate
+	units := world.random.Float64() * 4 * world.quota.Rate
 	args := router.request(world.now, number, units, returned)
 	fate := []string{"answered", "answered", "answered", "answered", "answered", "answered", "lost", "delayed"}[world.random.IntN(6+world.faults)]
 	if fate == "delayed" {
@@ -176,7 +176,7 @@
 		world.silent = 0
 		world.spend()
 	case "lower":
-		world.allowance.Rate, world.allowance.Burst = world.allowance.Rate/2, world.allowance.Burst/2
+		world.quota.Rate, world.quota.Burst = world.quota.Rate/2, world.quota.Burst/2
 		world.configure()
 	case "restart":
 		// A new process holds nothing.
@@ -201,7 +201,7 @@
 func (world *hoarders) step() {
 	world.now = world.now.Add(hoardStep)
 	world.used = append(world.used, 0)
-	world.limits = append(world.limits, (world.allowance.Rate*world.bounds.Window.Seconds()+world.allowance.Burst)*(1+world.bounds.Overage)+world.bounds.Slack)
+	world.limits = append(world.limits, (world.quota.Rate*world.bounds.Window.Seconds()+world.quota.Burst)*(1+world.bounds.Overage)+world.bounds.Slack)
 	for number, router := range world.routers {
 		if at := len(router.delayed) - 1; at >= 0 && world.allocator != nil && world.random.IntN(4) == 0 {
 			world.allocator.Grant(world.now, router.delayed[at])
@@ -216,14 +216,14 @@
 	}
 }
 
-// TestGrantsStayWithinAnAllowance guards against grants that add up to more than an allowance, for routers that hold as much as they get: through
+// TestGrantsStayWithinAnQuota guards against grants that add up to more than a quota, for routers that hold as much as they get: through
 // any number of changes of the leader, lost replies, late requests, restarts, lowered limits and removed workspaces.
-func TestGrantsStayWithinAnAllowance(t *testing.T) {
+func TestGrantsStayWithinAnQuota(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		world := &hoarders{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 5)), now: start, listed: []routing.Workspace{{ID: "w"}},
-			faults:    rapid.SampledFrom([]int{0, 2}).Draw(t, "faults"),
-			allowance: routing.Allowance{Rate: 1000, Burst: rapid.SampledFrom([]float64{0, 300, 3000}).Draw(t, "burst")},
-			bounds:    throttle.AllowanceBounds{Window: 4 * time.Second, Overage: 0.1, Slack: rapid.SampledFrom([]float64{0, 500, 2000}).Draw(t, "slack")}}
+			faults: rapid.SampledFrom([]int{0, 2}).Draw(t, "faults"),
+			quota:  routing.Quota{Rate: 1000, Burst: rapid.SampledFrom([]float64{0, 300, 3000}).Draw(t, "burst")},
+			bounds: throttle.QuotaBounds{Window: 4 * time.Second, Overage: 0.1, Slack: rapid.SampledFrom([]float64{0, 500, 2000}).Draw(t, "slack")}}
 		for range rapid.IntRange(1, 3).Draw(t, "routers") {
 			world.routers = append(world.routers, &hoarder{})
 		}
@@ -248,12 +248,12 @@
 
 // TestLateReplyGrantsNothing guards against units that a router uses after its grant has expired, because its VM stood still or the reply was slow.
 func TestLateReplyGrantsNothing(t *testing.T) {
-	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+	workspace := &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 1000, Burst: 1000}}
 	reserve := throttle.NewReserve("r", 1)
 	charge := reserve.Begin(start, workspace, 1, time.Hour)
 	args, isDue := reserve.Ask(start)
 	assert.Assert(t, isDue)
-	reply := &feed.AllowanceReply{Term: 1, Grants: []feed.AllowanceGrant{{Workspace: "w", Units: 100, TTL: time.Second}}}
+	reply := &feed.QuotaReply{Term: 1, Grants: []feed.QuotaGrant{{Workspace: "w", Units: 100, TTL: time.Second}}}
 	assert.Equal(t, len(reserve.HandleReply(start.Add(1100*time.Millisecond), start, args, reply)), 0)
 	assert.Equal(t, charge.State(), throttle.ChargeWaiting)
 
@@ -267,15 +267,15 @@
 
 // TestReportCountsWhatMayStillBeUsed guards against a report that lacks units of requests that were not sent yet, which the leader would grant again.
 func TestReportCountsWhatMayStillBeUsed(t *testing.T) {
-	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+	workspace := &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 1000, Burst: 1000}}
 	reserve := throttle.NewReserve("r", 1)
 	now := start
-	exchange := func(units float64) feed.AllowanceRequest {
+	exchange := func(units float64) feed.QuotaRequest {
 		now = now.Add(200 * time.Millisecond)
 		args, isDue := reserve.Ask(now)
 		assert.Assert(t, isDue)
-		reserve.HandleReply(now, now, args, &feed.AllowanceReply{Term: 1,
-			Grants: []feed.AllowanceGrant{{Workspace: "w", Units: units, TTL: 2 * time.Second}}})
+		reserve.HandleReply(now, now, args, &feed.QuotaReply{Term: 1,
+			Grants: []feed.QuotaGrant{{Workspace: "w", Units: units, TTL: 2 * time.Second}}})
 		return args.Requests[0]
 	}
 	first, second, third := reserve.Begin(now, workspace, 40, time.Hour), reserve.Begin(now, workspace, 40, time.Hour), reserve.Begin(now, workspace, 40, time.Hour)
@@ -296,16 +296,16 @@
 	assert.Equal(t, exchange(0).Held, 20.0, "a returned charge counts once, and a sent one not at all")
 }
 
-// TestLoweredAllowanceBindsRouters guards against a router that goes on with what it was granted of a higher allowance.
-func TestLoweredAllowanceBindsRouters(t *testing.T) {
-	workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}
+// TestLoweredQuotaBindsRouters guards against a router that goes on with what it was granted of a higher quota.
+func TestLoweredQuotaBindsRouters(t *testing.T) {
+	workspace := &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 1000, Burst: 1000}}
 	reserve := throttle.NewReserve("r", 1)
 	reserve.Begin(start, workspace, 100, time.Hour)
 	args, _ := reserve.Ask(start)
-	reserve.HandleReply(start, start, args, &feed.AllowanceReply{Term: 1, Grants: []feed.AllowanceGrant{{Workspace: "w", Units: 1100, TTL: time.Second}}})
-	lowered := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 100, Burst: 100}}
+	reserve.HandleReply(start, start, args, &feed.QuotaReply{Term: 1, Grants: []feed.QuotaGrant{{Workspace: "w", Units: 1100, TTL: time.Second}}})
+	lowered := &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 100, Burst: 100}}
 	assert.Equal(t, reserve.Begin(start, lowered, 90, time.Hour).State(), throttle.ChargeAdmitted)
 	assert.Equal(t, reserve.Begin(start, lowered, 20, time.Hour).State(), throttle.ChargeWaiting)
-	requests := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 1000, Burst: 1000}}
+	requests := &routing.Workspace{ID: "w", Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: 1000, Burst: 1000}}
 	assert.Equal(t, reserve.Begin(start, requests, 1, time.Hour).State(), throttle.ChargeWaiting, "units of another kind are dropped")
 }
--- a/throttle/ask.go
+++ b/throttle/ask.go
@@ -8,7 +8,7 @@
 )
 
 // Ask returns the arguments of the next call to the leader if one is due. The call must end with HandleReply or HandleFailure.
-func (reserve *Reserve) Ask(now time.Time) (*feed.AllowanceArgs, bool) {
+func (reserve *Reserve) Ask(now time.Time) (*feed.QuotaArgs, bool) {
 	if reserve.isAsking || now.Before(reserve.askAt) {
 		return nil, false
 	}
@@ -25,7 +25,7 @@
 		return nil, false
 	}
 	reserve.sequence++
-	args := &feed.AllowanceArgs{Node: reserve.node, Process: reserve.process, Sequence: reserve.sequence, Term: reserve.term}
+	args := &feed.QuotaArgs{Node: reserve.node, Process: reserve.process, Sequence: reserve.sequence, Term: reserve.term}
 	for id, account := range reserve.accounts {
 		request := account.request(now, reserve.term)
 		if request.Wanted <= 0 && request.Returned <= 0 {
@@ -65,9 +65,9 @@
 }
 
 // request returns what to ask for, and gives back what is more than twice the target.
-func (account *reserveAccount) request(now time.Time, term uint64) feed.AllowanceRequest {
+func (account *reserveAccount) request(now time.Time, term uint64) feed.QuotaRequest {
 	target, held, queued := account.target(now), account.held(), account.queued()
-	request := feed.AllowanceRequest{Unit: account.allowance.Unit, Demand: account.demand.recentRate(now), Needed: max(0, queued-held)}
+	request := feed.QuotaRequest{Unit: account.quota.Unit, Demand: account.demand.recentRate(now), Needed: max(0, queued-held)}
 	if len(account.queue) > 0 {
 		request.Least = min(request.Needed, max(0, account.queue[0].units-held))
 	}
@@ -102,7 +102,7 @@
 }
 
 // HandleReply takes over the leader's grants for a call that was sent at a time, and returns the requests that can be sent now.
-func (reserve *Reserve) HandleReply(now, sent time.Time, args *feed.AllowanceArgs, reply *feed.AllowanceReply) []*Charge {
+func (reserve *Reserve) HandleReply(now, sent time.Time, args *feed.QuotaArgs, reply *feed.QuotaReply) []*Charge {
 	if reply.Term < reserve.term {
 		reserve.HandleFailure(now)
 		return nil
@@ -110,7 +110,7 @@
 	reserve.isAsking, reserve.failures = false, 0
 	reserve.askAt = now.Add(urgentInterval)
 	reserve.term = reply.Term
-	grants := make(map[celerylanding.WorkspaceID]*feed.AllowanceGrant, len(reply.Grants))
+	grants := make(map[celerylanding.WorkspaceID]*feed.QuotaGrant, len(reply.Grants))
 	for i := range reply.Grants {
 		grants[reply.Grants[i].Workspace] = &reply.Grants[i]
 	}
@@ -123,9 +123,9 @@
 		}
 		grant := grants[request.Workspace]
 		if grant == nil {
-			grant = &feed.AllowanceGrant{Wait: maxAskInterval}
+			grant = &feed.QuotaGrant{Wait: maxAskInterval}
 		}
-		if grant.Units > 0 && account.allowance.Unit == request.Unit {
+		if grant.Units > 0 && account.quota.Unit == request.Unit {
 			account.lots = append(account.lots, lot{units: grant.Units, expires: sent.Add(grant.TTL), term: reply.Term})
 		}
 		account.isShort = grant.Units < request.Needed && grants[request.Workspace] != nil
--- a/throttle/drawer_test.go
+++ b/throttle/drawer_test.go
@@ -28,9 +28,9 @@
 	return reply.Grants[0].Units
 }
 
-func (drawer *drawer) args(needed float64) *feed.AllowanceArgs {
-	return &feed.AllowanceArgs{Node: "r", Process: drawer.process, Sequence: drawer.sequence, Term: drawer.term,
-		Requests: []feed.AllowanceRequest{{Workspace: "w", Wanted: needed, Needed: needed, Demand: needed, Held: drawer.held}}}
+func (drawer *drawer) args(needed float64) *feed.QuotaArgs {
+	return &feed.QuotaArgs{Node: "r", Process: drawer.process, Sequence: drawer.sequence, Term: drawer.term,
+		Requests: []feed.QuotaRequest{{Workspace: "w", Wanted: needed, Needed: needed, Demand: needed, Held: drawer.held}}}
 }
 
 // drawFor draws every 50 ms, as long as the units last, and returns their number.
@@ -45,8 +45,8 @@
 // newDrawn returns the allocator of a term for a workspace with a rate and a burst of 1000 units and an excess of 1000 in 8 s, so that 1600 units can be
 // available at once, and 200 while grants of an earlier leader may be in use.
 func newDrawn(term uint64) *throttle.Allocator {
-	allocator := throttle.NewAllocator(start, term, throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100}, 1)
-	allocator.SetWorkspaces(start, []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: 1000, Burst: 1000}}})
+	allocator := throttle.NewAllocator(start, term, throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100}, 1)
+	allocator.SetWorkspaces(start, []routing.Workspace{{ID: "w", Quota: routing.Quota{Rate: 1000, Burst: 1000}}})
 	return allocator
 }
 
@@ -94,7 +94,7 @@
 	held := router.drawFor(now, allocator, 2*time.Second)
 	assert.Assert(t, held > 1500, "%.1f units are held", held)
 	now = now.Add(2 * time.Second)
-	allocator.SetWorkspaces(now, []routing.Workspace{{ID: "w", Allowance: routing.Allowance{Rate: 100, Burst: 100}}})
+	allocator.SetWorkspaces(now, []routing.Workspace{{ID: "w", Quota: routing.Quota{Rate: 100, Burst: 100}}})
 	router.sequence++
 	args := router.args(1e6)
 	args.Requests[0].Held, args.Requests[0].Returned = 600, 1000
--- a/throttle/preview_test.go
+++ b/throttle/preview_test.go
@@ -17,7 +17,7 @@
 // of the request, and both reserves do the same.
 func TestPreviewIsTheNextCharge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		workspace := &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 5, Burst: 10}}
+		workspace := &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 5, Burst: 10}}
 		reserves := []*throttle.Reserve{throttle.NewReserve("n", 1), throttle.NewReserve("n", 1)}
 		now := time.Unix(1_700_000_000, 0)
 		var charges [2][]*throttle.Charge
@@ -26,7 +26,7 @@
 			units := float64(rapid.IntRange(1, 4).Draw(t, "units"))
 			kind := rapid.IntRange(0, 5).Draw(t, "kind")
 			number := rapid.IntRange(0, 1<<20).Draw(t, "charge")
-			grant := feed.AllowanceGrant{Workspace: "w", Units: float64(rapid.IntRange(0, 6).Draw(t, "granted")), TTL: time.Second,
+			grant := feed.QuotaGrant{Workspace: "w", Units: float64(rapid.IntRange(0, 6).Draw(t, "granted")), TTL: time.Second,
 				Wait: time.Duration(rapid.IntRange(0, 900).Draw(t, "wait")) * time.Millisecond, Rate: float64(rapid.IntRange(0, 3).Draw(t, "rate"))}
 			var expected throttle.Preview
 			if kind <= 2 {
@@ -47,7 +47,7 @@
 					if isDue && grant.Units == 0 {
 						reserve.HandleFailure(now)
 					} else if isDue {
-						reserve.HandleReply(now, now, args, &feed.AllowanceReply{Leads: true, Term: 1, Grants: []feed.AllowanceGrant{grant}})
+						reserve.HandleReply(now, now, args, &feed.QuotaReply{Leads: true, Term: 1, Grants: []feed.QuotaGrant{grant}})
 					}
 				case len(charges[i]) > 0 && kind == 4:
 					reserve.GiveUp(now, charges[i][number%len(charges[i])])
@@ -66,7 +66,7 @@
 func TestPreviewOfAnUnknownWorkspace(t *testing.T) {
 	reserve := throttle.NewReserve("n", 1)
 	now := time.Unix(1_700_000_000, 0)
-	preview := reserve.Preview(now, &routing.Workspace{ID: "w", Allowance: routing.Allowance{Rate: 5}}, 0, 1, time.Second)
+	preview := reserve.Preview(now, &routing.Workspace{ID: "w", Quota: routing.Quota{Rate: 5}}, 0, 1, time.Second)
 	assert.Equal(t, preview.Charge.State(), throttle.ChargeWaiting)
 	assert.Equal(t, preview.Charge.Workspace(), celerylanding.WorkspaceID("w"))
 	assert.Equal(t, preview.Held+preview.Queued+preview.Rate, 0.0)
--- a/throttle/allowance_rates_test.go
+++ b/throttle/quota_rates_test.go
@@ -13,9 +13,9 @@
 	"celerylanding.example/celerylanding/throttle"
 )
 
-// TestUseWithinAnAllowanceIsNotRefused guards against refusals of a workspace that sends nine tenths of its rate in clumps, through few routers or
+// TestUseWithinAnQuotaIsNotRefused guards against refusals of a workspace that sends nine tenths of its rate in clumps, through few routers or
 // through all.
-func TestUseWithinAnAllowanceIsNotRefused(t *testing.T) {
+func TestUseWithinAnQuotaIsNotRefused(t *testing.T) {
 	for _, routers := range []int{1, 7, 27, 63} {
 		for _, rate := range []float64{29_000, 157_000} {
 			for _, wave := range []float64{0, 0.35} {
@@ -30,7 +30,7 @@
 					refused, requests, beyond = refused+office.refused, requests+office.requests, beyond+office.beyond
 				}
 				lost := float64(refused-beyond) / float64(requests)
-				assert.Check(t, lost < 0.01, "%d routers, rate %.0f, waves of %.2f: %d of %d refused, %d beyond the allowance", routers, rate, wave,
+				assert.Check(t, lost < 0.01, "%d routers, rate %.0f, waves of %.2f: %d of %d refused, %d beyond the quota", routers, rate, wave,
 					refused, requests, beyond)
 			}
 		}
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestHotWorkspaceGetsItsWholeAllowance guards against a workspace that sends far more than its rate, at few routers or at all, and gets less than the
+// TestHotWorkspaceGetsItsWholeQuota guards against a workspace that sends far more than its rate, at few routers or at all, and gets less than the
 // rate; and against its large requests starving.
-func TestHotWorkspaceGetsItsWholeAllowance(t *testing.T) {
+func TestHotWorkspaceGetsItsWholeQuota(t *testing.T) {
 	for _, routers := range []int{1, 2, 27, 63} {
 		for _, rate := range []float64{29_000, 157_000} {
 			used, wanted, large, largeServed := 0.0, 0.0, 0, 0
@@ -95,7 +95,7 @@
 				large, largeServed = large+office.largeRequests, largeServed+office.largeServed
 			}
 			part, all := used/(seeds*length*rate), used/wanted
-			assert.Check(t, part >= 0.9, "%d routers, rate %.0f: %.3f of the allowance is used", routers, rate, part)
+			assert.Check(t, part >= 0.9, "%d routers, rate %.0f: %.3f of the quota is used", routers, rate, part)
 			assert.Check(t, float64(largeServed) >= 0.5*all*float64(large), "%d routers, rate %.0f: %d of %d large requests are served, %.3f of all units",
 				routers, rate, largeServed, large, all)
 		}
@@ -109,15 +109,15 @@
 	var workspaces []routing.Workspace
 	for i := range 16 {
 		workspaces = append(workspaces, routing.Workspace{ID: celerylanding.WorkspaceID(fmt.Sprintf("w%d", i)),
-			Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: 1e9, Burst: 1e9}})
+			Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: 1e9, Burst: 1e9}})
 		reserve.Begin(now, &workspaces[i], 600, time.Second)
 	}
 	args, isDue := reserve.Ask(now)
 	assert.Assert(b, isDue)
-	reply := feed.AllowanceReply{Term: 1}
+	reply := feed.QuotaReply{Term: 1}
 	for range 8 {
 		for _, request := range args.Requests {
-			reply.Grants = append(reply.Grants, feed.AllowanceGrant{Workspace: request.Workspace, Units: 1e12, TTL: time.Second})
+			reply.Grants = append(reply.Grants, feed.QuotaGrant{Workspace: request.Workspace, Units: 1e12, TTL: time.Second})
 		}
 	}
 	reserve.HandleReply(now, now, args, &reply)
@@ -135,13 +135,13 @@
 	now := start
 	allocator := throttle.NewAllocator(now, 1, defaultBounds(), 1)
 	var workspaces []routing.Workspace
-	args := make([]feed.AllowanceArgs, 63)
+	args := make([]feed.QuotaArgs, 63)
 	for i := range 16 {
 		id := celerylanding.WorkspaceID(fmt.Sprintf("w%d", i))
-		workspaces = append(workspaces, routing.Workspace{ID: id, Allowance: routing.Allowance{Rate: 29_000, Burst: 29_000}})
+		workspaces = append(workspaces, routing.Workspace{ID: id, Quota: routing.Quota{Rate: 29_000, Burst: 29_000}})
 		for router := range args {
 			args[router].Node, args[router].Term = celerylanding.NodeID(fmt.Sprintf("r%d", router)), 1
-			args[router].Requests = append(args[router].Requests, feed.AllowanceRequest{Workspace: id, Wanted: 900, Needed: 600, Least: 600, Demand: 700})
+			args[router].Requests = append(args[router].Requests, feed.QuotaRequest{Workspace: id, Wanted: 900, Needed: 600, Least: 600, Demand: 700})
 		}
 	}
 	allocator.SetWorkspaces(now, workspaces)
--- a/throttle/allowance_test.go
+++ b/throttle/quota_test.go
@@ -26,7 +26,7 @@
 type office struct {
 	random    *rand.Rand
 	now       time.Time
-	bounds    throttle.AllowanceBounds
+	bounds    throttle.QuotaBounds
 	workspace routing.Workspace
 	routers   []*officeRouter
 	// allocator is nil while there is no leader.
@@ -73,20 +73,20 @@
 }
 
 type officeCall struct {
-	args               *feed.AllowanceArgs
+	args               *feed.QuotaArgs
 	sent, due, replyAt time.Time
-	reply              *feed.AllowanceReply
+	reply              *feed.QuotaReply
 }
 
 // lateCall is a request that reaches the leader of that time after its router has given up.
 type lateCall struct {
 	due  time.Time
-	args feed.AllowanceArgs
+	args feed.QuotaArgs
 }
 
-func newOffice(seed uint64, routers int, rate, burst float64, bounds throttle.AllowanceBounds) *office {
+func newOffice(seed uint64, routers int, rate, burst float64, bounds throttle.QuotaBounds) *office {
 	office := &office{random: rand.New(rand.NewPCG(seed, 3)), now: start, bounds: bounds, delay: 4 * time.Millisecond, patience: 400 * time.Millisecond,
-		workspace: routing.Workspace{ID: "w", Allowance: routing.Allowance{Unit: routing.AllowanceTokens, Rate: rate, Burst: burst}}}
+		workspace: routing.Workspace{ID: "w", Quota: routing.Quota{Unit: routing.QuotaTokens, Rate: rate, Burst: burst}}}
 	for i := range routers {
 		office.routers = append(office.routers, &officeRouter{reserve: throttle.NewReserve(celerylanding.NodeID(fmt.Sprintf("r%d", i)), 0)})
 	}
@@ -119,7 +119,7 @@
 func (office *office) play(length time.Duration, perSecond float64, routers int) {
 	for end := office.now.Add(length); office.now.Before(end); office.now = office.now.Add(tick) {
 		office.uses, office.limits = append(office.uses, 0), append(office.limits, office.limit())
-		office.bucket = min(office.bucket+office.workspace.Allowance.Rate*tick.Seconds(), office.workspace.Allowance.Burst)
+		office.bucket = min(office.bucket+office.workspace.Quota.Rate*tick.Seconds(), office.workspace.Quota.Burst)
 		office.deliverLate()
 		for i, router := range office.routers {
 			if office.now.Before(router.frozenUntil) {
@@ -294,17 +294,17 @@
 }
 
 func (office *office) limit() float64 {
-	allowance := office.workspace.Allowance
-	return (allowance.Rate*office.bounds.Window.Seconds()+allowance.Burst)*(1+office.bounds.Overage) + office.bounds.Slack
+	quota := office.workspace.Quota
+	return (quota.Rate*office.bounds.Window.Seconds()+quota.Burst)*(1+office.bounds.Overage) + office.bounds.Slack
 }
 
-func defaultBounds() throttle.AllowanceBounds {
-	return throttle.AllowanceBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 72_000}
+func defaultBounds() throttle.QuotaBounds {
+	return throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 72_000}
 }
 
-// TestAllowanceHoldsInEveryWindow guards against a workspace that gets more than its allowance over all routers, whatever is delayed, lost, cut off or
+// TestQuotaHoldsInEveryWindow guards against a workspace that gets more than its quota over all routers, whatever is delayed, lost, cut off or
 // stands still, and however often the leader changes.
-func TestAllowanceHoldsInEveryWindow(t *testing.T) {
+func TestQuotaHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		routers := rapid.SampledFrom([]int{1, 2, 5, 27, 63, 118}).Draw(t, "routers")
 		rate := rapid.SampledFrom([]float64{8_000, 29_000, 157_000}).Draw(t, "rate")
@@ -318,8 +318,8 @@
 		for range rapid.IntRange(2, 14).Draw(t, "phases") {
 			office.disturb(t)
 			if rapid.IntRange(0, 9).Draw(t, "lower") == 0 {
-				office.workspace.Allowance.Rate /= 2
-				office.workspace.Allowance.Burst /= 2
+				office.workspace.Quota.Rate /= 2
+				office.workspace.Quota.Burst /= 2
 				office.configure()
 			}
 			length := time.Duration(rapid.IntRange(50, 5000).Draw(t, "ms")) * time.Millisecond
--- a/throttle/reserve.go
+++ b/throttle/reserve.go
@@ -28,12 +28,12 @@
 	idleTTL = 30 * time.Second
 	// costWeight is the weight of a request in the mean cost of the requests.
 	costWeight = 0.1
-	// minAllowanceDelay and maxAllowanceDelay bound the delay after which a caller returns.
-	minAllowanceDelay = 200 * time.Millisecond
-	maxAllowanceDelay = 8 * time.Second
+	// minQuotaDelay and maxQuotaDelay bound the delay after which a caller returns.
+	minQuotaDelay = 200 * time.Millisecond
+	maxQuotaDelay = 8 * time.Second
 )
 
-// Reserve is a router's part of the allowances of workspaces, as the leader has granted it. Requests use what is held, and otherwise wait in order
+// Reserve is a router's part of the quotas of workspaces, as the leader has granted it. Requests use what is held, and otherwise wait in order
 // for the leader's next grant. It is not safe for concurrent use.
 type Reserve struct {
 	node     celerylanding.NodeID
@@ -50,7 +50,7 @@
 
 // reserveAccount is what a router holds for one workspace.
 type reserveAccount struct {
-	allowance routing.Allowance
+	quota routing.Quota
 	// lots are the granted units, the first to expire first.
 	lots []lot
 	// unsent are the admitted requests that were not sent to a target yet.
@@ -93,7 +93,7 @@
 	ChargeRefused
 )
 
-// Charge is the use of an allowance by one request.
+// Charge is the use of a quota by one request.
 type Charge struct {
 	workspace celerylanding.WorkspaceID
 	// rank orders the requests that wait; the lowest goes first.
@@ -119,7 +119,7 @@
 // RetryAfter returns the time after which the caller of a refused request should return.
 func (charge *Charge) RetryAfter() time.Duration { return charge.retryAfter }
 
-// IsCutOff reports whether the request was refused because the leader did not answer in time, not because the allowance is used up.
+// IsCutOff reports whether the request was refused because the leader did not answer in time, not because the quota is used up.
 func (charge *Charge) IsCutOff() bool { return charge.isCutOff }
 
 // NewReserve returns the reserve of a router that holds nothing; process identifies this start of its process.
@@ -133,7 +133,7 @@
 }
 
 // BeginRanked is Begin for a request with a rank: it waits behind those of the same rank and before those of higher numbers. A workspace that asks for
-// more than its allowance gets its more urgent requests served first; the others get what is left, and none waits longer than its patience.
+// more than its quota gets its more urgent requests served first; the others get what is left, and none waits longer than its patience.
 func (reserve *Reserve) BeginRanked(now time.Time, workspace *routing.Workspace, rank int, units float64, patience time.Duration) *Charge {
 	account := reserve.account(workspace)
 	account.usedAt = now
@@ -151,24 +151,24 @@
 	return charge
 }
 
-// account returns the state of a workspace, adapted to its current allowance.
+// account returns the state of a workspace, adapted to its current quota.
 func (reserve *Reserve) account(workspace *routing.Workspace) *reserveAccount {
 	account := reserve.accounts[workspace.ID]
 	if account == nil {
-		account = &reserveAccount{allowance: workspace.Allowance, unsent: make(map[*Charge]struct{})}
+		account = &reserveAccount{quota: workspace.Quota, unsent: make(map[*Charge]struct{})}
 		reserve.accounts[workspace.ID] = account
 	}
-	if account.allowance == workspace.Allowance {
+	if account.quota == workspace.Quota {
 		return account
 	}
 	share := 0.0
-	if account.allowance.Unit == workspace.Allowance.Unit {
-		share = min(1, workspace.Allowance.Rate/account.allowance.Rate)
+	if account.quota.Unit == workspace.Quota.Unit {
+		share = min(1, workspace.Quota.Rate/account.quota.Rate)
 	}
 	for i := range account.lots {
 		account.lots[i].units *= share
 	}
-	account.allowance = workspace.Allowance
+	account.quota = workspace.Quota
 	return account
 }
 
@@ -265,7 +265,7 @@
 	return max(0, account.readyAt.Sub(now)) + time.Duration(ahead/account.rate*float64(time.Second))
 }
 
-// isRated reports whether the leader has said lately that callers ask for more than the allowance.
+// isRated reports whether the leader has said lately that callers ask for more than the quota.
 func (account *reserveAccount) isRated(now time.Time) bool {
 	return account.rate > 0 && now.Sub(account.rateAt) <= rateTTL
 }
@@ -275,7 +275,7 @@
 	return reserve.failures > 0 || !account.isShort && !account.isRated(now)
 }
 
-// IsUnanswered reports whether a request waits for an answer of the leader, not for the allowance.
+// IsUnanswered reports whether a request waits for an answer of the leader, not for the quota.
 func (reserve *Reserve) IsUnanswered(now time.Time, charge *Charge) bool {
 	account := reserve.accounts[charge.workspace]
 	return charge.state == ChargeWaiting && account != nil && reserve.isUnanswered(now, account)
@@ -284,7 +284,7 @@
 // refuse ends a request that waits. The delay after which its caller returns also counts those that were told to return earlier.
 func (reserve *Reserve) refuse(now time.Time, account *reserveAccount, charge *Charge) {
 	charge.state, charge.isCutOff = ChargeRefused, reserve.isUnanswered(now, account)
-	rate := account.allowance.Rate
+	rate := account.quota.Rate
 	if account.isRated(now) {
 		rate = account.rate
 	}
@@ -292,8 +292,8 @@
 	account.promisedAt = now
 	account.promised += charge.units
 	ahead := max(0, account.promised+account.queued()-account.held())
-	delay := time.Duration(min(ahead/rate, maxAllowanceDelay.Seconds()) * float64(time.Second))
-	charge.retryAfter = min(max(delay, minAllowanceDelay), maxAllowanceDelay)
+	delay := time.Duration(min(ahead/rate, maxQuotaDelay.Seconds()) * float64(time.Second))
+	charge.retryAfter = min(max(delay, minQuotaDelay), maxQuotaDelay)
 	account.remove(charge)
 }
 
--- a/verdict.go
+++ b/verdict.go
@@ -59,7 +59,7 @@
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonKeysNotFresh     Reason = "keys_not_fresh"
-	ReasonAllowanceUsed    Reason = "allowance_used"
+	ReasonQuotaUsed        Reason = "quota_used"
 )
 
 // Status returns the HTTP status code for the reason.
@@ -71,7 +71,7 @@
 		return http.StatusUnauthorized
 	case ReasonUnknownModel, ReasonUnknownService:
 		return http.StatusNotFound
-	case ReasonQueueFull, ReasonAllowanceUsed:
+	case ReasonQueueFull, ReasonQuotaUsed:
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
@@ -89,7 +89,7 @@
 func (reason Reason) RetryAfter() time.Duration {
 	switch reason {
 	case ReasonQueueFull, ReasonWaitTooLong, ReasonNoTarget, ReasonNoQuorum, ReasonTargetRefused, ReasonTargetsLimited, ReasonKeysNotFresh,
-		ReasonAllowanceUsed:
+		ReasonQuotaUsed:
 		return 2 * time.Second
 	case ReasonDraining, ReasonKeyInProgress, ReasonCopyOnTrial:
 		return time.Second
