Reports of targets' load are bounded over all routers

A router got news of each target ten times a second, so that the bytes grew with the product of routers and targets; relays without routers got it twenty times a second. Change: 40,000 reports a second for all routers together, in turn by target where that is less than the news; none for relays without routers. At 27 routers and 97 targets, or 63 and 63, nothing is held back.

--- a/control/feed.go
+++ b/control/feed.go
@@ -20,6 +20,11 @@
 	// of the targets' load.
 	reportInterval      = 100 * time.Millisecond
 	relayReportInterval = 50 * time.Millisecond
+	// reportsPerSecond bounds the reports of targets' load that all routers together get. Otherwise their number would grow with the product of routers
+	// and targets: at 270 routers and 3,000 targets a controller sent 12 MB a second.
+	reportsPerSecond = 40_000
+	// relayDivisor divides it for each relay, of which there is one for each failure domain or two.
+	relayDivisor = 8
 	// maxConfigurationsPerPush bounds the replies with a whole configuration in one round. One takes 1 to 2 ms to send, and watch
 	// requests time out after half a second, so on a large site no reply would arrive in time if all were sent at once.
 	maxConfigurationsPerPush = 16
@@ -329,13 +334,27 @@
 
 // hasReports reports whether a router or relay gets news of the targets' load before its request's timeout.
 func (ctl *Control) hasReports(now time.Time, watcher *watcher) bool {
-	interval := relayReportInterval
+	interval, rate := relayReportInterval, ctl.reportRate(&watcher.args)
 	if watcher.args.Router {
 		interval = reportInterval
-	} else if watcher.args.Relay == "" {
-		return false
 	}
-	return now.Sub(watcher.due) >= interval-watchTimeout && ctl.board.HasNews(watcher.args.Node)
+	return rate > 0 && now.Sub(watcher.due) >= interval-watchTimeout && ctl.board.HasNews(now, watcher.args.Node, rate)
+}
+
+// reportRate returns the number of reports a second that a node gets: its share by the routers that it stands for, and none for a relay without any.
+func (ctl *Control) reportRate(args *feed.WatchArgs) float64 {
+	routers := ctl.feed.routerTotal
+	if !ctl.leaderSince.IsZero() {
+		routers = ctl.feed.countRouters()
+	}
+	switch {
+	case args.Router:
+		return reportsPerSecond / float64(max(1, routers))
+	case args.Relay != "" && args.Routers > 0:
+		// A relay passes them on to its routers, which get a part of them each.
+		return reportsPerSecond / relayDivisor
+	}
+	return 0
 }
 
 func (ctl *Control) watchReply(now time.Time, args *feed.WatchArgs, withConfiguration bool) feed.WatchReply {
@@ -362,8 +381,8 @@
 		}
 		reply.Configuration = &configuration
 	}
-	if args.Router || args.Relay != "" {
-		reply.Reports = ctl.board.Next(now, args.Node)
+	if rate := ctl.reportRate(args); rate > 0 {
+		reply.Reports = ctl.board.Next(now, args.Node, rate)
 	}
 	key := listKey{since: args.Revision, isRouter: args.Router}
 	keptSince := args.KeptNext
--- a/dispatch/uneven_test.go
+++ b/dispatch/uneven_test.go
@@ -169,7 +169,7 @@
 			for _, report := range picker.LoadReports(now) {
 				game.board.Add(now, report)
 			}
-			picker.ApplyLoadReports(now, game.table, game.board.Next(now, celerylanding.NodeID(fmt.Sprint(router))))
+			picker.ApplyLoadReports(now, game.table, game.board.Next(now, celerylanding.NodeID(fmt.Sprint(router)), 1e9))
 			game.after(interval, exchange)
 		}
 		if interval > 0 {
--- a/forecast/board.go
+++ b/forecast/board.go
@@ -15,14 +15,29 @@
 	boardLifetime = 5 * time.Second
 	// unreadTime is the time in which unread tokens are forgotten whose end no router reports, since the router has crashed or a report is lost.
 	unreadTime = 3 * time.Second
+	// creditTime is the time for which a reader that has not asked gathers reports.
+	creditTime = time.Second
 )
 
 // Board keeps what all routers know together of the targets' load, for the nodes that read it. It is not safe for concurrent use.
 type Board struct {
 	entries map[celerylanding.TargetID]*boardEntry
-	// revision counts the changes, and readers holds the revision up to which each reader has them.
+	// revision counts the changes.
 	revision uint64
-	readers  map[celerylanding.NodeID]uint64
+	readers  map[celerylanding.NodeID]*boardReader
+}
+
+// boardReader is a node that reads the board.
+type boardReader struct {
+	// revision is the one up to which the reader has the changes.
+	revision uint64
+	// A reader that may not get all news at once gets it target by target: cursor is the last target of this turn, and turnRevision the revision up to
+	// which the reader has the changes when the turn ends.
+	cursor       celerylanding.TargetID
+	turnRevision uint64
+	// credit is the number of reports that the reader may get, as of creditedAt.
+	credit     float64
+	creditedAt time.Time
 }
 
 type boardEntry struct {
@@ -37,7 +52,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{entries: make(map[celerylanding.TargetID]*boardEntry), readers: make(map[celerylanding.NodeID]uint64)}
+	return &Board{entries: make(map[celerylanding.TargetID]*boardEntry), readers: make(map[celerylanding.NodeID]*boardReader)}
 }
 
 // Add adds what a router, or the routers of a relay, report of a target.
@@ -86,16 +101,20 @@
 	return entry.unread * decay(now.Sub(entry.changedAt), unreadTime)
 }
 
-// Next returns the targets of which there is news since the reader's last call, sorted.
-func (board *Board) Next(now time.Time, reader celerylanding.NodeID) []feed.TargetReport {
+// Next returns the targets of which there is news since the reader's last call, sorted; a part of them if they are more than rate reports a second
+// allow, and the others with the next calls.
+func (board *Board) Next(now time.Time, id celerylanding.NodeID, rate float64) []feed.TargetReport {
+	reader := board.readerOf(now, id, rate)
+	if reader.cursor == "" {
+		reader.turnRevision = board.revision
+	}
 	var list []feed.TargetReport
-	known := board.readers[reader]
-	for id, entry := range board.entries {
+	for target, entry := range board.entries {
 		if now.Sub(entry.changedAt) > boardLifetime {
-			delete(board.entries, id)
+			delete(board.entries, target)
 			continue
 		}
-		if entry.revision <= known {
+		if entry.revision <= reader.revision || target <= reader.cursor {
 			continue
 		}
 		report := entry.report
@@ -105,11 +124,31 @@
 		}
 		list = append(list, report)
 	}
-	board.readers[reader] = board.revision
 	slices.SortFunc(list, func(a, b feed.TargetReport) int { return cmp.Compare(a.Target, b.Target) })
+	if most := int(reader.credit); len(list) > most {
+		list = list[:most]
+		if most > 0 {
+			reader.cursor = list[most-1].Target
+		}
+	} else {
+		reader.revision, reader.cursor = reader.turnRevision, ""
+	}
+	reader.credit -= float64(len(list))
 	return list
 }
 
+// readerOf returns the state of a reader with its credit as of now. A new reader may get the reports of a second at once.
+func (board *Board) readerOf(now time.Time, id celerylanding.NodeID, rate float64) *boardReader {
+	reader := board.readers[id]
+	if reader == nil {
+		reader = &boardReader{credit: rate * creditTime.Seconds(), creditedAt: now}
+		board.readers[id] = reader
+	}
+	reader.credit = min(reader.credit+rate*max(0, now.Sub(reader.creditedAt).Seconds()), rate*creditTime.Seconds())
+	reader.creditedAt = now
+	return reader
+}
+
 // Load returns the newest load of a target and the number of its unread prompt tokens.
 func (board *Board) Load(now time.Time, id celerylanding.TargetID) (load celerylanding.TargetLoad, unread int) {
 	entry := board.entries[id]
@@ -119,9 +158,11 @@
 	return entry.report.Load, int(math.Round(entry.unreadAt(now)))
 }
 
-// HasNews reports whether something has changed since the reader's last call of Next.
-func (board *Board) HasNews(reader celerylanding.NodeID) bool {
-	return board.readers[reader] < board.revision
+// HasNews reports whether something has changed since the reader's last call of Next, and the reader may get all of it at rate reports a second.
+func (board *Board) HasNews(now time.Time, id celerylanding.NodeID, rate float64) bool {
+	reader := board.readerOf(now, id, rate)
+	changes := min(board.revision-reader.revision, uint64(len(board.entries)))
+	return changes > 0 && float64(changes) <= reader.credit
 }
 
 // Forget forgets a reader; if it comes back, it gets all reports.
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -222,3 +222,5 @@
 mutate misdirected-not-spared dispatch/choice.go ./dispatch TestMisdirected 's/ \|\| stats\.lacks\(now, needs\.Unit\)//'
 mutate requests-held-without-leader proxy/leaderless.go ./platform TestNothingIsHeld 's/if call\.delivery\.HasBegun\(\) \|\|/if true ||/'
 mutate limit-never-checked dispatch/choice.go ./dispatch TestEndedLimit 's/isLimited \&\& picker\.gate\.LimitAge\(now, target\) <= limitCheckInterval/isLimited/'
+mutate reports-unbounded forecast/board.go ./forecast TestReportsAreBounded 's/len\(list\) > most \{/false {/'
+mutate reports-always-the-first forecast/board.go ./forecast TestReportsAreBounded 's/ \|\| target <= reader\.cursor//'
