--- a/commands/show.go
+++ b/commands/show.go
@@ -53,7 +53,7 @@
 
 // workspaceRows returns the table of workspaces.
 func workspaceRows(list []node.WorkspaceStatus) []string {
-	rows := []string{"WORKSPACE\tKEYS\tPRIORITY\tALLOWANCE"}
+	rows := []string{"WORKSPACE\tKEYS\tPRIORITY\tQUOTA"}
 	for _, workspace := range list {
 		quota := "unlimited"
 		if workspace.Rate > 0 {
