--- a/config/config_test.go
+++ b/config/config_test.go
@@ -116,7 +116,7 @@
 
 // TestKeysInClearAreNotRepeated guards against problems that show a key which was written in clear by mistake.
 func TestKeysInClearAreNotRepeated(t *testing.T) {
-	const secret = "asnmgkcuyj8pjbvk9m68"
+	const secret = "a-secret-of-this-test"
 	for _, keys := range []string{secret, "[" + secret + "]", "[{" + secret + ": x}]", "[" + digestOfK + secret + "]", "[47114711]", "[null]"} {
 		_, err := parse(validBase, "workspaces:\n  w: {keys: "+keys+"}\n")
 		assert.ErrorContains(t, err, "overlay.yaml:2: workspaces.w.keys")
