--- a/control/control.go
+++ b/control/control.go
@@ -151,7 +151,7 @@
 		stop()
 		return nil, err
 	}
-	ctl.peers = rpc.NewPeers(ctx, rpc.Options{LocalIP: local, Clock: ctl.clock, Counters: &rpccodec.Counters{}})
+	ctl.peers = rpc.NewPeers(ctx, rpc.Options{LocalIP: local, Dial: options.Dial, Clock: ctl.clock, Counters: &rpccodec.Counters{}})
 	return ctl, nil
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -79,6 +79,14 @@
 	silence time.Duration
 	// ignoresFences is set when engines do not check fencing tokens.
 	ignoresFences bool
+	// dialFrom returns the function with which a host opens connections; nil means plain TCP.
+	dialFrom func(host string) func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// host returns the IP address of the node.
+func (node *testNode) host() string {
+	host, _, _ := net.SplitHostPort(node.addr)
+	return host
 }
 
 func listen(t *testing.T, addr string) net.Listener {
@@ -127,7 +135,14 @@
 	if listener == nil {
 		listener = listen(cluster.t, node.addr)
 	}
+	var dial func(ctx context.Context, address string) (net.Conn, error)
+	if cluster.dialFrom != nil {
+		host, _, err := net.SplitHostPort(node.addr)
+		assert.NilError(cluster.t, err)
+		dial = cluster.dialFrom(host)
+	}
 	ctl, err := control.New(cluster.clock(), control.Options{
+		Dial:          dial,
 		Node:          celerylanding.NodeID(node.addr),
 		Domain:        celerylanding.FailureDomain(node.domain),
 		DataFolder:    node.folder,
--- a/control/options.go
+++ b/control/options.go
@@ -31,6 +31,8 @@
 	DataFolder string
 	// Peers is the listener for calls from other nodes.
 	Peers net.Listener
+	// Dial opens a connection to another node; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Seeds returns the peer addresses of control nodes that may know the leader.
 	Seeds func() []string
 	// Bootstrap is set at the first start of the whole system; it allows seeds to create the log.
--- /dev/null
+++ b/control/slow_links_test.go
@@ -0,0 +1,72 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/boottime"
+	"celerylanding.example/celerylanding/control"
+)
+
+// ackTime is the time in which operators and targets need an acknowledgement while the control nodes are calm.
+const ackTime = 4 * time.Second
+
+// newLinkedCluster starts nodes whose links to each other have a delay and can be cut.
+func newLinkedCluster(t *testing.T, delay time.Duration) (*testCluster, *network) {
+	links := newNetwork()
+	links.delay = delay
+	cluster := &testCluster{t: t, engines: &fakeEngines{}, clock: boottime.Now, silence: 5 * time.Second, dialFrom: links.dialFrom}
+	return startCluster(cluster, 0), links
+}
+
+// TestLogKeepsUpOverSlowLinks guards against log messages that queue up behind one another while a round trip takes longer than the time between two
+// heartbeats.
+func TestLogKeepsUpOverSlowLinks(t *testing.T) {
+	cluster, _ := newLinkedCluster(t, 60*time.Millisecond)
+	cluster.submit(cluster.nodes[0], 1)
+	for version := uint64(2); version < 8; version++ {
+		time.Sleep(time.Second)
+		began := time.Now()
+		cluster.submit(cluster.nodes[version%3], version)
+		assert.Assert(t, time.Since(began) < ackTime, "version %d was acknowledged after %v", version, time.Since(began))
+	}
+}
+
+// TestDepartureOutlastsTheLeader guards against a target that is used again after its departure was acknowledged by a leader that had just been cut off.
+func TestDepartureOutlastsTheLeader(t *testing.T) {
+	cluster, links := newLinkedCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	// Followers learn of the target with their next reply.
+	time.Sleep(600 * time.Millisecond)
+	var leader *testNode
+	var others []*testNode
+	for _, node := range cluster.nodes {
+		if node.addr == cluster.nodes[0].ctl.Leader() {
+			leader = node
+		} else {
+			others = append(others, node)
+		}
+	}
+	links.cutLinks([]string{leader.host()}, []string{others[0].host(), others[1].host()})
+	args := &control.AnnounceArgs{Leaving: "t1", Incarnation: announcement("t1", 1, false).Announcement.Incarnation}
+	callCtx, cancelCall := context.WithTimeout(ctx, answerTime)
+	defer cancelCall()
+	if leader.ctl.Announce(callCtx, args) != nil {
+		return
+	}
+	cluster.nodes = others
+	for leading := leader.addr; leading == leader.addr || leading == ""; leading = others[0].ctl.Leader() {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(20 * time.Millisecond)
+	}
+	targets := cluster.awaitTargets(ctx)
+	assert.Equal(t, targets[0].ID, celerylanding.TargetID("t1"))
+	assert.Assert(t, targets[0].Leaving, "the departure was acknowledged")
+}
--- a/quorum/rpc/client.go
+++ b/quorum/rpc/client.go
@@ -39,7 +39,9 @@
 	// LocalIP is the source IP address of the connections, or "" for the default.
 	LocalIP string
 	// TLS returns the configuration for a new connection; nil means plain TCP.
-	TLS      func() *tls.Config
+	TLS func() *tls.Config
+	// Dial opens a connection to an address; nil means TCP from LocalIP, with TLS if that is set.
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
 	Clock    *hlc.Clock
 	Counters *rpccodec.Counters
 }
@@ -215,6 +217,11 @@
 }
 
 func (peers *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
+	if peers.options.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return peers.options.Dial(ctx, address)
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if peers.options.LocalIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(peers.options.LocalIP)}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -34,10 +34,14 @@
 	lastAcknowledged uint64
 	// acknowledgedAt maps each acknowledged version to the time of its acknowledgement, to detect stale reads.
 	acknowledgedAt map[uint64]time.Time
+	// submitted holds the versions that were sent, acknowledged or not, and probes counts the requests that checked the view of a router.
+	submitted map[uint64]bool
+	probes    int
 }
 
 func newChecker() *checker {
-	return &checker{requests: make(map[string]*requestRecord), acknowledgedAt: make(map[uint64]time.Time)}
+	return &checker{requests: make(map[string]*requestRecord), acknowledgedAt: make(map[uint64]time.Time),
+		submitted: make(map[uint64]bool)}
 }
 
 // maxViolations is the maximum number of violations that are recorded.
@@ -121,7 +125,9 @@
 	check.mutex.Lock()
 	defer check.mutex.Unlock()
 	check.lastAcknowledged = max(check.lastAcknowledged, version)
-	check.acknowledgedAt[version] = time.Now()
+	if _, isKnown := check.acknowledgedAt[version]; !isKnown {
+		check.acknowledgedAt[version] = time.Now()
+	}
 }
 
 // maxPropagationTime is the time after an acknowledgement by which reads at any controller must return that version or a later one.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,13 +39,13 @@
 		switch choice := run.random.IntN(5); choice {
 		case 0:
 			proc, fault := run.controllers[run.random.IntN(len(run.controllers))], run.random.IntN(4)
-			inject(fmt.Sprintf("%s, fault %d", proc.ip, fault), func() error { return injectProcessFault(&run.controllerFault, proc, fault, freeze, true) })
+			inject(fmt.Sprintf("%s, fault %d", proc.ip, fault), func() error { return run.injectProcessFault(&run.controllerFault, proc, fault, freeze, true) })
 		case 1:
 			number, fault := run.random.IntN(len(run.routers)), run.random.IntN(3)
 			inject(fmt.Sprintf("%s, fault %d", run.routers[number].ip, fault), func() error {
 				run.available.excuse(run.routers[number].ip)
 				defer run.available.excuse(run.routers[number].ip)
-				return injectProcessFault(&routerFaults[number], run.routers[number], fault, freeze, false)
+				return run.injectProcessFault(&routerFaults[number], run.routers[number], fault, freeze, false)
 			})
 		case 2:
 			run.injectAvailability(inject)
@@ -105,11 +105,12 @@
 
 // injectProcessFault freezes, kills, stops or wipes one process. It does nothing while the mutex is locked by another fault of the same
 // group: all controllers, or one router.
-func injectProcessFault(group *sync.Mutex, proc *process, fault int, freeze time.Duration, awaitRecovery bool) error {
+func (run *runner) injectProcessFault(group *sync.Mutex, proc *process, fault int, freeze time.Duration, awaitRecovery bool) error {
 	if !group.TryLock() {
 		return nil
 	}
 	defer group.Unlock()
+	endFault := run.faults.begin(proc.ip)
 	var err error
 	switch fault {
 	case faultFreeze:
@@ -121,6 +122,7 @@
 	default:
 		err = proc.restart(syscall.SIGKILL, true)
 	}
+	endFault()
 	if awaitRecovery {
 		time.Sleep(controllerRecoveryTime)
 	}
--- a/soak/keys.go
+++ b/soak/keys.go
@@ -137,6 +137,8 @@
 	id := fake.AttemptID(request)
 	use, ok := ring.uses[id]
 	switch {
+	case !ok && fake.IsOfVersion(request):
+		return ""
 	case !ok:
 		return fmt.Sprintf("%s reached a target without a key", id)
 	case fake.CarriesKey(request) || fake.Workspace(request) != use.key.workspace:
--- a/soak/load.go
+++ b/soak/load.go
@@ -93,7 +93,7 @@
 		if run.submit(client, version, controller, random) && random.Float64() < killAfterAckProbability {
 			fault := faultKill + 2*random.IntN(2)
 			faults.Go(func() {
-				results <- injectProcessFault(&run.controllerFault, run.controllers[controller], fault, 0, true)
+				results <- run.injectProcessFault(&run.controllerFault, run.controllers[controller], fault, 0, true)
 			})
 		}
 		for controller := range run.controllers {
@@ -124,6 +124,7 @@
 		run.checker.reportViolation(err.Error())
 		return false
 	}
+	run.checker.recordSubmitted(version)
 	response, err := client.Do(request)
 	if err != nil {
 		return false
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,7 @@
 	keys        *keyring
 	quotas      *quotaChecker
 	targets     sync.WaitGroup
+	faults      *faultLog
 	// controllerFault is locked while a controller has a fault, so that no two have one at the same time.
 	controllerFault sync.Mutex
 	// targetFaults are locked while the target with that number says something of itself.
@@ -77,7 +78,7 @@
 // Run starts the system, injects the faults of one seed and stops it; it returns ErrViolation if a guarantee was violated.
 func Run(ctx context.Context, options Options) error {
 	run := &runner{options: options, checker: newChecker(), available: newAvailabilityChecker(), keys: newKeyring(),
-		quotas: newQuotaChecker(),
+		quotas: newQuotaChecker(), faults: newFaultLog(),
 		random: rand.New(rand.NewPCG(options.Seed, 1))}
 	for i := range modelCount {
 		run.models = append(run.models, fmt.Sprintf("m%d", i))
@@ -208,6 +209,7 @@
 		callers.Go(func() { run.runCaller(callerContext, i, random) })
 	}
 	callers.Go(func() { run.runWithdrawn(callerContext, rand.New(rand.NewPCG(run.options.Seed, 3))) })
+	callers.Go(func() { run.runViewProbes(callerContext, rand.New(rand.NewPCG(run.options.Seed, 4))) })
 	operatorContext, stopOperator := context.WithCancel(callerContext)
 	operatorResult := make(chan error, 1)
 	go func() { operatorResult <- run.runOperator(operatorContext, rand.New(rand.NewPCG(run.options.Seed, 2))) }()
@@ -239,8 +241,8 @@
 	_, all := run.checker.servedShare(time.Time{})
 	served, _ := run.checker.servedShare(time.Time{})
 	limited, most := run.quotas.summary()
-	_, _ = fmt.Fprintf(run.options.Out, "seed %d: %d requests, %.2f served, %.2f at the end, version %d; %d with a limit, at most %d in %v\n", run.options.Seed,
-		all, served, share, version, limited, most, quotaWindow)
+	_, _ = fmt.Fprintf(run.options.Out, "seed %d: %d requests, %.2f served, %.2f at the end, version %d, %d views; %d with a limit, at most %d in %v\n", run.options.Seed,
+		all, served, share, version, run.checker.probes, limited, most, quotaWindow)
 }
 
 // stopProcesses kills the processes that this run has started.
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -29,14 +29,16 @@
 	watched int
 	// watchedAt is when the last request arrived.
 	watchedAt time.Time
-	address   string
-	stop      func()
+	// delay is the time after which the node answers.
+	delay   time.Duration
+	address string
+	stop    func()
 }
 
 // Watch counts the request and returns the reply after a short wait.
 func (node *node) Watch(_ *feed.WatchArgs, reply *feed.WatchReply) error {
 	arrived := time.Now()
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(node.delay)
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	node.watched++
@@ -53,10 +55,16 @@
 
 // startNode serves watch requests on a loopback address until the test ends or stop is called.
 func startNode(t *testing.T) *node {
+	t.Helper()
+	return startSlowNode(t, 5*time.Millisecond)
+}
+
+// startSlowNode serves watch requests like startNode, each after a delay.
+func startSlowNode(t *testing.T, delay time.Duration) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	started := &node{address: listener.Addr().String()}
+	started := &node{address: listener.Addr().String(), delay: delay}
 	server := netrpc.NewServer()
 	assert.NilError(t, server.RegisterName("Peer", started))
 	var mutex sync.Mutex
@@ -174,3 +182,25 @@
 		t.Fatal("no reply was applied")
 	}
 }
+
+// viewBound is the time after an acknowledgement in which a router may act on an older view.
+const viewBound = 2 * time.Second
+
+// TestSlowNodesAreFound guards against a router that keeps an old view since it gives up on each control node before the answer arrives.
+func TestSlowNodesAreFound(t *testing.T) {
+	leader, follower := startSlowNode(t, 200*time.Millisecond), startSlowNode(t, 200*time.Millisecond)
+	leader.setReply(feed.WatchReply{Leads: true, Leader: leader.address, Members: []string{follower.address, leader.address}})
+	follower.setReply(feed.WatchReply{Leader: leader.address, Members: []string{follower.address, leader.address}})
+	applied := make(chan struct{}, 1)
+	startApplyingClient(t, follower.address, func(time.Time, *feed.WatchReply) {
+		select {
+		case applied <- struct{}{}:
+		default:
+		}
+	})
+	select {
+	case <-applied:
+	case <-time.After(viewBound):
+		t.Fatalf("the router has no view %v after its start", viewBound)
+	}
+}
