Routers tell the age of their view, and leaders the loss of their lease

Whether a router acted on an old view could be seen only from single requests, and a leader without a lease not at all: its role goes on while nobody publishes its state.

--- a/control/control.go
+++ b/control/control.go
@@ -96,6 +96,8 @@
 	started time.Time
 	// leaderSince is when this node became the leader; zero while it is not.
 	leaderSince time.Time
+	// leaseLostAt is when the leader's lease was found to have ended while its role goes on; zero while it holds.
+	leaseLostAt time.Time
 	handover    handover
 	// stopping is set when this node has given up leadership in order to shut down.
 	stopping    bool
--- a/control/leader.go
+++ b/control/leader.go
@@ -38,6 +38,7 @@
 // runPeriodicTasks runs all periodic work that is due, except for the ticks of the log.
 func (ctl *Control) runPeriodicTasks(now time.Time) {
 	ctl.updateRole(now)
+	ctl.reportLease(now)
 	ctl.maintainMembership(now)
 	ctl.saveEngineCache(now)
 	ctl.sendHeartbeatBatch(now)
@@ -116,6 +117,21 @@
 	}
 }
 
+// reportLease logs when the leader's lease ends while its role goes on, in which time nobody publishes its state, and when it holds again.
+func (ctl *Control) reportLease(now time.Time) {
+	isLost := !ctl.leaderSince.IsZero() && !ctl.core.HasLeaderLease(now)
+	switch {
+	case isLost && ctl.leaseLostAt.IsZero():
+		ctl.leaseLostAt = now
+		ctl.options.Metrics.Counter("leases_lost").Inc(1)
+		ctl.options.Log.Warn().Uint64("term", ctl.core.Term()).Msg("leader lease lost")
+	case !isLost && !ctl.leaseLostAt.IsZero():
+		ctl.options.Log.Info().Uint64("term", ctl.core.Term()).Bool("leads", !ctl.leaderSince.IsZero()).Dur("after", now.Sub(ctl.leaseLostAt)).
+			Msg("leader lease no longer lost")
+		ctl.leaseLostAt = time.Time{}
+	}
+}
+
 // resetFeed clears the state of the feed at a change of this node's role; the watch requests that wait are kept.
 func (ctl *Control) resetFeed() {
 	watchers, quarantined := ctl.feed.watchers, ctl.feed.quarantined
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -117,6 +117,9 @@
 	}
 }
 
+// ViewAge returns the age of the leader's state that this router acts on, and false if it has none yet.
+func (handler *Handler) ViewAge(now time.Time) (time.Duration, bool) { return handler.state.age(now) }
+
 // HandleNewLeader makes the requests that wait for a unit ask the new leader at once.
 func (handler *Handler) HandleNewLeader() { handler.waker.forgetReplies() }
 
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// age returns the time since the leader's state was last known, and false if it has never been.
+func (state *tableState) age(now time.Time) (time.Duration, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return now.Sub(state.lastContact), !state.lastContact.IsZero()
+}
+
 // sinceContact returns the time since the leader's last answer.
 func (state *tableState) sinceContact(now time.Time) time.Duration {
 	state.mutex.Lock()
