Routers find control nodes that answer slowly, and keep the answers that come late

What callers saw: requests ran by services and routes that an acknowledged configuration had dropped, and reached targets whose departures were acknowledged; models that were loaded in a second were waited for up to 9 s.

Cause: a router that had lost its source asked one control node after another and gave up on each after 150 ms, new connection included, although the leader and relays may hold the request for 250 ms. Where an answer takes longer (a busy processor, a slow disk, a resent SYN) every answer came too late and was thrown away, so that the router never found a source and went on with its old view. The class of fault is a timeout below the time that a healthy but slow answer takes, with a retry that starts from zero.

Change: a search asks only who has the leader's state, which nodes answer at once. The decisions are in watch.Finder, without I/O and clock. Ruled out: replies ignored as outdated, since contact stayed lost in all traces.

--- a/control/feed.go
+++ b/control/feed.go
@@ -162,6 +162,9 @@
 	// A node that knows a later term has better state than this one.
 	isOutdated := args.Term > ctl.feedTerm()
 	switch {
+	case args.IsSearch:
+		reply <- ctl.locate(now, isOutdated)
+		return
 	case !isOutdated && ctl.leads(now):
 		ctl.applyReport(now, args)
 	case !isOutdated && args.Router && ctl.relays(now):
@@ -175,6 +178,19 @@
 	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, reply: reply, due: now.Add(watchTimeout)})
 }
 
+// locate returns where the leader's state is, without that state.
+func (ctl *Control) locate(now time.Time, isOutdated bool) feed.WatchReply {
+	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm()}
+	switch {
+	case isOutdated:
+	case ctl.leads(now):
+		reply.Leads, reply.Relays = true, ctl.relayCandidates(now)
+	case ctl.relays(now):
+		reply.Relayed, reply.Relays = true, ctl.feed.relayAddresses
+	}
+	return reply
+}
+
 // applyReport applies what a router or relay reports to the leader.
 func (ctl *Control) applyReport(now time.Time, args *feed.WatchArgs) {
 	if args.Router {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -125,6 +125,9 @@
 	// that others have reported.
 	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
 	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
+	// IsSearch is set for a request that asks only who has the leader's state; Term is the last one that the node knows. It is answered at once, without
+	// that state.
+	IsSearch bool `cbor:"22,keyasint,omitempty"`
 }
 
 // TargetReport is what one router, the routers of a relay, or all routers know of a target's load.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -5,22 +5,16 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/tasks"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/quorum/rpc"
 )
 
-const (
-	// callTimeout is the timeout of one watch request to the leader, which holds the request for at most 250 ms.
-	callTimeout = 500 * time.Millisecond
-	// searchTimeout is the timeout of one request to a node that may be the leader, which answers at once.
-	searchTimeout = 150 * time.Millisecond
-	// retryDelay is the delay before the next control node is asked after one that does not lead.
-	retryDelay = 40 * time.Millisecond
-)
+// pausePoll is the time between two looks at whether a paused client may go on.
+const pausePoll = 40 * time.Millisecond
 
 // ErrNoLeader means that no leader is known, or that the asked node no longer leads.
 var ErrNoLeader = celerylanding.ErrorNamespace.NewType("no_leader")
@@ -28,9 +22,6 @@
 // ErrBusy means that the leader had no time for a request.
 var ErrBusy = celerylanding.ErrorNamespace.NewType("leader_busy")
 
-// relayRetryDelay is how long a relay that did not answer is avoided.
-const relayRetryDelay = 3 * time.Second
-
 // Options configure a client.
 type Options struct {
 	// Node and Domain are those of the watching node. They decide which relay it watches where the leader names relays.
@@ -43,9 +34,9 @@
 	Peers *rpc.Peers
 	// Seeds returns the addresses of nodes to ask for the leader.
 	Seeds func() []string
-	// NextArgs returns the arguments of the next watch request.
+	// NextArgs returns the arguments of the next watch request; it is called by one goroutine.
 	NextArgs func() feed.WatchArgs
-	// Apply handles a reply with the leader's state; sent is a time before the request was sent.
+	// Apply handles a reply with the leader's state; sent is a time before the request was sent. It is called by the goroutine that calls NextArgs.
 	Apply func(sent time.Time, reply *feed.WatchReply)
 	// IsPaused reports whether the client must send no requests now; nil means never.
 	IsPaused func() bool
@@ -54,19 +45,29 @@
 
 // Client watches the leader for one node, directly or through a relay.
 type Client struct {
-	options Options
-	mutex   sync.Mutex
-	leader  string
-	members []string
-	// source is the node whose replies hold the leader's state, or "" while none is known.
-	source string
-	// avoided maps relays that did not answer to when they are asked again.
-	avoided map[string]time.Time
+	options  Options
+	finder   *Finder
+	outcomes chan outcome
+	// term is that of the last state, and seenAt when it was known.
+	term   uint64
+	seenAt time.Time
+
+	mutex          sync.Mutex
+	leader, source string
+}
+
+// outcome is the end of a request.
+type outcome struct {
+	request Request
+	sent    time.Time
+	reply   *feed.WatchReply
+	err     error
 }
 
 // New returns a client that has not found a leader yet.
 func New(options Options) *Client {
-	return &Client{options: options, avoided: make(map[string]time.Time)}
+	return &Client{options: options, finder: NewFinder(options.Node, options.Domain, options.Direct), outcomes: make(chan outcome),
+		seenAt: options.Clock()}
 }
 
 // Leader returns the address of the leader, or "" while none is known.
@@ -85,137 +86,72 @@
 
 // Run watches the leader until the context ends, and searches for it while it is unknown; it always returns nil.
 func (client *Client) Run(ctx context.Context) error {
-	turn := 0
+	calls := tasks.New(ctx)
+	defer func() { <-calls.Close() }()
 	for ctx.Err() == nil {
-		if client.options.IsPaused != nil && client.options.IsPaused() {
-			sleep(ctx, retryDelay)
-			continue
-		}
-		address, timeout := client.target(), callTimeout
-		if address == "" {
-			address, timeout = client.candidate(turn), searchTimeout
-			turn++
+		wait := pausePoll
+		if client.options.IsPaused == nil || !client.options.IsPaused() {
+			var requests []Request
+			requests, wait = client.finder.Next(client.options.Clock(), client.options.Seeds())
+			for _, request := range requests {
+				client.send(calls, request)
+			}
 		}
-		if address == "" || !client.watchOnce(ctx, address, timeout) {
-			sleep(ctx, retryDelay)
+		timer := time.NewTimer(wait)
+		select {
+		case ended := <-client.outcomes:
+			client.handle(&ended)
+		case <-timer.C:
+		case <-ctx.Done():
 		}
+		timer.Stop()
 	}
 	return nil
 }
 
-// target returns the address of the node to watch, or "" while none is known.
-func (client *Client) target() string {
-	if seeds := client.options.Seeds(); client.options.Direct && len(seeds) > 0 {
-		return seeds[0]
-	}
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if client.source != "" {
-		return client.source
-	}
-	return client.leader
-}
-
-// candidate returns the address of the next node to ask for the leader, or "" if there is none.
-func (client *Client) candidate(turn int) string {
-	client.mutex.Lock()
-	addresses := append([]string(nil), client.members...)
-	client.mutex.Unlock()
-	addresses = append(addresses, client.options.Seeds()...)
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[turn%len(addresses)]
-}
-
-// watchOnce sends one watch request. It reports whether the next one follows without delay: after a reply with the leader's state, or when
-// the reply names another node as the leader.
-func (client *Client) watchOnce(ctx context.Context, address string, timeout time.Duration) bool {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	sent := client.options.Clock()
-	args := client.options.NextArgs()
-	var reply feed.WatchReply
-	err := client.options.Peers.Call(callCtx, address, "Peer.Watch", &args, &reply)
-	if err == nil && reply.IsState() {
-		client.recordState(address, &reply)
-		client.options.Apply(sent, &reply)
-		return true
-	}
-	return client.recordFailure(address, &reply, err)
-}
-
-// recordState updates the known leader, members and relays after a reply with the leader's state.
-func (client *Client) recordState(address string, reply *feed.WatchReply) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	client.members = reply.Members
-	leader := reply.Leader
-	if reply.Leads {
-		leader = address
-	}
-	if client.leader != leader {
-		client.options.Log.Info().Str("leader", leader).Msg("leader found")
-	}
-	client.leader = leader
-	source := leader
-	if !client.options.Direct {
-		if relay := ChooseRelay(client.options.Clock(), client.options.Node, client.options.Domain, reply.Relays, client.avoided); relay != "" {
-			source = relay
+// send sends a request, whose outcome arrives on the client's channel.
+func (client *Client) send(calls *tasks.Group, request Request) {
+	ended := outcome{request: request, sent: client.options.Clock(), reply: &feed.WatchReply{}}
+	args := feed.WatchArgs{Node: client.options.Node, IsSearch: true, Term: client.term}
+	if !request.IsSearch {
+		args = client.options.NextArgs()
+	}
+	calls.Go(func(ctx context.Context) {
+		callCtx, cancel := context.WithTimeout(ctx, request.Timeout)
+		defer cancel()
+		ended.err = client.options.Peers.Call(callCtx, request.Address, "Peer.Watch", &args, ended.reply)
+		select {
+		case client.outcomes <- ended:
+		case <-ctx.Done():
 		}
-	}
-	if source != client.source {
-		client.options.Log.Info().Str("source", source).Bool("relay", source != leader).Msg("feed source changed")
-	}
-	client.source = source
+	})
 }
 
-// recordFailure updates the known nodes after a request to the address that failed with an error or was answered without the leader's
-// state. It reports whether the reply names another leader.
-func (client *Client) recordFailure(address string, reply *feed.WatchReply, err error) bool {
+// handle applies the state of a reply, and logs what the client has found or lost.
+func (client *Client) handle(ended *outcome) {
+	now := client.options.Clock()
+	change := client.finder.Handle(now, ended.request, ended.reply, ended.err)
 	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	wasSource := client.source == address
-	if wasSource {
-		client.source = ""
-		if address != client.leader {
-			client.avoided[address] = client.options.Clock().Add(relayRetryDelay)
-			client.options.Log.Warn().Str("relay", address).Err(err).Msg("relay lost")
-		}
+	client.leader, client.source = client.finder.Leader(), client.finder.Source()
+	client.mutex.Unlock()
+	log := &client.options.Log
+	if change.LostRelay != "" {
+		log.Warn().Str("relay", change.LostRelay).Err(ended.err).Msg("relay lost")
 	}
-	if err == nil && len(reply.Members) > 0 {
-		client.members = reply.Members
+	if change.LostLeader != "" {
+		log.Warn().Str("leader", change.LostLeader).Err(ended.err).Msg("leader lost")
 	}
-	if address == client.leader {
-		client.options.Log.Warn().Str("leader", address).Err(err).Msg("leader lost")
-		client.leader = ""
+	if change.NewLeader != "" {
+		log.Info().Str("leader", change.NewLeader).Dur("after", now.Sub(client.seenAt)).Msg("leader found")
 	}
-	if err != nil || reply.Leader == "" || reply.Leader == address {
-		return false
+	if change.NewSource != "" {
+		log.Info().Str("source", change.NewSource).Bool("relay", change.NewSource != client.finder.Leader()).Msg("feed source changed")
 	}
-	client.leader = reply.Leader
-	return true
-}
-
-// ChooseRelay returns the address of the relay that a node watches: one of its own failure domain if there is one, chosen by a hash, so that
-// the nodes of a domain are spread over its relays and each keeps its choice. Relays are left out until their time in avoided.
-// It returns "" if there is none.
-func ChooseRelay(now time.Time, node celerylanding.NodeID, domain celerylanding.FailureDomain, relays []feed.RelayAddress,
-	avoided map[string]time.Time) string {
-	var best feed.RelayAddress
-	var highest uint64
-	for _, relay := range relays {
-		if now.Before(avoided[relay.Address]) {
-			continue
-		}
-		rank := xxhash.Sum64String(relay.Address + "\x00" + string(node))
-		isNearer := relay.Domain == domain && best.Domain != domain
-		isFarther := relay.Domain != domain && best.Domain == domain && best.Address != ""
-		if best.Address == "" || isNearer || (!isFarther && rank > highest) {
-			best, highest = relay, rank
-		}
+	if !change.IsState {
+		return
 	}
-	return best.Address
+	client.term, client.seenAt = max(client.term, ended.reply.Term), now
+	client.options.Apply(ended.sent, ended.reply)
 }
 
 // Call calls an RPC method on the leader; without a known leader, it returns ErrNoLeader.
@@ -226,12 +162,3 @@
 	}
 	return client.options.Peers.Call(ctx, leader, method, args, reply)
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
