Messages of the log wait for one round trip at most

What callers saw: versions that were sent long before were acknowledged together, after seconds in which no leader published its state.

Cause: each message to a member waited for the reply to the one before it. Once a round trip took longer than the 75 ms between two heartbeats, up to 256 messages queued up, so that replies concerned messages sent seconds before and the leader lost its lease, but not its role. The class of fault is a queue without a bound on its age.

--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	stop    context.CancelFunc
 	tasks   *tasks.Group
 	inbox   inbox
+	outbox  *rpc.Mailbox[quorum.Message]
 	rounds  roundTimer
 
 	// The fields below are owned by the control goroutine.
@@ -154,6 +155,7 @@
 		return nil, err
 	}
 	ctl.peers = rpc.NewPeers(ctx, rpc.Options{LocalIP: local, Dial: options.Dial, Clock: ctl.clock, Counters: &rpccodec.Counters{}})
+	ctl.outbox = rpc.NewMailbox(ctx, ctl.deliver)
 	return ctl, nil
 }
 
@@ -224,6 +226,7 @@
 	ctl.stop()
 	<-ctl.tasks.Close()
 	ctl.peers.Close()
+	ctl.outbox.Close()
 	return errors.Join(err, ctl.wal.Close())
 }
 
--- a/control/log.go
+++ b/control/log.go
@@ -142,11 +142,16 @@
 	}
 	for id, list := range grouped {
 		if address := ctl.addresses[id]; address != "" {
-			ctl.peers.Notify(address, "Peer.Deliver", &DeliverArgs{Messages: list, Address: ctl.member.Address})
+			ctl.outbox.Send(address, list)
 		}
 	}
 }
 
+// deliver sends messages to the member at an address; errors are ignored, since the log's protocol repeats lost messages.
+func (ctl *Control) deliver(ctx context.Context, address string, messages []quorum.Message) {
+	_ = ctl.peers.Call(ctx, address, "Peer.Deliver", &DeliverArgs{Messages: messages, Address: ctl.member.Address}, &struct{}{})
+}
+
 // receive processes Raft messages from another member.
 func (ctl *Control) receive(now time.Time, args *DeliverArgs) error {
 	for _, message := range args.Messages {
