Departures of targets are in the log before they are acknowledged

What callers saw: requests reached targets that had said that they leave, up to 22 s after the acknowledgement, while the routers' views were fresh.

Cause: the leader kept departures in memory and acknowledged them at once. A leader that has just been cut off leads until its lease ends, 0.45 s later; what it acknowledged in that time reached neither followers nor routers, and its successor listed the target as before. Of what the system acknowledges only departures were not replicated; configurations were. The class of fault is an acknowledgement of what one process knows.

Change: a departure is proposed to the log and acknowledged once it is committed. The leader still stops using the target at once.

TestDepartureOutlastsTheLeader failed before and passes.

--- a/control/api.go
+++ b/control/api.go
@@ -96,17 +96,12 @@
 	return reply.Source, nil
 }
 
-// Announce delivers an announcement of a target to the leader; it returns nil once the leader has accepted the announcement or this node
-// has added it to the next batch of unchanged heartbeats.
+// Announce delivers an announcement of a target to the leader; it returns nil once the leader has accepted the announcement, with a departure
+// committed, or this node has added it to the next batch of unchanged heartbeats.
 func (ctl *Control) Announce(ctx context.Context, args *AnnounceArgs) error {
-	accepted := false
-	if err := ctl.postAndWait(ctx, func(now time.Time) {
-		accepted = ctl.applyAnnouncement(now, args) || ctl.batchHeartbeat(now, args.Announcement)
-	}); err != nil {
-		return ErrNoQuorum.Wrap(err, "control state is busy")
-	}
-	if accepted {
-		return nil
+	accepted, err := ctl.announceLocal(ctx, args, true)
+	if err != nil || accepted {
+		return err
 	}
 	leader := ctl.Leader()
 	if leader == "" || leader == ctl.member.Address {
--- a/control/control.go
+++ b/control/control.go
@@ -76,6 +76,7 @@
 	diskRetryAt  time.Time
 
 	directory  *membership.Directory
+	departures departures
 	planner    *loadplan.Planner
 	outliers   *membership.OutlierDetector
 	feed       feedState
@@ -193,6 +194,7 @@
 	ctl.configuration = nil
 	ctl.quarantine.fingerprints = nil
 	ctl.settledTerm = 0
+	ctl.departures = newDepartures(nil)
 	if len(snapshot.Data) == 0 {
 		return nil
 	}
@@ -205,6 +207,7 @@
 	}
 	ctl.quarantine.fingerprints = state.Quarantined
 	ctl.settledTerm = state.SettledTerm
+	ctl.applyDepartures(state.Departed)
 	return nil
 }
 
--- /dev/null
+++ b/control/departures.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	celerylanding "celerylanding.example/celerylanding"
+)
+
+// maxDepartures bounds the departures that are replicated; the oldest are forgotten first.
+const maxDepartures = 4096
+
+// departure is an incarnation of a target that has said that it leaves.
+type departure struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
+}
+
+// departures are the replicated departures. The directory of each node is in memory only, so that without them a new leader would use targets whose
+// departure its predecessor had acknowledged.
+type departures struct {
+	// list is ordered, oldest first.
+	list  []departure
+	known map[departure]bool
+}
+
+func newDepartures(list []departure) departures {
+	set := departures{known: make(map[departure]bool)}
+	set.add(list)
+	return set
+}
+
+func (set *departures) add(list []departure) {
+	for _, left := range list {
+		if !set.known[left] {
+			set.known[left] = true
+			set.list = append(set.list, left)
+		}
+	}
+	surplus := max(0, len(set.list)-maxDepartures)
+	for _, forgotten := range set.list[:surplus] {
+		delete(set.known, forgotten)
+	}
+	set.list = append([]departure(nil), set.list[surplus:]...)
+}
+
+// departureOf returns what an announcement says of the departure of its target, and false if it is none.
+func (ctl *Control) departureOf(args *AnnounceArgs) (departure, bool) {
+	if args.Announcement != nil {
+		return departure{args.Announcement.Target, args.Announcement.Incarnation}, args.Announcement.Leaving
+	}
+	left := departure{args.Leaving, args.Incarnation}
+	if target, ok := ctl.directory.Target(args.Leaving); ok && left.Incarnation == 0 {
+		left.Incarnation = target.Announcement().Incarnation
+	}
+	return left, left.Incarnation != 0
+}
+
+// proposeDeparture proposes a departure that is not replicated yet, and returns the channel of the outcome; nil if it is.
+func (ctl *Control) proposeDeparture(args *AnnounceArgs) (<-chan ProposeReply, error) {
+	left, isDeparture := ctl.departureOf(args)
+	if !isDeparture || ctl.departures.known[left] {
+		return nil, nil
+	}
+	data, err := cbor.Marshal(&replicated{Departed: []departure{left}})
+	if err != nil {
+		return nil, err
+	}
+	reply := make(chan ProposeReply, 1)
+	ctl.batch = append(ctl.batch, queuedCommand{data, reply})
+	return reply, nil
+}
+
+// applyDepartures marks the targets of replicated departures, on the leader and on the nodes that may succeed it.
+func (ctl *Control) applyDepartures(list []departure) {
+	ctl.departures.add(list)
+	now := ctl.options.Clock()
+	for _, left := range list {
+		if !ctl.directory.MarkLeaving(now, left.Target, left.Incarnation) {
+			continue
+		}
+		ctl.engineCache.saveDue = now
+		if !ctl.leaderSince.IsZero() {
+			ctl.observeTarget(now, left.Target)
+		}
+	}
+}
+
+// withDeparture returns an announcement that says that its target leaves if that is replicated.
+func (ctl *Control) withDeparture(announcement celerylanding.Announcement) celerylanding.Announcement {
+	announcement.Leaving = announcement.Leaving || ctl.departures.known[departure{announcement.Target, announcement.Incarnation}]
+	return announcement
+}
+
+// awaitCommit waits until a proposal is committed; it returns ErrNoQuorum if it may not be.
+func awaitCommit(ctx context.Context, proposed <-chan ProposeReply) error {
+	select {
+	case outcome := <-proposed:
+		if !outcome.Committed {
+			return ErrNoQuorum.New("the departure was not committed")
+		}
+		return nil
+	case <-ctx.Done():
+		return ErrNoQuorum.Wrap(ctx.Err(), "the departure was not committed in time")
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -184,10 +184,16 @@
 	}
 }
 
-// applyAnnouncement updates the directory with an announcement or a departure; it returns false if this node does not lead.
-func (ctl *Control) applyAnnouncement(now time.Time, args *AnnounceArgs) bool {
+// applyAnnouncement updates the directory with an announcement or a departure; it returns false if this node does not lead. A departure may be
+// acknowledged only after the returned proposal is committed, unless that is nil.
+func (ctl *Control) applyAnnouncement(now time.Time, args *AnnounceArgs) (accepted bool, proposed <-chan ProposeReply) {
 	if !ctl.leads(now) {
-		return false
+		return false, nil
+	}
+	proposed, err := ctl.proposeDeparture(args)
+	if err != nil {
+		ctl.options.Log.Error().Err(err).Msg("departure can't be encoded")
+		return false, nil
 	}
 	id := args.Leaving
 	changed := false
@@ -199,7 +205,7 @@
 			// A target that is leaving does not return within the same incarnation, so that a late heartbeat can't bring it back.
 			args.Announcement.Leaving = true
 		}
-		changed = ctl.directory.Observe(now, *args.Announcement)
+		changed = ctl.directory.Observe(now, ctl.withDeparture(*args.Announcement))
 		if args.Announcement.Leaving && !wasLeaving {
 			ctl.options.Log.Info().Str("target", string(id)).Msg("target is leaving")
 			ctl.engineCache.saveDue = time.Time{}
@@ -211,7 +217,23 @@
 	if changed {
 		ctl.observeTarget(now, id)
 	}
-	return true
+	return true, proposed
+}
+
+// announceLocal applies an announcement if this node leads, and waits until a departure is committed. On another node it adds an unchanged heartbeat to
+// the next batch for the leader, if that is allowed. It reports whether either was done.
+func (ctl *Control) announceLocal(ctx context.Context, args *AnnounceArgs, mayBatch bool) (accepted bool, err error) {
+	var proposed <-chan ProposeReply
+	if err := ctl.postAndWait(ctx, func(now time.Time) {
+		accepted, proposed = ctl.applyAnnouncement(now, args)
+		accepted = accepted || (mayBatch && ctl.batchHeartbeat(now, args.Announcement))
+	}); err != nil {
+		return false, ErrNoQuorum.Wrap(err, "control state is busy")
+	}
+	if !accepted || proposed == nil {
+		return accepted, nil
+	}
+	return true, awaitCommit(ctx, proposed)
 }
 
 // execute sends the orders and inspections of the planner; their outcomes are handled on the control goroutine.
@@ -288,7 +310,7 @@
 	for i := range targets {
 		known, ok := ctl.directory.Target(targets[i].ID)
 		wasLeaving := ok && known.Announcement().Leaving
-		if ctl.directory.Observe(now, announcementOf(&targets[i])) && targets[i].Leaving && !wasLeaving {
+		if ctl.directory.Observe(now, ctl.withDeparture(announcementOf(&targets[i]))) && targets[i].Leaving && !wasLeaving {
 			ctl.engineCache.saveDue = time.Time{}
 		}
 		if targets[i].Silent {
--- a/control/log.go
+++ b/control/log.go
@@ -195,7 +195,8 @@
 	return nil
 }
 
-// applyCommand applies a committed change of the quarantine or of the settled term, or activates a committed configuration if its version is higher than the active one.
+// applyCommand applies a committed change of the quarantine, of the settled term or of the departures, or activates a committed configuration if its
+// version is higher than the active one.
 func (ctl *Control) applyCommand(entry quorum.Entry) error {
 	command := &replicated{}
 	if err := cbor.Unmarshal(entry.Data, command); err != nil {
@@ -210,6 +211,10 @@
 		ctl.settledTerm = max(ctl.settledTerm, command.SettledTerm)
 		return nil
 	}
+	if len(command.Departed) > 0 {
+		ctl.applyDepartures(command.Departed)
+		return nil
+	}
 	configuration := &command.Configuration
 	isNew := configuration.Version > ctl.version()
 	ctl.options.Log.Info().Uint64("index", entry.Index).Uint64("version", configuration.Version).Uint64("held", ctl.version()).
@@ -243,7 +248,7 @@
 	if ctl.commandsSinceSnapshot < commandsPerSnapshot {
 		return nil
 	}
-	state := replicated{Quarantined: ctl.quarantine.fingerprints, SettledTerm: ctl.settledTerm}
+	state := replicated{Quarantined: ctl.quarantine.fingerprints, SettledTerm: ctl.settledTerm, Departed: ctl.departures.list}
 	if ctl.configuration != nil {
 		state.Configuration = *ctl.configuration
 	}
--- a/control/messages.go
+++ b/control/messages.go
@@ -115,9 +115,13 @@
 	return service.postUrgentAndWait(func(now time.Time) { *reply = service.control.read(now) })
 }
 
-// Announce applies an announcement that a follower has received, if this node leads.
+// Announce applies an announcement that a follower has received, if this node leads, and waits until a departure is committed.
 func (service *PeerService) Announce(args *AnnounceArgs, reply *AnnounceReply) error {
-	return service.postAndWait(func(now time.Time) { reply.Leads = service.control.applyAnnouncement(now, args) })
+	ctx, cancel := context.WithTimeout(service.ctx, peerTimeout)
+	defer cancel()
+	accepted, err := service.control.announceLocal(ctx, args, false)
+	reply.Leads = accepted
+	return err
 }
 
 // Alive applies unchanged heartbeats that a follower has received, if this node leads.
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -34,6 +34,8 @@
 	Released    []uint64 `cbor:"17,keyasint,omitempty"`
 	// SettledTerm is the term of a leader that has outlasted all grants of quotas by its predecessors.
 	SettledTerm uint64 `cbor:"18,keyasint,omitempty"`
+	// Departed lists the targets that have said that they leave: in a command the new ones, in a snapshot all of them, oldest first.
+	Departed []departure `cbor:"19,keyasint,omitempty"`
 }
 
 // hasFingerprints reports whether a command changes the quarantine.
