--- a/control/views_test.go
+++ b/control/views_test.go
@@ -28,6 +28,7 @@
 	viewSeed   = flag.Uint64("views.seed", 1, "seed of the faults of TestRoutersSeeWhatWasAcknowledged")
 	viewLength = flag.Duration("views.length", 20*time.Second, "duration of the faults of TestRoutersSeeWhatWasAcknowledged")
 	viewDelay  = flag.Duration("views.delay", 0, "one-way delay of the links of TestRoutersSeeWhatWasAcknowledged")
+	viewFaults = flag.Int("views.faults", 1, "number of faults that overlap in TestRoutersSeeWhatWasAcknowledged")
 	viewLog    = flag.Bool("views.log", false, "log the nodes of TestRoutersSeeWhatWasAcknowledged")
 )
 
@@ -91,10 +92,15 @@
 	// versions and departures hold the times of the acknowledgements.
 	versions   map[uint64]time.Time
 	departures map[celerylanding.TargetID]time.Time
-	// disturbed holds, for each host, the end of its last fault, or a later time while it has one.
-	disturbed  map[string]time.Time
-	violations []string
-	lastKind   map[string]time.Time
+	// faults counts the running faults of each host, and changedAt is when the last one began or ended.
+	faults    map[string]int
+	changedAt map[string]time.Time
+	// acknowledged receives a value with an acknowledgement.
+	acknowledged chan struct{}
+	violations   []string
+	// restarts is locked while a node restarts.
+	restarts sync.Mutex
+	lastKind map[string]time.Time
 }
 
 func (world *viewWorld) startRouter(host string) {
@@ -129,29 +135,36 @@
 	world.t.Logf("%7.3f %s", time.Since(world.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// disturb records a fault of hosts; the returned function records its end.
+// disturb records the begin of a fault of hosts; the returned function records its end.
 func (world *viewWorld) disturb(hosts ...string) (end func()) {
-	set := func(at time.Time) {
+	change := func(by int) {
 		world.mutex.Lock()
 		defer world.mutex.Unlock()
 		for _, host := range hosts {
-			world.disturbed[host] = at
+			world.faults[host] += by
+			world.changedAt[host] = time.Now()
 		}
 	}
-	set(time.Now().Add(time.Hour))
-	return func() { set(time.Now()) }
+	change(1)
+	return func() { change(-1) }
 }
 
-// isCalm reports whether a router and all nodes have had no fault for calmTime.
-func (world *viewWorld) isCalm(host string) bool {
+// isCalm reports whether a router has to see what is acknowledged: for calmTime no fault of its own or of a node has begun or ended, it has none, and
+// more than half of the nodes have none.
+func (world *viewWorld) isCalm(router string) bool {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
-	for _, each := range append(world.nodeHosts(), host) {
-		if time.Since(world.disturbed[each]) < calmTime {
+	hosts := world.nodeHosts()
+	sound := 0
+	for _, host := range append(hosts, router) {
+		if time.Since(world.changedAt[host]) < calmTime {
 			return false
 		}
+		if host != router && world.faults[host] == 0 {
+			sound++
+		}
 	}
-	return true
+	return world.faults[router] == 0 && 2*sound > len(hosts)
 }
 
 // check compares the view of each calm router with what was acknowledged.
@@ -204,6 +217,7 @@
 					world.mutex.Lock()
 					world.versions[number] = time.Now()
 					world.mutex.Unlock()
+					world.signalAcknowledged()
 					return
 				}
 			}
@@ -227,6 +241,7 @@
 			world.mutex.Lock()
 			world.departures[celerylanding.TargetID(id)] = time.Now()
 			world.mutex.Unlock()
+			world.signalAcknowledged()
 			return
 		}
 		if err == nil {
@@ -237,13 +252,32 @@
 	}
 }
 
+func (world *viewWorld) signalAcknowledged() {
+	select {
+	case world.acknowledged <- struct{}{}:
+	default:
+	}
+}
+
+// awaitAcknowledged waits for the next acknowledgement, for a second at the most.
+func (world *viewWorld) awaitAcknowledged() {
+	select {
+	case <-world.acknowledged:
+	default:
+	}
+	select {
+	case <-world.acknowledged:
+	case <-time.After(time.Second):
+	}
+}
+
 func (world *viewWorld) controlOf(number int) *control.Control {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	return world.nodes[number%len(world.nodes)].ctl
 }
 
-// leaderHost returns the host of the leader that the first node knows, or that of some node.
+// leaderNumber returns the number of the leader that the first node knows, or that of some node.
 func (world *viewWorld) leaderNumber(random *rand.Rand) int {
 	for i, node := range world.nodes {
 		if node.addr == world.controlOf(0).Leader() {
@@ -267,6 +301,9 @@
 	for _, each := range world.routers {
 		everyone = append(everyone, each.host)
 	}
+	if random.IntN(2) == 0 {
+		world.awaitAcknowledged()
+	}
 	switch choice := random.IntN(6); choice {
 	case 0:
 		world.note("router %s is cut off for %v", router, length)
@@ -292,7 +329,6 @@
 		restore()
 		end()
 	}
-	world.note("end of the fault")
 }
 
 func (world *viewWorld) playCut(length time.Duration, from, to []string, disturbed ...string) {
@@ -304,6 +340,8 @@
 }
 
 func (world *viewWorld) restartNode(number int) {
+	world.restarts.Lock()
+	defer world.restarts.Unlock()
 	node := world.nodes[number]
 	world.stop(node)
 	world.mutex.Lock()
@@ -313,10 +351,9 @@
 
 // TestRoutersSeeWhatWasAcknowledged guards against routers that act on a view older than an acknowledgement allows, on links that behave like real ones.
 func TestRoutersSeeWhatWasAcknowledged(t *testing.T) {
-	random := rand.New(rand.NewPCG(*viewSeed, 1))
 	world := &viewWorld{testCluster: &testCluster{t: t, engines: &fakeEngines{}, clock: boottime.Now, silence: 5 * time.Second},
 		network: newNetwork(), began: time.Now(), versions: make(map[uint64]time.Time), departures: make(map[celerylanding.TargetID]time.Time),
-		disturbed: make(map[string]time.Time), lastKind: make(map[string]time.Time)}
+		faults: make(map[string]int), changedAt: make(map[string]time.Time), acknowledged: make(chan struct{}, 1), lastKind: make(map[string]time.Time)}
 	world.network.delay = *viewDelay
 	world.testCluster.dialFrom = world.network.dialFrom
 	startCluster(world.testCluster, 1)
@@ -334,10 +371,20 @@
 			world.check()
 		}
 	})
-	for end := time.Now().Add(*viewLength); time.Now().Before(end); {
-		world.injectFault(random)
-		time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
+	var faults sync.WaitGroup
+	end := time.Now().Add(*viewLength)
+	for number := range *viewFaults {
+		random := rand.New(rand.NewPCG(*viewSeed, uint64(10+number)))
+		faults.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				world.injectFault(random)
+				world.note("end of the fault that began %v ago", time.Since(began).Round(time.Millisecond))
+				time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
+			}
+		})
 	}
+	faults.Wait()
 	time.Sleep(calmTime + 2*viewBound)
 	cancel()
 	work.Wait()
