A relay passes on no state as newer than its configuration

Cause: a follower that relays the feed gets the leader's state by its watch request, but configurations through the log. It stated the age of the former for both, so that routers held an old configuration for new whenever the log lagged behind the feed. With more than 40 routers all of them watch relays.

Change: the age of a relayed state counts from the last word of the leader for which the relay had the newest version in force (access.Proof, as for keys). A relay that stays behind for more than a second relays no more.

TestRelayWithAnOldConfigurationIsNotFresh failed before (1 s instead of 2 s) by the age that the word alone gave.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -57,3 +57,14 @@
 func EarliestOrder(now, wholeLease time.Time, lease time.Duration, isFenced bool, reply *LastOrderReply, err error) time.Time {
 	return earliestOrder(now, wholeLease, lease, isFenced, reply, err)
 }
+
+// RelayedState is the leader's state on a node that relays it.
+type RelayedState struct{ state feedState }
+
+// Learn takes over a reply of the leader while the node has the version in force.
+func (relayed *RelayedState) Learn(sent time.Time, reply *feed.WatchReply, inForce uint64) {
+	relayed.state.extendProof(sent, reply, inForce)
+}
+
+// Age returns the age that the node states to routers.
+func (relayed *RelayedState) Age(now time.Time) time.Duration { return relayed.state.age(now) }
--- a/control/feed.go
+++ b/control/feed.go
@@ -53,10 +53,10 @@
 
 // feedState is the state of the feed: on the leader its own, on another node what the leader has sent.
 type feedState struct {
-	// term is the term of the leader whose state this is, and word the leader's word on the newest configuration, as old as the rest of that
-	// state at the most; on the leader both are unused.
+	// term is the term of the leader whose state this is, and proof the time as of which that state and this node's configuration are known to be the
+	// newest; on the leader both are unused.
 	term     uint64
-	word     access.Word
+	proof    access.Proof
 	revision uint64
 	targets  map[celerylanding.TargetID]*publishedTarget
 	watchers []watcher
@@ -386,7 +386,7 @@
 		}
 	} else {
 		reply.Relayed = true
-		reply.Age, reply.Version = ctl.feed.word.At(now)
+		reply.Age, reply.Version = ctl.feed.age(now), ctl.version()
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
 		reply.Limits = ctl.feed.limits
 	}
--- a/control/relay.go
+++ b/control/relay.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -293,12 +294,21 @@
 	return ctl.leaderSince.IsZero() && !ctl.stopping && ctl.feed.term != 0 && ctl.feed.term == ctl.core.Term() && ctl.feed.age(now) <= relayFreshness
 }
 
-// age returns the age of the leader's state on a node that relays it.
+// age returns the age of the leader's state on a node that relays it, with the node's configuration.
 func (state *feedState) age(now time.Time) time.Duration {
-	age, _ := state.word.At(now)
+	age, isKnown := state.proof.Age(now)
+	if !isKnown {
+		return math.MaxInt64
+	}
 	return age
 }
 
+// extendProof takes over what a reply to a request that was sent at a time says of the newest configuration, while the node has the version in force. A
+// node that gets the configuration late, through the log, passes on no state as newer than its configuration.
+func (state *feedState) extendProof(sent time.Time, reply *feed.WatchReply, inForce uint64) {
+	state.proof = state.proof.Extend(access.NewWord(sent, reply.Age, reply.Version), inForce)
+}
+
 // applyFeed takes over the leader's reply to this node's watch request, which was sent at the given time.
 func (ctl *Control) applyFeed(now, sent time.Time, reply *feed.WatchReply) {
 	targets := reply.Targets.All()
@@ -314,8 +324,7 @@
 	for _, id := range ctl.feed.forgetSilent(now) {
 		ctl.board.Forget(id)
 	}
-	// The leader has answered after the request was sent.
-	ctl.feed.word = access.NewWord(sent, reply.Age, reply.Version)
+	ctl.feed.extendProof(sent, reply, ctl.version())
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
 	ctl.feed.prompts.Relay(now, reply.Kept, reply.KeptNext)
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -211,3 +211,16 @@
 	reports.Acknowledge()
 	assert.Equal(t, len(reports.Collect(now).Limits), 0)
 }
+
+// TestRelayWithAnOldConfigurationIsNotFresh guards against routers that take a configuration for the newest since the relay's other state is new.
+func TestRelayWithAnOldConfigurationIsNotFresh(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	relayed := &control.RelayedState{}
+	assert.Assert(t, relayed.Age(began) > time.Hour, "nothing is known")
+	relayed.Learn(began, &feed.WatchReply{Leads: true, Version: 5}, 5)
+	assert.Equal(t, relayed.Age(began.Add(time.Second)), time.Second)
+	relayed.Learn(began.Add(time.Second), &feed.WatchReply{Leads: true, Version: 6}, 5)
+	assert.Equal(t, relayed.Age(began.Add(2*time.Second)), 2*time.Second)
+	relayed.Learn(began.Add(3*time.Second), &feed.WatchReply{Leads: true, Version: 6}, 6)
+	assert.Equal(t, relayed.Age(began.Add(4*time.Second)), time.Second)
+}
