--- a/control/feed.go
+++ b/control/feed.go
@@ -172,7 +172,7 @@
 		ctl.addReports(now, args.Reports)
 		ctl.feed.routers[args.Node] = now
 	default:
-		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
+		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
 		return
 	}
 	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, reply: reply, due: now.Add(watchTimeout)})
@@ -180,7 +180,7 @@
 
 // locate returns where the leader's state is, without that state.
 func (ctl *Control) locate(now time.Time, isOutdated bool) feed.WatchReply {
-	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.feedTerm()}
+	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
 	switch {
 	case isOutdated:
 	case ctl.leads(now):
@@ -299,7 +299,7 @@
 		includeConfiguration := lacksConfiguration && configurations < maxConfigurationsPerPush
 		switch {
 		case !hasState:
-			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses()}
+			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
 		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due) || ctl.hasReports(now, &watcher):
 			watcher.reply <- ctl.watchReply(now, &watcher.args, includeConfiguration)
 			pushed = true
--- a/watch/finder.go
+++ b/watch/finder.go
@@ -22,9 +22,9 @@
 	// retryDelay is the time before a node is asked again.
 	retryDelay = 100 * time.Millisecond
 	// relayRetryDelay is how long a relay that did not answer is avoided, and leaderRetryDelay how long another node's word on the leader is not
-	// followed after the leader did not answer.
+	// followed after that node did not answer as the leader. It is still found by its own word.
 	relayRetryDelay  = 3 * time.Second
-	leaderRetryDelay = 250 * time.Millisecond
+	leaderRetryDelay = time.Second
 )
 
 // Request is a call that a finder wants.
@@ -51,8 +51,10 @@
 	node     celerylanding.NodeID
 	domain   celerylanding.FailureDomain
 	isDirect bool
-	leader   string
-	members  []string
+	// leader is the leader of a term, by its own word or that of another node.
+	leader  string
+	term    uint64
+	members []string
 	// source is the node that is watched, or "" while none is known.
 	source string
 	// watching is the watch request whose reply is wanted, sent at watchedAt; number counts the requests.
@@ -93,8 +95,7 @@
 			requests = append(requests, finder.watch(now, target))
 		}
 	}
-	isOverdue := finder.isOverdue(now)
-	if finder.watching != nil && !isOverdue {
+	if finder.isWaiting(now) {
 		return requests, min(wait, finder.watchedAt.Add(overdueTime).Sub(now))
 	}
 	if finder.isDirect {
@@ -135,6 +136,11 @@
 	return finder.watching != nil && now.Sub(finder.watchedAt) >= overdueTime
 }
 
+// isWaiting reports whether no search is needed, since the pending watch request to a node that had the leader's state may still be answered in time.
+func (finder *Finder) isWaiting(now time.Time) bool {
+	return finder.watching != nil && finder.source != "" && !finder.isOverdue(now)
+}
+
 // candidate returns the next node to ask for the leader, or "" if all are being asked or were asked a moment ago.
 func (finder *Finder) candidate(now time.Time, seeds []string) string {
 	addresses := slices.Clone(finder.members)
@@ -146,7 +152,7 @@
 	for range addresses {
 		address := addresses[finder.turn%len(addresses)]
 		finder.turn++
-		if !finder.searching[address] && now.Sub(finder.askedAt[address]) >= retryDelay {
+		if address != "" && !finder.searching[address] && now.Sub(finder.askedAt[address]) >= retryDelay {
 			return address
 		}
 	}
@@ -159,7 +165,7 @@
 	if request.IsSearch {
 		delete(finder.searching, request.Address)
 		finder.askedAt[request.Address] = now
-		if err != nil || (finder.watching != nil && !finder.isOverdue(now)) {
+		if err != nil || finder.isWaiting(now) {
 			return Change{}
 		}
 		return finder.handleFound(now, request.Address, reply)
@@ -189,18 +195,23 @@
 		}
 		return change
 	}
-	isKnown := finder.watching != nil && finder.watching.Address == reply.Leader
-	if reply.Leader == "" || reply.Leader == address || isKnown || now.Sub(finder.failedAt[reply.Leader]) < leaderRetryDelay {
+	isTried := finder.watching != nil && (finder.watching.Address == reply.Leader || (!finder.isOverdue(now) && reply.Term <= finder.term))
+	if isTried || !finder.mayFollow(now, address, reply) {
 		return Change{}
 	}
 	change := Change{}
 	if finder.leader != reply.Leader {
 		change.NewLeader = reply.Leader
 	}
-	finder.leader, finder.source, finder.watching, finder.watchDue = reply.Leader, "", nil, now
+	finder.leader, finder.term, finder.source, finder.watching, finder.watchDue = reply.Leader, reply.Term, "", nil, now
 	return change
 }
 
+// mayFollow reports whether a node's word on another leader is worth a request to that one.
+func (finder *Finder) mayFollow(now time.Time, address string, reply *feed.WatchReply) bool {
+	return reply.Leader != "" && reply.Leader != address && reply.Term >= finder.term && now.Sub(finder.failedAt[reply.Leader]) >= leaderRetryDelay
+}
+
 // follow takes over the leader and the source that a node with the leader's state names.
 func (finder *Finder) follow(now time.Time, address string, reply *feed.WatchReply) Change {
 	var change Change
@@ -212,7 +223,7 @@
 	if finder.leader != leader {
 		change.NewLeader = leader
 	}
-	finder.leader = leader
+	finder.leader, finder.term = leader, max(finder.term, reply.Term)
 	source := leader
 	if !finder.isDirect {
 		if relay := ChooseRelay(now, finder.node, finder.domain, reply.Relays, finder.avoided(now)); relay != "" {
@@ -251,13 +262,10 @@
 func (finder *Finder) handleFailure(now time.Time, address string, reply *feed.WatchReply, err error) Change {
 	var change Change
 	finder.watchDue = now.Add(retryDelay)
-	if err != nil {
-		finder.failedAt[address] = now
-	}
+	finder.failedAt[address] = now
 	if finder.source == address {
 		finder.source = ""
 		if address != finder.leader {
-			finder.failedAt[address] = now
 			change.LostRelay = address
 		}
 	}
@@ -271,11 +279,11 @@
 	if len(reply.Members) > 0 {
 		finder.members = reply.Members
 	}
-	if reply.Leader != "" && reply.Leader != address {
+	if finder.mayFollow(now, address, reply) {
 		if finder.leader != reply.Leader {
 			change.NewLeader = reply.Leader
 		}
-		finder.leader, finder.watchDue = reply.Leader, now
+		finder.leader, finder.term, finder.watchDue = reply.Leader, reply.Term, now
 	}
 	return change
 }
