The product's own nodes send messages of the log by the mailbox as well

The same cause as on the platform: messages of the log to a member waited for the reply to the one before (rpc.Peers.Notify, 256 deep), so that they queued up once a round trip took longer than the time between two heartbeats. TestItemsDoNotQueueBehindOneAnother fails when the mailbox delivers one by one.

--- a/node/control.go
+++ b/node/control.go
@@ -63,6 +63,7 @@
 	log       zerolog.Logger
 	recorder  celerylanding.Recorder
 	peers     *rpc.Peers
+	outbox    *rpc.Mailbox[quorum.Message]
 	publisher publisher
 	inbox     chan func(now time.Time)
 
--- a/node/log.go
+++ b/node/log.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"celerylanding.example/celerylanding/quorum"
@@ -56,11 +57,16 @@
 	}
 	for id, list := range grouped {
 		if address := ctl.addresses[id]; address != "" {
-			ctl.peers.Notify(address, "Peer.Deliver", &DeliverArgs{Messages: list, Address: ctl.member.Address})
+			ctl.outbox.Send(address, list)
 		}
 	}
 }
 
+// deliver sends messages to the member at an address; errors are ignored, since the log's protocol repeats lost messages.
+func (ctl *control) deliver(ctx context.Context, address string, messages []quorum.Message) {
+	_ = ctl.peers.Call(ctx, address, "Peer.Deliver", &DeliverArgs{Messages: messages, Address: ctl.member.Address}, &struct{}{})
+}
+
 func (ctl *control) installSnapshot(snapshot *quorum.Snapshot) error {
 	if snapshot == nil {
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -125,6 +125,7 @@
 		stop()
 		return nil, err
 	}
+	node.control.outbox = rpc.NewMailbox(ctx, node.control.deliver)
 	node.gateway = gateway.New(gateway.Deps{
 		Dispatcher:        node.dispatcher,
 		Client:            node.client,
@@ -214,5 +215,6 @@
 	node.stop()
 	<-node.tasks.Close()
 	node.peers.Close()
+	node.control.outbox.Close()
 	return errors.Join(err, node.metricsCloser.Close())
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -236,3 +236,4 @@
 mutate departures-not-awaited control/leader.go ./control TestDepartureOutlastsTheLeader 's/return true, awaitCommit\(ctx, proposed\)/return true, nil/'
 mutate departures-lost-in-snapshots control/log.go ./control TestDeparturesOutlastSnapshots 's/, Departed: ctl\.departures\.list//'
 mutate relay-proof-by-word control/relay.go ./control TestRelayWithAnOld 's/reply\.Version\), inForce\)/reply.Version), reply.Version)/'
+mutate mailbox-behind-one-another quorum/rpc/mailbox.go ./quorum/rpc TestItemsDoNot 's/\tdelete\(box\.waiting, address\)\n/\tif len(items) > 1 { box.waiting[address] = items[1:]; items = items[:1] } else { delete(box.waiting, address) }\n/'
