--- a/control/leader.go
+++ b/control/leader.go
@@ -223,17 +223,23 @@
 // announceLocal applies an announcement if this node leads, and waits until a departure is committed. On another node it adds an unchanged heartbeat to
 // the next batch for the leader, if that is allowed. It reports whether either was done.
 func (ctl *Control) announceLocal(ctx context.Context, args *AnnounceArgs, mayBatch bool) (accepted bool, err error) {
-	var proposed <-chan ProposeReply
+	type outcome struct {
+		accepted bool
+		proposed <-chan ProposeReply
+	}
+	// The function may still run after this call has ended with its context.
+	outcomes := make(chan outcome, 1)
 	if err := ctl.postAndWait(ctx, func(now time.Time) {
-		accepted, proposed = ctl.applyAnnouncement(now, args)
-		accepted = accepted || (mayBatch && ctl.batchHeartbeat(now, args.Announcement))
+		accepted, proposed := ctl.applyAnnouncement(now, args)
+		outcomes <- outcome{accepted || (mayBatch && ctl.batchHeartbeat(now, args.Announcement)), proposed}
 	}); err != nil {
 		return false, ErrNoQuorum.Wrap(err, "control state is busy")
 	}
-	if !accepted || proposed == nil {
-		return accepted, nil
+	result := <-outcomes
+	if !result.accepted || result.proposed == nil {
+		return result.accepted, nil
 	}
-	return true, awaitCommit(ctx, proposed)
+	return true, awaitCommit(ctx, result.proposed)
 }
 
 // execute sends the orders and inspections of the planner; their outcomes are handled on the control goroutine.
