A watch request that is given up counts against its node

A relay that hangs was never avoided: the search replaced the late watch request without recording a failure, and the leader's next reply chose the same relay again (13 watches of it in 10 s). A direct client waited up to a second for the former leader although it knew the new one, in which time its node relayed nothing. A call that never ends would have been waited for without a bound.

Requests that are given up are recorded as failures of their nodes; direct clients give up when their seed changes, all clients half a second after a request's timeout. TestHungRelayIsAvoided, TestDirectClientFollowsItsSeed and TestCallThatNeverEndsIsGivenUp fail without the changes (mutations).

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -237,3 +237,6 @@
 mutate departures-lost-in-snapshots control/log.go ./control TestDeparturesOutlastSnapshots 's/, Departed: ctl\.departures\.list//'
 mutate relay-proof-by-word control/relay.go ./control TestRelayWithAnOld 's/reply\.Version\), inForce\)/reply.Version), reply.Version)/'
 mutate mailbox-behind-one-another quorum/rpc/mailbox.go ./quorum/rpc TestItemsDoNot 's/\tdelete\(box\.waiting, address\)\n/\tif len(items) > 1 { box.waiting[address] = items[1:]; items = items[:1] } else { delete(box.waiting, address) }\n/'
+mutate hung-relay-not-avoided watch/finder.go ./watch TestHungRelay 's/\tfinder\.failedAt\[finder\.watching\.Address\] = now\n\tif finder\.source/\tif finder.source/'
+mutate direct-client-waits watch/finder.go ./watch TestDirectClient 's/ \|\| finder\.isDirect \&\& finder\.watching\.Address != target\)/)/'
+mutate stuck-call-not-given-up watch/finder.go ./watch TestCallThatNeverEnds 's/now\.Sub\(finder\.watchedAt\) > finder\.watching\.Timeout\+overdueTime/false/'
--- a/watch/finder.go
+++ b/watch/finder.go
@@ -57,7 +57,8 @@
 	members []string
 	// source is the node that is watched, or "" while none is known.
 	source string
-	// watching is the watch request whose reply is wanted, sent at watchedAt; number counts the requests.
+	// watching is the watch request whose reply is wanted, sent at watchedAt; number counts the requests. A request whose reply is not wanted any more has
+	// been given up.
 	watching  *Request
 	watchedAt time.Time
 	number    int
@@ -86,8 +87,13 @@
 // Next returns the requests to send now, and the time until it must be called again if no reply arrives earlier.
 func (finder *Finder) Next(now time.Time, seeds []string) (requests []Request, wait time.Duration) {
 	wait = overdueTime
+	target := finder.target(seeds)
+	if finder.watching != nil && (now.Sub(finder.watchedAt) > finder.watching.Timeout+overdueTime || finder.isDirect && finder.watching.Address != target) {
+		finder.giveUp(now)
+		target = finder.target(seeds)
+	}
 	if finder.watching == nil {
-		switch target := finder.target(seeds); {
+		switch {
 		case target == "":
 		case now.Before(finder.watchDue):
 			wait = finder.watchDue.Sub(now)
@@ -191,7 +197,7 @@
 	if reply.IsState() {
 		change := finder.follow(now, address, reply)
 		if finder.watching != nil && finder.watching.Address != finder.source {
-			finder.watching = nil
+			finder.giveUp(now)
 		}
 		return change
 	}
@@ -203,10 +209,23 @@
 	if finder.leader != reply.Leader {
 		change.NewLeader = reply.Leader
 	}
-	finder.leader, finder.term, finder.source, finder.watching, finder.watchDue = reply.Leader, reply.Term, "", nil, now
+	finder.giveUp(now)
+	finder.leader, finder.term, finder.source, finder.watchDue = reply.Leader, reply.Term, "", now
 	return change
 }
 
+// giveUp stops waiting for the pending watch request, if there is one; its node counts as failed.
+func (finder *Finder) giveUp(now time.Time) {
+	if finder.watching == nil {
+		return
+	}
+	finder.failedAt[finder.watching.Address] = now
+	if finder.source == finder.watching.Address {
+		finder.source = ""
+	}
+	finder.watching, finder.watchDue = nil, now
+}
+
 // mayFollow reports whether a node's word on another leader is worth a request to that one.
 func (finder *Finder) mayFollow(now time.Time, address string, reply *feed.WatchReply) bool {
 	return reply.Leader != "" && reply.Leader != address && reply.Term >= finder.term && now.Sub(finder.failedAt[reply.Leader]) >= leaderRetryDelay
--- a/watch/finder_test.go
+++ b/watch/finder_test.go
@@ -39,8 +39,11 @@
 	seeds  []string
 	leader string
 	finder *watch.Finder
+	relays []feed.RelayAddress
 	calls  []simCall
 	sent   int
+	// watched counts the watch requests to each node.
+	watched map[string]int
 }
 
 // answer returns what a node answers to a request.
@@ -51,7 +54,8 @@
 		return call
 	}
 	call.at, call.err = sim.now.Add(node.delay), nil
-	call.reply = &feed.WatchReply{Leader: node.knows, Members: sim.seeds, Term: node.term, Leads: request.Address == sim.leader}
+	call.reply = &feed.WatchReply{Leader: node.knows, Members: sim.seeds, Relays: sim.relays, Term: node.term, Leads: request.Address == sim.leader,
+		Relayed: request.Address != sim.leader && len(sim.relays) > 0}
 	return call
 }
 
@@ -62,6 +66,9 @@
 		requests, wait := sim.finder.Next(sim.now, sim.seeds)
 		sim.sent += len(requests)
 		for _, request := range requests {
+			if !request.IsSearch {
+				sim.watched[request.Address]++
+			}
 			sim.calls = append(sim.calls, sim.answer(request))
 		}
 		next := -1
@@ -88,7 +95,7 @@
 
 // newSim returns a simulation with nodes n0 to n(count-1), of which the first leads and the others name it.
 func newSim(count int) *sim {
-	sim := &sim{now: time.Unix(1_700_000_000, 0), nodes: make(map[string]*simNode), leader: "n0", finder: watch.NewFinder("r", "d", false)}
+	sim := &sim{now: time.Unix(1_700_000_000, 0), nodes: make(map[string]*simNode), watched: make(map[string]int), leader: "n0", finder: watch.NewFinder("r", "d", false)}
 	for i := range count {
 		address := fmt.Sprintf("n%d", i)
 		sim.seeds = append(sim.seeds, address)
@@ -161,3 +168,55 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, took, 800*time.Millisecond)
 }
+
+// TestHungRelayIsAvoided guards against a router that goes back to a relay that hangs, and waits for it, after each reply of the leader.
+func TestHungRelayIsAvoided(t *testing.T) {
+	sim := newSim(2)
+	sim.relays = []feed.RelayAddress{{Address: "n0", Domain: "d0"}, {Address: "n1", Domain: "d"}}
+	_, ok := sim.runUntilState(time.Second)
+	assert.Assert(t, ok)
+	sim.nodes["n1"].isDead = true
+	for began := sim.now; sim.now.Sub(began) < 10*time.Second; {
+		_, ok := sim.runUntilState(viewBound)
+		assert.Assert(t, ok)
+	}
+	assert.Assert(t, sim.watched["n1"] <= 5, "the hung relay was watched %d times in 10 s", sim.watched["n1"])
+}
+
+// TestDirectClientFollowsItsSeed guards against a control node that waits for the former leader although it knows the new one.
+func TestDirectClientFollowsItsSeed(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	finder := watch.NewFinder("n", "d", true)
+	requests, _ := finder.Next(now, []string{"old"})
+	assert.Equal(t, requests[0].Address, "old")
+	requests, _ = finder.Next(now.Add(100*time.Millisecond), []string{"new"})
+	assert.Equal(t, len(requests), 1)
+	assert.Equal(t, requests[0].Address, "new")
+}
+
+// TestCallThatNeverEndsIsGivenUp guards against a client that waits for ever for a call that does not observe its timeout.
+func TestCallThatNeverEndsIsGivenUp(t *testing.T) {
+	for _, isDirect := range []bool{true, false} {
+		now := time.Unix(1_700_000_000, 0)
+		finder := watch.NewFinder("n", "d", isDirect)
+		seeds := []string{"a"}
+		requests, _ := finder.Next(now, seeds)
+		if !isDirect {
+			finder.Handle(now, requests[0], &feed.WatchReply{Leads: true, Leader: "a", Members: seeds}, nil)
+			requests, _ = finder.Next(now, seeds)
+		}
+		assert.Assert(t, !requests[0].IsSearch)
+		watched := 0
+		for at := now; at.Sub(now) < 3*time.Second; at = at.Add(50 * time.Millisecond) {
+			requests, _ = finder.Next(at, seeds)
+			for _, request := range requests {
+				if !request.IsSearch {
+					watched++
+				} else {
+					finder.Handle(at, request, &feed.WatchReply{Leads: true, Leader: "a", Members: seeds}, nil)
+				}
+			}
+		}
+		assert.Assert(t, watched > 0, "direct %v", isDirect)
+	}
+}
