A silent connection is retired, and calls that wait on it still get late replies

A connection on which nothing has arrived for 450 ms is used for no new call; it is closed when the last call on it has ended.

--- a/quorum/rpc/client.go
+++ b/quorum/rpc/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +23,7 @@
 	// notifyTimeout is the deadline of one queued notification.
 	notifyTimeout = 2 * time.Second
 	// silenceTimeout is how long a peer may send nothing at all, while calls wait for it, before its connection counts as dead. Calls with
-	// shorter deadlines do not close the connection, since a busy peer answers late and a new connection would add to its load.
+	// shorter deadlines do not end the use of the connection, since a busy peer answers late and a new connection would add to its load.
 	silenceTimeout = 450 * time.Millisecond
 	// notifyQueueLimit is the maximum number of notifications queued for one peer; further ones are dropped.
 	notifyQueueLimit = 256
@@ -54,11 +56,13 @@
 
 // Peers holds one client connection per peer address; it is safe for concurrent use.
 type Peers struct {
-	options    Options
-	ctx        context.Context
-	cancel     context.CancelFunc
-	mutex      sync.Mutex
-	clients    map[string]*client
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	mutex   sync.Mutex
+	clients map[string]*client
+	// retired are the connections that only calls which began earlier use.
+	retired    map[*client]bool
 	queues     map[string]chan notification
 	senderDone chan struct{}
 	senders    int
@@ -68,6 +72,9 @@
 type client struct {
 	*rpc.Client
 	conn *monitoredConn
+	// pending counts the calls that wait, and isRetired is set when new calls use another connection; both are guarded by the mutex of Peers.
+	pending   int
+	isRetired bool
 }
 
 // monitoredConn is a connection that knows when bytes last arrived and since when calls have waited in vain.
@@ -115,27 +122,39 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		clients:    make(map[string]*client),
+		retired:    make(map[*client]bool),
 		queues:     make(map[string]chan notification),
 		senderDone: make(chan struct{}),
 	}
 }
 
-// Call calls a method on the peer and waits for the reply. A call that exceeds its deadline closes the connection if nothing at all has
-// arrived on it for silenceTimeout, since a dead connection may report no error. Call returns ErrUnreachable, ErrNoAnswer, or the error of the remote method as rpc.ServerError.
+// Call calls a method on the peer and waits for the reply. If nothing at all has arrived on a connection for silenceTimeout, new calls use another
+// one, since a dead connection may report no error; calls that wait still get late replies. Call returns ErrUnreachable, ErrNoAnswer, or the error of
+// the remote method as rpc.ServerError.
 func (peers *Peers) Call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := peers.client(ctx, address)
 	if err != nil {
 		return ErrUnreachable.Wrap(err, "%s", address)
 	}
+	defer peers.release(client)
 	began, received := boottime.Now(), client.conn.received.Load()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && client.conn.isDead(began, boottime.Now(), received) {
-			peers.closeClient(address, client)
+	silence := time.NewTimer(silenceTimeout)
+	defer silence.Stop()
+	for isDone := false; !isDone; {
+		select {
+		case <-call.Done:
+			isDone = true
+		case <-silence.C:
+			if client.conn.isDead(began, boottime.Now(), received) {
+				peers.retire(address, client)
+			}
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) && client.conn.isDead(began, boottime.Now(), received) {
+				peers.retire(address, client)
+			}
+			return ErrNoAnswer.Wrap(ctx.Err(), "%s of %s", method, address)
 		}
-		return ErrNoAnswer.Wrap(ctx.Err(), "%s of %s", method, address)
 	}
 	var remote rpc.ServerError
 	if call.Error == nil || errors.As(call.Error, &remote) {
@@ -145,6 +164,33 @@
 	return ErrNoAnswer.Wrap(call.Error, "%s of %s", method, address)
 }
 
+// retire makes new calls use another connection; this one is closed when no call waits on it.
+func (peers *Peers) retire(address string, client *client) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if peers.clients[address] == client {
+		delete(peers.clients, address)
+	}
+	if !client.isRetired {
+		client.isRetired = true
+		peers.retired[client] = true
+	}
+}
+
+// release ends a call on a connection.
+func (peers *Peers) release(client *client) {
+	peers.mutex.Lock()
+	client.pending--
+	isUnused := client.isRetired && client.pending == 0
+	if isUnused {
+		delete(peers.retired, client)
+	}
+	peers.mutex.Unlock()
+	if isUnused {
+		_ = client.Close()
+	}
+}
+
 // Notify queues a call of a method on the peer and returns at once. The call is dropped if the queue is full or the peer is unreachable.
 func (peers *Peers) Notify(address, method string, args any) {
 	peers.mutex.Lock()
@@ -184,8 +230,9 @@
 	senders := peers.senders
 	clients := peers.clients
 	peers.clients = make(map[string]*client)
+	retired := slices.Collect(maps.Keys(peers.retired))
 	peers.mutex.Unlock()
-	for _, client := range clients {
+	for _, client := range append(slices.Collect(maps.Values(clients)), retired...) {
 		_ = client.Close()
 	}
 	for range senders {
@@ -193,9 +240,13 @@
 	}
 }
 
+// client returns the connection to a peer for one call, which must be released.
 func (peers *Peers) client(ctx context.Context, address string) (*client, error) {
 	peers.mutex.Lock()
 	known, ok := peers.clients[address]
+	if ok {
+		known.pending++
+	}
 	peers.mutex.Unlock()
 	if ok {
 		return known, nil
@@ -205,11 +256,12 @@
 		return nil, err
 	}
 	conn := &monitoredConn{Conn: dialed}
-	added := &client{rpc.NewClientWithCodec(rpccodec.NewClient(conn, peers.options.Clock, peers.options.Counters)), conn}
+	added := &client{Client: rpc.NewClientWithCodec(rpccodec.NewClient(conn, peers.options.Clock, peers.options.Counters)), conn: conn, pending: 1}
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	if other, ok := peers.clients[address]; ok {
 		_ = added.Close()
+		other.pending++
 		return other, nil
 	}
 	peers.clients[address] = added
