Control nodes that answer after up to a second are found as well

Control nodes that answered after 600 ms were still never found (no view after 10 s, 16 requests). A search has 1.5 s now, which covers a lost first packet of a new connection; a node that has not answered for half a second is asked once more beside the first request. TestSlowNodesAreFound plays 700 ms too, which failed before.

--- a/watch/finder.go
+++ b/watch/finder.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	// callTimeout is the timeout of one watch request, which the leader or a relay holds for at most 250 ms.
-	callTimeout = time.Second
+	// callTimeout is the timeout of one watch request, which the leader or a relay holds for at most 250 ms. That of a direct client is shorter, since it
+	// has no search beside it.
+	callTimeout       = 1500 * time.Millisecond
+	directCallTimeout = time.Second
 	// overdueTime is the time after which the client searches for another source while a watch request goes on.
 	overdueTime = 500 * time.Millisecond
-	// searchTimeout is the timeout of one request for the leader's address, which nodes answer at once, with the time for a new connection.
-	searchTimeout = 500 * time.Millisecond
+	// searchTimeout is the timeout of one request for the leader's address, which nodes answer at once. It covers a new connection whose first packet
+	// is lost and sent again after a second. A node that has not answered for overdueTime is asked once more, maxSearches times at most.
+	searchTimeout = 1500 * time.Millisecond
+	maxSearches   = 3
 	// searchInterval is the time between the beginnings of two such requests, which go on side by side.
 	searchInterval = 50 * time.Millisecond
 	// retryDelay is the time before a node is asked again.
@@ -63,18 +67,18 @@
 	watchedAt time.Time
 	number    int
 	watchDue  time.Time
-	// searching holds the nodes that are being asked for the leader, and searchDue is when the next one is asked.
-	searching map[string]bool
+	// searching counts the pending requests for the leader to each node, and searchDue is when the next node is asked.
+	searching map[string]int
 	searchDue time.Time
 	turn      int
-	// failedAt holds the times at which watch requests failed, and askedAt those at which searches ended without a leader.
+	// failedAt holds the times at which watch requests failed, and askedAt those at which searches last began or ended.
 	failedAt map[string]time.Time
 	askedAt  map[string]time.Time
 }
 
 // NewFinder returns a finder that knows no node yet; a direct one watches only the first of the seeds.
 func NewFinder(node celerylanding.NodeID, domain celerylanding.FailureDomain, isDirect bool) *Finder {
-	return &Finder{node: node, domain: domain, isDirect: isDirect, searching: make(map[string]bool), failedAt: make(map[string]time.Time),
+	return &Finder{node: node, domain: domain, isDirect: isDirect, searching: make(map[string]int), failedAt: make(map[string]time.Time),
 		askedAt: make(map[string]time.Time)}
 }
 
@@ -109,7 +113,8 @@
 	}
 	if !now.Before(finder.searchDue) {
 		if address := finder.candidate(now, seeds); address != "" {
-			finder.searching[address] = true
+			finder.searching[address]++
+			finder.askedAt[address] = now
 			finder.searchDue = now.Add(searchInterval)
 			requests = append(requests, Request{Address: address, IsSearch: true, Timeout: searchTimeout})
 		} else {
@@ -133,6 +138,9 @@
 func (finder *Finder) watch(now time.Time, address string) Request {
 	finder.number++
 	request := Request{Address: address, Timeout: callTimeout, number: finder.number}
+	if finder.isDirect {
+		request.Timeout = directCallTimeout
+	}
 	finder.watching, finder.watchedAt = &request, now
 	return request
 }
@@ -147,7 +155,7 @@
 	return finder.watching != nil && finder.source != "" && !finder.isOverdue(now)
 }
 
-// candidate returns the next node to ask for the leader, or "" if all are being asked or were asked a moment ago.
+// candidate returns the next node to ask for the leader, or "" if all were asked a moment ago.
 func (finder *Finder) candidate(now time.Time, seeds []string) string {
 	addresses := slices.Clone(finder.members)
 	for _, seed := range seeds {
@@ -158,7 +166,11 @@
 	for range addresses {
 		address := addresses[finder.turn%len(addresses)]
 		finder.turn++
-		if address != "" && !finder.searching[address] && now.Sub(finder.askedAt[address]) >= retryDelay {
+		pause := retryDelay
+		if finder.searching[address] > 0 {
+			pause = overdueTime
+		}
+		if address != "" && finder.searching[address] < maxSearches && now.Sub(finder.askedAt[address]) >= pause {
 			return address
 		}
 	}
@@ -169,7 +181,7 @@
 // nothing.
 func (finder *Finder) Handle(now time.Time, request Request, reply *feed.WatchReply, err error) Change {
 	if request.IsSearch {
-		delete(finder.searching, request.Address)
+		finder.searching[request.Address]--
 		finder.askedAt[request.Address] = now
 		if err != nil || finder.isWaiting(now) {
 			return Change{}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -188,19 +188,23 @@
 
 // TestSlowNodesAreFound guards against a router that keeps an old view since it gives up on each control node before the answer arrives.
 func TestSlowNodesAreFound(t *testing.T) {
-	leader, follower := startSlowNode(t, 200*time.Millisecond), startSlowNode(t, 200*time.Millisecond)
-	leader.setReply(feed.WatchReply{Leads: true, Leader: leader.address, Members: []string{follower.address, leader.address}})
-	follower.setReply(feed.WatchReply{Leader: leader.address, Members: []string{follower.address, leader.address}})
-	applied := make(chan struct{}, 1)
-	startApplyingClient(t, follower.address, func(time.Time, *feed.WatchReply) {
-		select {
-		case applied <- struct{}{}:
-		default:
-		}
-	})
-	select {
-	case <-applied:
-	case <-time.After(viewBound):
-		t.Fatalf("the router has no view %v after its start", viewBound)
+	for _, delay := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			leader, follower := startSlowNode(t, delay), startSlowNode(t, delay)
+			leader.setReply(feed.WatchReply{Leads: true, Leader: leader.address, Members: []string{follower.address, leader.address}})
+			follower.setReply(feed.WatchReply{Leader: leader.address, Members: []string{follower.address, leader.address}})
+			applied := make(chan struct{}, 1)
+			startApplyingClient(t, follower.address, func(time.Time, *feed.WatchReply) {
+				select {
+				case applied <- struct{}{}:
+				default:
+				}
+			})
+			select {
+			case <-applied:
+			case <-time.After(viewBound):
+				t.Fatalf("the router has no view %v after its start", viewBound)
+			}
+		})
 	}
 }
