A newer configuration counts even if it comes with older targets

Targets and configuration have their own order: the configuration counts by its version. TestNewerConfigurationOfARelayThatIsBehind failed before (no new table).

--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -96,19 +96,19 @@
 	return roster.term, roster.revision, version
 }
 
-// Apply applies a leader's reply and returns the new table, or nil if nothing has changed. Replies of earlier terms are ignored.
+// Apply applies a leader's reply and returns the new table, or nil if nothing has changed. The targets of earlier terms and revisions are ignored.
 func (roster *Roster) Apply(now time.Time, reply *feed.WatchReply) *Table {
-	// A relay may be behind the one that answered before.
+	isNewer := roster.applyConfiguration(reply.Configuration)
+	// A relay may be behind the one that answered before, also while it has a newer configuration through the log.
 	if reply.Term < roster.term || (reply.Term == roster.term && reply.Revision < roster.revision) {
-		return nil
+		if !isNewer {
+			return nil
+		}
+		return roster.buildTable()
 	}
 	targets := reply.Targets.All()
-	changed := reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
+	changed := isNewer || reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
 	roster.term, roster.revision, roster.routers = reply.Term, reply.Revision, reply.Routers
-	if next := reply.Configuration; next != nil && (roster.routes == nil || next.Version > roster.routes.Version()) {
-		roster.routes = routing.NewTable(next)
-		changed = true
-	}
 	for i := range targets {
 		roster.upsert(reply.Term, targets[i])
 	}
@@ -119,6 +119,15 @@
 	return roster.buildTable()
 }
 
+// applyConfiguration takes over a configuration if its version is higher than the one in force, and reports whether it is.
+func (roster *Roster) applyConfiguration(next *routing.Configuration) bool {
+	if next == nil || (roster.routes != nil && next.Version <= roster.routes.Version()) {
+		return false
+	}
+	roster.routes = routing.NewTable(next)
+	return true
+}
+
 // upsert stores a target unless a later incarnation is known; leaving is final for an incarnation.
 func (roster *Roster) upsert(term uint64, target feed.Target) {
 	known := roster.targets[target.ID]
