The age of a router's view counts from its request, and only with the newest configuration

Found by the review: a router counted the leader's word from when it read the reply, so that a process that had stood still took an old reply for new and reported routes as not found that a newer configuration may contain; a reply of a leader that can't name the newest version counted too. The age of the view is that of the proof of freshness, which keys have used.

--- a/access/proof.go
+++ b/access/proof.go
@@ -43,6 +43,9 @@
 	return !proof.asOf.IsZero() && at.Sub(proof.asOf) <= bound-bound/driftDivisor
 }
 
+// AsOf returns the time of the proof; zero if nothing is proven.
+func (proof Proof) AsOf() time.Time { return proof.asOf }
+
 // Age returns the time since the proof at a time; ok is false if nothing is proven.
 func (proof Proof) Age(now time.Time) (age time.Duration, ok bool) {
 	if proof.asOf.IsZero() {
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -35,7 +35,11 @@
 }
 
 // RecordContact records that the leader has answered the router.
-func (handler *Handler) RecordContact(now time.Time) { handler.state.recordContact(now) }
+func (handler *Handler) RecordContact(now time.Time) {
+	handler.state.mutex.Lock()
+	defer handler.state.mutex.Unlock()
+	handler.state.lastContact = now
+}
 
 // Use records that the request is sent.
 func (charged *Charged) Use() { charged.handler.useCharge(charged.call) }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -100,11 +100,8 @@
 	handler.state.set(table)
 }
 
-// RecordLeaderContact records that the leader's state was known as of a time, also when nothing has changed.
-func (handler *Handler) RecordLeaderContact(at time.Time) { handler.state.recordContact(at) }
-
-// RecordNewest extends the proof of freshness by a word on the newest configuration, unless a newer one than the one in force may have been
-// acknowledged.
+// RecordNewest extends the proof of freshness, and with it the age of the view, by a word on the newest configuration, unless a newer one than the one in
+// force may have been acknowledged.
 func (handler *Handler) RecordNewest(word access.Word) { handler.state.extendProof(word) }
 
 // RecordWatchRequest records that the process asks for word on the newest configuration, so that requests wait for it only while it is expected.
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -13,7 +13,7 @@
 	mutex   sync.Mutex
 	current *dispatch.Table
 	changed chan struct{}
-	// lastContact is the time of the leader's last answer.
+	// lastContact is the time as of which the leader's state was last known, with the newest configuration.
 	lastContact time.Time
 	// proof covers the configuration of the current table, and proven is closed when it is extended.
 	proof   access.Proof
@@ -65,6 +65,9 @@
 	if state.proof = state.proof.Extend(word, routes.Version()); state.proof == before {
 		return
 	}
+	if at := state.proof.AsOf(); at.After(state.lastContact) {
+		state.lastContact = at
+	}
 	state.renewal = state.renewal.Succeed()
 	close(state.proven)
 	state.proven = make(chan struct{})
@@ -85,14 +88,6 @@
 	state.changed = make(chan struct{})
 }
 
-func (state *tableState) recordContact(now time.Time) {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	if now.After(state.lastContact) {
-		state.lastContact = now
-	}
-}
-
 // age returns the time since the leader's state was last known, and false if it has never been.
 func (state *tableState) age(now time.Time) (time.Duration, bool) {
 	state.mutex.Lock()
