Answers of the log do not wait for one another; a departure that can't be recorded is not acknowledged

Lease: with one delivery at a time each way, a message and its answer could each wait a round trip, so that the leader lost its lease without its role over links of 120 ms (11 times in 8 s). A mailbox has up to four deliveries to an address under way. TestLeaseHoldsOverSlowLinks fails with one delivery and passes with four. The simulated links of the tests delayed what came right after a segment by up to twice their delay; now each segment has its own time.

Departures: one that names no incarnation, of a target that the leader does not know, was acknowledged and recorded nowhere. It is an error now, so that its sender tries again (TestDepartureThatCantBeRecordedIsNotAcknowledged). Departures no longer count toward the 32 commands after which the log is rewritten with the whole configuration; the log is also cut after 1,024 entries.

TestRoutersSeeWhatWasAcknowledged plays routers that watch the leader as well as relays (-views.direct).

--- a/control/control.go
+++ b/control/control.go
@@ -37,8 +37,10 @@
 	electionTimeout = 600 * time.Millisecond
 	// logHeartbeatInterval is the time between two messages from the leader to a voter.
 	logHeartbeatInterval = 75 * time.Millisecond
-	// commandsPerSnapshot is the number of commands between two snapshots; each command holds a whole configuration.
+	// commandsPerSnapshot is the number of commands between two snapshots, without departures, which are small; most hold a whole configuration.
 	commandsPerSnapshot = 32
+	// maxLogLength is the number of entries after which there is a snapshot in any case.
+	maxLogLength = 1024
 	// maxClockOffset is how far ahead of this node's clock an observed timestamp may be; the hybrid logical clock ignores later ones.
 	maxClockOffset = 10 * time.Second
 )
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -79,6 +79,8 @@
 	silence time.Duration
 	// ignoresFences is set when engines do not check fencing tokens.
 	ignoresFences bool
+	// maxDirectRouters is the number of routers up to which all watch the leader.
+	maxDirectRouters int
 	// dialFrom returns the function with which a host opens connections; nil means plain TCP.
 	dialFrom func(host string) func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -142,23 +144,25 @@
 		dial = cluster.dialFrom(host)
 	}
 	ctl, err := control.New(cluster.clock(), control.Options{
-		Dial:          dial,
-		Node:          celerylanding.NodeID(node.addr),
-		Domain:        celerylanding.FailureDomain(node.domain),
-		DataFolder:    node.folder,
-		Peers:         listener,
-		Seeds:         func() []string { return cluster.seeds },
-		Bootstrap:     bootstrap,
-		MaxVoters:     3,
-		Fencing:       !cluster.ignoresFences,
-		LeaseTime:     leaseTime,
-		TargetSilence: cluster.silence,
-		Quotas:        throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000},
-		Engines:       cluster.engines,
-		Clock:         cluster.clock,
-		Log:           zerolog.Nop(),
-		Metrics:       tally.NoopScope,
-		Seed:          uint64(time.Now().UnixNano()),
+		Dial: dial,
+
+		MaxDirectRouters: cluster.maxDirectRouters,
+		Node:             celerylanding.NodeID(node.addr),
+		Domain:           celerylanding.FailureDomain(node.domain),
+		DataFolder:       node.folder,
+		Peers:            listener,
+		Seeds:            func() []string { return cluster.seeds },
+		Bootstrap:        bootstrap,
+		MaxVoters:        3,
+		Fencing:          !cluster.ignoresFences,
+		LeaseTime:        leaseTime,
+		TargetSilence:    cluster.silence,
+		Quotas:           throttle.QuotaBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 1000},
+		Engines:          cluster.engines,
+		Clock:            cluster.clock,
+		Log:              zerolog.Nop(),
+		Metrics:          tally.NoopScope,
+		Seed:             uint64(time.Now().UnixNano()),
 	})
 	assert.NilError(cluster.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/control/departures.go
+++ b/control/departures.go
@@ -57,9 +57,13 @@
 	return left, left.Incarnation != 0
 }
 
-// proposeDeparture proposes a departure that is not replicated yet, and returns the channel of the outcome; nil if it is.
+// proposeDeparture proposes a departure that is not replicated yet, and returns the channel of the outcome; nil if it is. A departure that names no
+// incarnation, of a target that is not known, can't be recorded and is an error.
 func (ctl *Control) proposeDeparture(args *AnnounceArgs) (<-chan ProposeReply, error) {
 	left, isDeparture := ctl.departureOf(args)
+	if args.Announcement == nil && !isDeparture {
+		return nil, ErrNoQuorum.New("target %s is not known, and its departure names no incarnation", left.Target)
+	}
 	if !isDeparture || ctl.departures.known[left] {
 		return nil, nil
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -192,7 +192,7 @@
 	}
 	proposed, err := ctl.proposeDeparture(args)
 	if err != nil {
-		ctl.options.Log.Error().Err(err).Msg("departure can't be encoded")
+		ctl.options.Log.Warn().Err(err).Msg("departure not recorded")
 		return false, nil
 	}
 	id := args.Leaving
--- a/control/log.go
+++ b/control/log.go
@@ -202,6 +202,10 @@
 	if err := cbor.Unmarshal(entry.Data, command); err != nil {
 		return err
 	}
+	if len(command.Departed) > 0 {
+		ctl.applyDepartures(command.Departed)
+		return nil
+	}
 	ctl.commandsSinceSnapshot++
 	if command.hasFingerprints() {
 		ctl.applyQuarantine(command)
@@ -211,10 +215,6 @@
 		ctl.settledTerm = max(ctl.settledTerm, command.SettledTerm)
 		return nil
 	}
-	if len(command.Departed) > 0 {
-		ctl.applyDepartures(command.Departed)
-		return nil
-	}
 	configuration := &command.Configuration
 	isNew := configuration.Version > ctl.version()
 	ctl.options.Log.Info().Uint64("index", entry.Index).Uint64("version", configuration.Version).Uint64("held", ctl.version()).
@@ -243,9 +243,9 @@
 	return ctl.configuration.Version
 }
 
-// compact replaces applied log entries by a snapshot after every commandsPerSnapshot commands.
+// compact replaces applied log entries by a snapshot after every commandsPerSnapshot commands, or when the log holds maxLogLength entries.
 func (ctl *Control) compact() error {
-	if ctl.commandsSinceSnapshot < commandsPerSnapshot {
+	if ctl.commandsSinceSnapshot < commandsPerSnapshot && ctl.core.LogLength() < maxLogLength {
 		return nil
 	}
 	state := replicated{Quarantined: ctl.quarantine.fingerprints, SettledTerm: ctl.settledTerm, Departed: ctl.departures.list}
--- a/control/network_test.go
+++ b/control/network_test.go
@@ -83,15 +83,21 @@
 // segments are the bytes on their way in one direction.
 type segments struct {
 	mutex sync.Mutex
-	data  [][]byte
+	data  []segment
 	added chan struct{}
 }
 
+// segment is what was sent at a time.
+type segment struct {
+	data []byte
+	sent time.Time
+}
+
 func newSegments() *segments { return &segments{added: make(chan struct{}, 1)} }
 
 func (queue *segments) add(data []byte) {
 	queue.mutex.Lock()
-	queue.data = append(queue.data, append([]byte(nil), data...))
+	queue.data = append(queue.data, segment{append([]byte(nil), data...), time.Now()})
 	queue.mutex.Unlock()
 	select {
 	case queue.added <- struct{}{}:
@@ -99,7 +105,7 @@
 	}
 }
 
-func (queue *segments) take() [][]byte {
+func (queue *segments) take() []segment {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	data := queue.data
@@ -122,10 +128,9 @@
 				return
 			}
 		}
-		data := queue.take()
-		time.Sleep(delay)
-		for _, data := range data {
-			if pass(data) != nil {
+		for _, segment := range queue.take() {
+			time.Sleep(time.Until(segment.sent.Add(delay)))
+			if pass(segment.data) != nil {
 				return
 			}
 		}
--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -114,3 +114,33 @@
 		}
 	}
 }
+
+// TestDepartureThatCantBeRecordedIsNotAcknowledged guards against a target that is used after the acknowledgement of a departure that names no incarnation.
+func TestDepartureThatCantBeRecordedIsNotAcknowledged(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	for _, node := range cluster.nodes {
+		assert.Assert(t, node.ctl.Announce(ctx, &control.AnnounceArgs{Leaving: "unknown"}) != nil)
+	}
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, false))
+	cluster.announceUntilAccepted(ctx, &control.AnnounceArgs{Leaving: "t1"})
+	assert.Assert(t, cluster.awaitTargets(ctx)[0].Leaving)
+}
+
+// TestLeaseHoldsOverSlowLinks guards against a leader that keeps its role and publishes nothing, since answers to its heartbeats wait for one another.
+func TestLeaseHoldsOverSlowLinks(t *testing.T) {
+	cluster, _ := newLinkedCluster(t, 120*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	time.Sleep(2 * time.Second)
+	peers := newTestPeers(t)
+	for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(20 * time.Millisecond) {
+		leader := cluster.nodes[0].ctl.Leader()
+		var reply feed.WatchReply
+		assert.NilError(t, peers.Call(ctx, leader, "Peer.Watch", &feed.WatchArgs{Node: "r", IsSearch: true}, &reply))
+		assert.Assert(t, reply.Leads, "the leader has no lease")
+	}
+}
--- a/control/views_test.go
+++ b/control/views_test.go
@@ -29,6 +29,7 @@
 	viewLength = flag.Duration("views.length", 20*time.Second, "duration of the faults of TestRoutersSeeWhatWasAcknowledged")
 	viewDelay  = flag.Duration("views.delay", 0, "one-way delay of the links of TestRoutersSeeWhatWasAcknowledged")
 	viewFaults = flag.Int("views.faults", 1, "number of faults that overlap in TestRoutersSeeWhatWasAcknowledged")
+	viewDirect = flag.Bool("views.direct", true, "routers watch the leader in TestRoutersSeeWhatWasAcknowledged, not relays")
 	viewLog    = flag.Bool("views.log", false, "log the nodes of TestRoutersSeeWhatWasAcknowledged")
 )
 
@@ -355,6 +356,9 @@
 		network: newNetwork(), began: time.Now(), versions: make(map[uint64]time.Time), departures: make(map[celerylanding.TargetID]time.Time),
 		faults: make(map[string]int), changedAt: make(map[string]time.Time), acknowledged: make(chan struct{}, 1), lastKind: make(map[string]time.Time)}
 	world.network.delay = *viewDelay
+	if *viewDirect {
+		world.maxDirectRouters = 40
+	}
 	world.testCluster.dialFrom = world.network.dialFrom
 	startCluster(world.testCluster, 1)
 	world.submit(world.nodes[0], 1)
--- a/quorum/rpc/mailbox.go
+++ b/quorum/rpc/mailbox.go
@@ -13,22 +13,24 @@
 	deliverTimeout = time.Second
 	// maxUndelivered bounds the items that wait for one address.
 	maxUndelivered = 256
+	// maxDeliveries bounds the deliveries to one address that go on at a time.
+	maxDeliveries = 4
 )
 
-// Mailbox sends items to addresses. An address gets one delivery at a time, which carries all that has come up since the last one, so that items do not
-// queue behind one another when a round trip takes long. It is safe for concurrent use.
+// Mailbox sends items to addresses. An address gets a few deliveries at a time; what comes up meanwhile goes with the next one, so that items do not queue
+// behind one another when a round trip takes long. Items may overtake each other. It is safe for concurrent use.
 type Mailbox[Item any] struct {
 	deliver func(ctx context.Context, address string, items []Item)
 	calls   *tasks.Group
 	mutex   sync.Mutex
-	// waiting holds the items for each address, and sending the addresses to which a delivery goes on.
+	// waiting holds the items for each address, and sending counts the deliveries that go on.
 	waiting map[string][]Item
-	sending map[string]bool
+	sending map[string]int
 }
 
 // NewMailbox returns an empty mailbox that delivers with the function until the context ends or Close is called. A delivery that fails is not repeated.
 func NewMailbox[Item any](ctx context.Context, deliver func(ctx context.Context, address string, items []Item)) *Mailbox[Item] {
-	return &Mailbox[Item]{deliver: deliver, calls: tasks.New(ctx), waiting: make(map[string][]Item), sending: make(map[string]bool)}
+	return &Mailbox[Item]{deliver: deliver, calls: tasks.New(ctx), waiting: make(map[string][]Item), sending: make(map[string]int)}
 }
 
 // Send adds items for an address and returns at once. While more than maxUndelivered wait, the oldest are dropped.
@@ -37,10 +39,10 @@
 	defer box.mutex.Unlock()
 	list := append(box.waiting[address], items...)
 	box.waiting[address] = list[max(0, len(list)-maxUndelivered):]
-	if box.sending[address] {
+	if box.sending[address] >= maxDeliveries {
 		return
 	}
-	box.sending[address] = true
+	box.sending[address]++
 	box.calls.Go(func(ctx context.Context) {
 		for items := box.take(address); len(items) > 0; items = box.take(address) {
 			callCtx, cancel := context.WithTimeout(ctx, deliverTimeout)
@@ -50,13 +52,16 @@
 	})
 }
 
-// take returns the items for an address; if there are none, its deliveries have ended.
+// take returns the items for an address; if there are none, the delivery has ended.
 func (box *Mailbox[Item]) take(address string) []Item {
 	box.mutex.Lock()
 	defer box.mutex.Unlock()
 	items := box.waiting[address]
 	delete(box.waiting, address)
-	if len(items) == 0 {
+	if len(items) > 0 {
+		return items
+	}
+	if box.sending[address]--; box.sending[address] == 0 {
 		delete(box.sending, address)
 	}
 	return items
--- a/quorum/rpc/mailbox_test.go
+++ b/quorum/rpc/mailbox_test.go
@@ -20,10 +20,10 @@
 	delivered := make(chan struct{})
 	const count = 60
 	box := rpc.NewMailbox(t.Context(), func(_ context.Context, _ string, items []time.Time) {
+		time.Sleep(round)
 		mutex.Lock()
 		defer mutex.Unlock()
-		oldest = max(oldest, time.Since(items[0]))
-		time.Sleep(round)
+		oldest = max(oldest, time.Since(items[0])-round)
 		if last += len(items); last == count {
 			close(delivered)
 		}
