Keep the requests of all routers within the room of brittle targets

Callers saw: targets that say in all their answers that they crash when they turn more than N requests away in a second fell one after the other, and with them the requests that they ran.

Cause: a router that is turned away tries the next target, and neither it nor the other routers know of the rejections that are still to come. Load reports only make a target less attractive; nothing bounds what all routers send.

Fix: throttle.Rooms keeps the requests in flight of all routers within the slots of a target, since its waiting room may shrink without notice. Each router uses slot time by its share of the demand; where the target's load is known, chance gives out the rest of the room. Routers report rejections, and the leader publishes their sum (throttle.Tally): routers stop at a quarter of N in a second, and send no more than N/4 rejections a second would come from afterwards. A request that was turned away is sent again only where room is known, and is refused as not run otherwise, with a delay that grows with the demand. What one target says holds for its whole service until others have answered. When no target is brittle, choices are as before.

--- a/call.go
+++ b/call.go
@@ -64,6 +64,11 @@
 	// Limit is the number of requests per second that the target takes from all nodes together, if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// IsBrittle is set when the target says that it crashes if it has to turn more than Tolerance calls away in a second for want of room.
+	IsBrittle bool
+	Tolerance int
+	// IsFull is set when the target has turned the call away, be it for want of room.
+	IsFull bool
 	// IsLeaving is set when the target says that it is about to shut down.
 	IsLeaving bool
 	// Pause is the time for which a target that turned the call away wants no calls from this node; zero for none.
--- a/control/control.go
+++ b/control/control.go
@@ -82,6 +82,8 @@
 	quarantine quarantineState
 	// limits are the limits on requests that targets announce, as routers have reported them to this leader.
 	limits *throttle.Ledger
+	// brittle holds the brittle targets, as routers have reported them to this leader.
+	brittle *throttle.Tally
 	// quotas are what this leader has granted of the quotas of workspaces; nil before this node has led.
 	quotas *throttle.Allocator
 	// settledTerm is the last term whose leader has outlasted all grants of its predecessors, by the log; isSettling is set while this leader has not
@@ -136,6 +138,7 @@
 		outliers:   membership.NewOutlierDetector(),
 		quarantine: newQuarantineState(),
 		limits:     throttle.NewLedger(),
+		brittle:    throttle.NewTally(),
 		board:      forecast.NewBoard(),
 		origins:    resume.NewLedger(now),
 		relay:      newRelayReports(),
--- a/control/feed.go
+++ b/control/feed.go
@@ -78,6 +78,9 @@
 	// limits lists the targets with a limit on requests, as of limitsAt; another node than the leader has it from the leader.
 	limits   []feed.TargetLimit
 	limitsAt time.Time
+	// brittle lists the targets that say that they are brittle, likewise.
+	brittle   []feed.BrittleTarget
+	brittleAt time.Time
 	// routerTotal is the number of all routers, as the leader has sent it.
 	routerTotal int
 	// relayAddresses are the relays that the leader has named.
@@ -189,9 +192,7 @@
 	ctl.recordAnswered(args.Node, args.Answered)
 	ctl.addReports(now, args.Reports)
 	ctl.recordWork(now, args.Reports)
-	for _, report := range args.Limits {
-		ctl.recordLimit(now, report)
-	}
+	ctl.recordTargets(now, args)
 	for _, origin := range args.Origins {
 		ctl.origins.Record(now, origin.Call, origin.Software)
 	}
@@ -363,7 +364,7 @@
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
 		reply.Version = ctl.newestVersion()
-		reply.Limits = ctl.publishedLimits(now)
+		reply.Limits, reply.Brittle = ctl.publishedLimits(now), ctl.publishedBrittle(now)
 		reply.Routers = ctl.feed.countRouters()
 		if args.Router || args.Relay != "" {
 			reply.Relays = ctl.relayCandidates(now)
@@ -372,7 +373,7 @@
 		reply.Relayed = true
 		reply.Age, reply.Version = ctl.feed.word.At(now)
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
-		reply.Limits = ctl.feed.limits
+		reply.Limits, reply.Brittle = ctl.feed.limits, ctl.feed.brittle
 	}
 	if withConfiguration {
 		configuration := *ctl.configuration
--- a/control/leader.go
+++ b/control/leader.go
@@ -107,7 +107,7 @@
 		ctl.planner = loadplan.New(now.Add(time.Duration(startupShare * float64(ctl.options.TargetSilence))))
 		ctl.resetFeed()
 		ctl.quarantine.resetEvidence()
-		ctl.limits = throttle.NewLedger()
+		ctl.limits, ctl.brittle = throttle.NewLedger(), throttle.NewTally()
 		ctl.resetQuotas(now)
 		ctl.origins = resume.NewLedger(now)
 		ctl.observeAll(now)
--- a/control/relay.go
+++ b/control/relay.go
@@ -31,6 +31,7 @@
 	crashes  []feed.Crash
 	answered []uint64
 	limits   map[limitKey]*limitTotal
+	brittle  map[limitKey]*brittleTotal
 	outcomes []feed.Outcome
 	origins  []feed.Origin
 	// loads holds what the leader does not have of the targets' load.
@@ -83,7 +84,7 @@
 
 func newRelayReports() *relayReports {
 	return &relayReports{usage: make(map[feed.Unit]*unitTotal), routers: make(map[celerylanding.NodeID]*routerUsage),
-		limits: make(map[limitKey]*limitTotal), loads: make(map[celerylanding.TargetID]*pendingLoad)}
+		limits: make(map[limitKey]*limitTotal), brittle: make(map[limitKey]*brittleTotal), loads: make(map[celerylanding.TargetID]*pendingLoad)}
 }
 
 // add adds the report of a router.
@@ -119,6 +120,9 @@
 	for _, report := range args.Limits {
 		reports.addLimit(now, report)
 	}
+	for _, report := range args.Brittle {
+		reports.addBrittle(now, report)
+	}
 	for _, report := range args.Reports {
 		reports.addLoad(now, report)
 	}
@@ -238,7 +242,7 @@
 	}
 	args := feed.WatchArgs{Crashes: reports.crashes, Answered: reports.answered, Outcomes: reports.outcomes, Origins: reports.origins,
 		Routers: len(reports.routers),
-		Limits:  reports.takeLimits(now), Reports: reports.takeLoads(now), Kept: reports.takeKept(now)}
+		Limits:  reports.takeLimits(now), Brittle: reports.takeBrittle(now), Reports: reports.takeLoads(now), Kept: reports.takeKept(now)}
 	for unit, total := range reports.usage {
 		if total.Arrivals > 0 || total.Late > 0 || total.isChanged {
 			args.Usage = append(args.Usage, total.Usage)
@@ -269,6 +273,9 @@
 	for _, report := range reports.sent.Limits {
 		reports.addLimit(reports.sentAt, report)
 	}
+	for _, report := range reports.sent.Brittle {
+		reports.addBrittle(reports.sentAt, report)
+	}
 	reports.sent = nil
 }
 
@@ -318,6 +325,7 @@
 	ctl.feed.word = access.NewWord(sent, reply.Age, reply.Version)
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
+	ctl.feed.brittle = reply.Brittle
 	ctl.feed.prompts.Relay(now, reply.Kept, reply.KeptNext)
 	for _, report := range reply.Reports {
 		ctl.board.Adopt(now, report)
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -182,7 +182,7 @@
 		return unreachable
 	}
 	isLimited := picker.isLimited(now, target)
-	if needs.AvoidsLimits && isLimited {
+	if (needs.AvoidsLimits && isLimited) || picker.hasNoRoom(now, target, assessment.routers, needs) {
 		return unreachable
 	}
 	picker.options = append(picker.options, option{choice: Choice{Target: target}})
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -34,7 +34,8 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	snapshot := &Picker{domain: picker.domain, stats: make(map[celerylanding.TargetID]*targetStats),
-		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: picker.gate.Clone(), cache: picker.cache}
+		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: picker.gate.Clone(), rooms: picker.rooms.Clone(),
+		cache: picker.cache}
 	model := picker.services[service]
 	if model == nil {
 		return snapshot
@@ -116,8 +117,8 @@
 		if allowsOutliers && !isAllowed && !picker.statsOf(target).isOutlier(target) {
 			isAllowed = gate.Allow(now, target, table.Routers())
 		}
+		held[target.ID] = !isAllowed || picker.hasNoRoom(now, target, table.Routers(), &needs)
 		if !isAllowed {
-			held[target.ID] = true
 			needs.Excluded = append(slices.Clip(needs.Excluded), target.ID)
 		}
 	}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -35,13 +35,20 @@
 	return isLimited
 }
 
+// isHeldBack reports whether requests may be kept back from a target because of what it says of those that it takes.
+func (picker *Picker) isHeldBack(now time.Time, target *feed.Target) bool {
+	return picker.isLimited(now, target) || picker.isBrittle(now, target)
+}
+
 // Throttled describes the targets whose limits keep a request back for which Pick has found no target.
 type Throttled struct {
-	// Targets have the unit of the request loaded and announce a limit.
+	// Targets have the unit of the request loaded, and announce a limit or are brittle.
 	Targets []celerylanding.Endpoint
-	// RetryDelay is the delay after which a client should return.
-	RetryDelay time.Duration
-	// HasAlternative is set if a target of the same service announces no limit.
+	// RetryDelay is the delay after which a client should return, and Spread what chance may add to it.
+	RetryDelay, Spread time.Duration
+	// IsBrittle is set if a target is brittle.
+	IsBrittle bool
+	// HasAlternative is set if a target of the same service announces no limit and is not brittle.
 	HasAlternative bool
 }
 
@@ -55,22 +62,33 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	var throttled Throttled
-	var limited []*feed.Target
+	var limited, brittle []*feed.Target
 	for _, candidate := range candidates {
 		if needs.excludes(candidate) {
 			continue
 		}
-		if picker.isLimited(now, candidate) && picker.statsOf(candidate).isUsable(now, candidate) {
+		if !picker.isHeldBack(now, candidate) || !picker.statsOf(candidate).isUsable(now, candidate) {
+			continue
+		}
+		throttled.Targets = append(throttled.Targets, candidate.Endpoint())
+		if picker.isLimited(now, candidate) {
 			limited = append(limited, candidate)
-			throttled.Targets = append(throttled.Targets, candidate.Endpoint())
+		} else {
+			brittle = append(brittle, candidate)
 		}
 	}
-	if len(limited) == 0 {
+	if len(throttled.Targets) == 0 {
 		return throttled
 	}
-	throttled.RetryDelay = picker.gate.RetryDelay(now, limited, table.Routers())
+	if len(limited) > 0 {
+		throttled.RetryDelay = picker.gate.RetryDelay(now, limited, table.Routers())
+	}
+	if throttled.IsBrittle = len(brittle) > 0; throttled.IsBrittle {
+		throttled.RetryDelay = max(throttled.RetryDelay, picker.rooms.RetryDelay(now, brittle))
+		throttled.Spread = throttled.RetryDelay / 2
+	}
 	throttled.HasAlternative = slices.ContainsFunc(all, func(target *feed.Target) bool {
-		return needs.allowsSoftware(target) && !picker.isLimited(now, target) && picker.statsOf(target).isUsable(now, target)
+		return needs.allowsSoftware(target) && !picker.isHeldBack(now, target) && picker.statsOf(target).isUsable(now, target)
 	})
 	return throttled
 }
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -62,6 +62,7 @@
 	stats    map[celerylanding.TargetID]*targetStats
 	services map[celerylanding.ServiceID]*forecast.Service
 	gate     *throttle.Gate
+	rooms    *throttle.Rooms
 	cache    *promptcache.Picture
 	// options and keepers are reused by each choice.
 	options []option
@@ -71,7 +72,8 @@
 // NewPicker returns a picker for the router of a node in the failure domain.
 func NewPicker(node celerylanding.NodeID, domain celerylanding.FailureDomain) *Picker {
 	return &Picker{domain: domain, stats: make(map[celerylanding.TargetID]*targetStats),
-		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: throttle.NewGate(node), cache: promptcache.New()}
+		services: make(map[celerylanding.ServiceID]*forecast.Service), gate: throttle.NewGate(node), rooms: throttle.NewRooms(node),
+		cache: promptcache.New()}
 }
 
 // Pick returns the target of Choose.
@@ -91,6 +93,8 @@
 		return Choice{}, unreachable
 	}
 	stats := picker.statsOf(choice.Target)
+	picker.rooms.Settle(now, choice.Target, stats.model.InFlight())
+	picker.rooms.CountSent(now, choice.Target)
 	stats.model.Begin(now, choice.Size)
 	if choice.Size.Tokens > 0 && needs.Unit.Model != "" {
 		stats.work = feed.AddModelTokens(stats.work, feed.ModelTokens{Model: needs.Unit.Model, Tokens: choice.Size.Tokens})
@@ -110,10 +114,11 @@
 	return choice, unreachable, true
 }
 
-// HasTarget reports whether a target is usable for the request, whatever the limits that targets announce.
+// HasTarget reports whether a target is usable for the request, whatever the limits that targets announce and their room.
 func (picker *Picker) HasTarget(now time.Time, table *Table, needs Requirements) bool {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
+	needs.ignoresRooms = true
 	choice, _ := picker.choose(now, table, table.candidates(&needs), needs, false)
 	return choice.Target != nil
 }
@@ -199,6 +204,7 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	stats := picker.statsOf(target)
+	picker.rooms.Settle(now, target, stats.model.InFlight())
 	stats.model.End(now)
 	switch result {
 	case ResultAnswered:
@@ -223,6 +229,7 @@
 	stats := picker.statsOf(target)
 	stats.model.Report(now, forecast.Report{Load: load, Slots: slots})
 	stats.load, stats.slots, stats.reportedAt, stats.isReportNew = load, slots, now, true
+	picker.rooms.RecordLoad(now, target, load, slots)
 }
 
 // RecordSent records that a request's prompt is on its way to the target, and RecordRead that the target has read it or will not read it.
@@ -271,6 +278,7 @@
 		model := picker.statsOf(target).model
 		if report.Slots > 0 {
 			model.Report(now, forecast.Report{Load: report.Load, Slots: report.Slots, Age: report.Age})
+			picker.rooms.RecordLoad(now.Add(-report.Age), target, report.Load, report.Slots)
 		}
 		model.RecordUnread(now, report.Unread)
 	}
--- a/dispatch/requirements.go
+++ b/dispatch/requirements.go
@@ -34,6 +34,10 @@
 	Software celerylanding.SoftwareVersion
 	// AvoidsLimits excludes the targets that announce a limit on requests.
 	AvoidsLimits bool
+	// WasRejected is set if a brittle target has turned the request away; then it is sent only where room is known.
+	WasRejected bool
+	// ignoresRooms makes brittle targets candidates that must get no request now.
+	ignoresRooms bool
 }
 
 // allowsSoftware reports whether the target has the software version that the request needs.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -117,6 +117,8 @@
 	Routers int    `cbor:"10,keyasint,omitempty"`
 	// Limits report what targets say of the requests that they take, and the demand for those with a limit.
 	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
+	// Brittle report the demand for the targets that say that they are brittle, and the requests that these have turned away.
+	Brittle []BrittleReport `cbor:"40,keyasint,omitempty"`
 	// Origins list the streams that can be resumed and have begun since the last report that a leader has acknowledged.
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
 	// Reports are what the node has learned of the targets' load since the last watch request.
@@ -258,8 +260,9 @@
 	Suspects    []uint64 `cbor:"13,keyasint,omitempty"`
 	// Trials lists the fingerprints of the requests whose copies run one at a time, each after the leader's consent.
 	Trials []uint64 `cbor:"15,keyasint,omitempty"`
-	// Limits lists the targets that announce a limit on requests.
-	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
+	// Limits lists the targets that announce a limit on requests, and Brittle those that say that they are brittle.
+	Limits  []TargetLimit   `cbor:"14,keyasint,omitempty"`
+	Brittle []BrittleTarget `cbor:"40,keyasint,omitempty"`
 	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
 	Relayed bool          `cbor:"10,keyasint,omitempty"`
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -64,6 +64,7 @@
 		handler.options.Metrics.Counter("target_limit_changes").Inc(1)
 	}
 	handler.recordAvailability(target, reply)
+	handler.recordBrittle(call, target, reply)
 	if reply.NotRun {
 		return handler.handleNotRun(call, target, response, reply)
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -81,6 +81,8 @@
 	// sends counts the requests that were sent to targets; attempts that could not connect are not counted.
 	sends    int
 	excluded []celerylanding.TargetID
+	// wasRejected is set when a brittle target has turned the request away.
+	wasRejected bool
 	// refusals are the endpoints that answered, since the last wake request, that the unit is not loaded there or that the address belongs
 	// to another target.
 	refusals   []celerylanding.Endpoint
@@ -370,7 +372,7 @@
 func (call *call) requirements() dispatch.Requirements {
 	needs := dispatch.Requirements{Service: call.service, Unit: call.unit, PromptTokens: call.metadata.PromptTokens,
 		OutputTokens: call.metadata.ExpectedOutput, Prompt: &call.prompt, Excluded: call.excluded, Software: call.origin,
-		MaxEventGap: call.route.MaxEventGap}
+		WasRejected: call.wasRejected, MaxEventGap: call.route.MaxEventGap}
 	if needs.OutputTokens == 0 {
 		needs.OutputTokens = call.metadata.OutputTokens
 	}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -95,6 +95,10 @@
 	switch {
 	case staysThrottled && handler.mayWaitForLimit(call):
 		return stepAwaitLimit, nil
+	case staysThrottled && throttled.IsBrittle:
+		refused := unavailableOrFailed(call, celerylanding.ReasonTargetsLimited, throttled.RetryDelay, "the brittle targets have no room")
+		refused.spread = throttled.Spread
+		return stepRefuse, refused
 	case staysThrottled:
 		return stepRefuse, unavailableOrFailed(call, celerylanding.ReasonTargetsLimited, throttled.RetryDelay,
 			"the targets have reached the limits that they announce")
