A target that reads nothing for a second gets its long request

Callers saw: a request with a long body failed, or ran a second time, when a sound target fell silent for a second while the body was on its way.

Cause: TCP_USER_TIMEOUT, 500 ms on connections to targets, does more than close connections whose bytes are not acknowledged. The kernel also closes one whose peer acknowledges every probe and keeps its receive window closed for that time.

Evidence: TestSilentTargetsGetWholeRequests failed for bodies of 4 MB, and of 110 KB with a narrow window: "write: connection timed out" after 0.97 s, "read: connection timed out" after 0.73 s. A short body passed.

Fix: a request of more than 16 KB, which may not fit into a receive window, gets 2.5 s. Others are acknowledged by a living target at once and keep 500 ms, so that a partition is noticed as before.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -138,6 +138,9 @@
 	if outgoing.Header.Get("User-Agent") == "" {
 		outgoing.Header["User-Agent"] = []string{""}
 	}
+	if err := conn.expectBytes(len(request.Body)); err != nil {
+		return nil, err
+	}
 	if err := outgoing.Write(conn); err != nil {
 		return nil, err
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -23,6 +23,11 @@
 	// ackTimeout is the time after which a connection with unacknowledged bytes counts as dead; it covers several round trips
 	// between failure domains.
 	ackTimeout = 500 * time.Millisecond
+	// silentAckTimeout is that time for a request of more than windowBytes. The kernel also closes a connection whose peer acknowledges everything, but
+	// reads nothing and so keeps its window closed; a living target may do that for a second or so.
+	silentAckTimeout = 2500 * time.Millisecond
+	// windowBytes is the size of a request that fits into the receive window of a target that reads nothing.
+	windowBytes = 16 << 10
 	// idleMargin is how long before the target's idle timeout a connection is no longer reused, so that no request races with the target's
 	// close.
 	idleMargin = 500 * time.Millisecond
@@ -58,6 +63,8 @@
 	limit *readLimit
 	// namesRequests is set when the last answer on the connection named its request.
 	namesRequests bool
+	// ackTimeout is the time after which the kernel closes the connection if bytes are not acknowledged.
+	ackTimeout time.Duration
 	// sent holds hashes of the IDs of the last requests, at most maxSentIDs; nextSent is the place of the next one once it is full.
 	sent     []uint64
 	nextSent int
@@ -85,10 +92,12 @@
 }
 
 // setUserTimeout makes the kernel close a connection whose sent bytes are not acknowledged in time.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(_, _ string, raw syscall.RawConn) error { return setAckTimeout(raw, ackTimeout) }
+
+func setAckTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -96,6 +105,19 @@
 	return failed
 }
 
+// expectBytes sets the time in which the bytes of a request must be acknowledged.
+func (conn *pooledConn) expectBytes(count int) error {
+	timeout := ackTimeout
+	if count > windowBytes {
+		timeout = silentAckTimeout
+	}
+	if conn.raw == nil || timeout == conn.ackTimeout {
+		return nil
+	}
+	conn.ackTimeout = timeout
+	return setAckTimeout(conn.raw, timeout)
+}
+
 // ConnectionCounts returns the number of opened connections and the number of idle connections that were taken from the pool.
 func (pool *Pool) ConnectionCounts() (opened, reused uint64) {
 	pool.mutex.Lock()
@@ -134,7 +156,7 @@
 	pool.opened++
 	pool.mutex.Unlock()
 	limit := &readLimit{reader: dialed}
-	conn := &pooledConn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+	conn := &pooledConn{Conn: dialed, ackTimeout: ackTimeout, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
 	if tcp, ok := dialed.(*net.TCPConn); ok {
 		// Without the raw connection an idle connection can't be checked and is not reused.
 		conn.raw, _ = tcp.SyscallConn()
