A stream stays where it is while its target is silent for a second or so

Callers saw: a stream that can be resumed moved to another target after one second without an event, while its own target went on shortly afterwards and did not know yet that it was to stop; where no other target took it, the stream was cut.

Cause: such a stream moves after half the time that its caller waits, and callers of routes with short objectives and pauses wait two seconds.

Evidence: TestSilentTargetKeepsItsRequests, with a silence of 1.2 s, failed for streams that can be resumed, inside an event, between events and before the first one ("unexpected EOF" after 1.00 s; two runs instead of one). It passes for plain answers, other streams and bodies, and TestSilentTargetIsUsedAgain passes as it is: a silent target is neither taken for crashed nor left out afterwards.

Fix: a stream moves after 1.5 s at the earliest, which leaves its caller half a second at least.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -26,6 +26,8 @@
 	stallGaps       = 8
 	// resumeStallShare is the share of the stall timeout after which a stream that can be resumed moves to another target.
 	resumeStallShare = 0.5
+	// minMoveTimeout is the shortest such time: a living target may be silent for a second or so.
+	minMoveTimeout = 1500 * time.Millisecond
 )
 
 // forwardStream forwards server-sent events as they arrive; a partial event is not forwarded if the stream ends early.
@@ -112,7 +114,7 @@
 	stall := &stallTimer{patience: streamPatience(call.route), stop: stop}
 	stall.timeout = stall.patience
 	if call.route.Resumable && handler.mayRetry(call) {
-		stall.timeout = time.Duration(resumeStallShare * float64(stall.patience))
+		stall.timeout = max(minMoveTimeout, time.Duration(resumeStallShare*float64(stall.patience)))
 		needs := call.requirements()
 		needs.Excluded = append(slices.Clone(needs.Excluded), target.ID)
 		needs.Software = target.Software
