A body that is not acknowledged does not count as a failure of the target

Seen: a target that can't be reached while the body of a request is written counted as one that had failed it, was probed for a crash and reported to the leader as failing; a short request to the same target did not.

Cause: net/http wraps an error of the connection that occurs while it copies the body in a type without Unwrap, so that the search for ETIMEDOUT, ECONNRESET and EPIPE found nothing.

Fix: the pool keeps the error of the connection itself.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -141,12 +142,32 @@
 	if err := conn.expectBytes(len(request.Body)); err != nil {
 		return nil, err
 	}
-	if err := outgoing.Write(conn); err != nil {
+	if err := conn.writeRequest(outgoing); err != nil {
 		return nil, err
 	}
 	return conn.readAnswer(request, outgoing)
 }
 
+// writeRequest writes a request. It returns the error of the connection, which net/http hides if it occurs in the body.
+func (conn *pooledConn) writeRequest(outgoing *http.Request) error {
+	recorder := &errorRecorder{writer: conn}
+	err := outgoing.Write(recorder)
+	return cmp.Or(recorder.err, err)
+}
+
+// errorRecorder keeps the first error of a writer.
+type errorRecorder struct {
+	writer io.Writer
+	err    error
+}
+
+// Write writes to the writer.
+func (recorder *errorRecorder) Write(bytes []byte) (int, error) {
+	count, err := recorder.writer.Write(bytes)
+	recorder.err = cmp.Or(recorder.err, err)
+	return count, err
+}
+
 // readAnswer reads answers until one belongs to the request, since a late answer to an earlier request may come first.
 func (conn *pooledConn) readAnswer(request *Request, outgoing *http.Request) (*http.Response, error) {
 	conn.limit.set(maxHeaderBytes)
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"celerylanding.example/celerylanding/upstream"
@@ -81,3 +82,17 @@
 		})
 	}
 }
+
+// TestUnreadBodyIsNotTakenForAFailure guards against a target that can't be reached any more, and counts as one that has failed the request, since the
+// connection was closed while its body was written.
+func TestUnreadBodyIsNotTakenForAFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	pool := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err = pool.Do(ctx, time.Now(), listener.Addr().String(), &upstream.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+		Body: make([]byte, 16<<20)})
+	assert.Assert(t, errorx.IsOfType(err, upstream.ErrUnacknowledged), "%v", err)
+}
