Routers forget what brittle targets ran when it must have ended

Seen: a brittle target with few slots and short requests was used for a few requests a second. A report that all slots are taken, which its own request was part of, kept a router away for a second, and the slot time that a router owes before its first request was that of dozens of short ones.

Fix: routers measure how long their requests run at the brittle targets of a service. Of the load that a target has reported, what must have ended since then no longer counts, and a router owes the slot time of two requests at most.

--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -208,6 +208,7 @@
 	stats.model.End(now)
 	switch result {
 	case ResultAnswered:
+		picker.rooms.RecordEnd(target)
 		stats.answeredAt = now
 		stats.answered++
 		stats.backoff = 0
--- a/throttle/room.go
+++ b/throttle/room.go
@@ -40,6 +40,7 @@
 	credit    float64
 	share     float64
 	settledAt time.Time
+	lengths   *lengths
 	// draw is a number in [0, 1) that differs between routers. sentAt is when a request was last sent, and rejectingSince when the target began to
 	// turn requests away.
 	draw                   float64
@@ -50,10 +51,39 @@
 	pausedUntil time.Time
 }
 
+// lengths measure how long the requests of one router run at the brittle targets of a service.
+type lengths struct {
+	// busy is the slot time in seconds that requests have used, and ended their number.
+	busy, ended float64
+}
+
+// mean returns the mean length in seconds, if enough requests have ended.
+func (lengths *lengths) mean() (seconds float64, isKnown bool) {
+	if lengths.ended < minEnded {
+		return 0, false
+	}
+	return lengths.busy / lengths.ended, true
+}
+
+func (lengths *lengths) recordEnd() {
+	if lengths.ended++; lengths.ended >= maxEnded {
+		lengths.ended, lengths.busy = lengths.ended/2, lengths.busy/2
+	}
+}
+
 func (state *roomState) settle(now time.Time, inFlight int) {
-	if !state.settledAt.IsZero() {
-		state.credit += (state.share - float64(inFlight)) * now.Sub(state.settledAt).Seconds()
-		state.credit = min(max(state.credit, -maxSlotDebt.Seconds()), max(1, state.share)*maxSlotCredit.Seconds())
+	if state.settledAt.IsZero() {
+		// Those in flight have begun before the count.
+		state.lengths.ended -= float64(inFlight)
+	} else {
+		elapsed := now.Sub(state.settledAt).Seconds()
+		state.lengths.busy += float64(inFlight) * elapsed
+		state.credit += (state.share - float64(inFlight)) * elapsed
+		debt := maxSlotDebt.Seconds()
+		if length, isKnown := state.lengths.mean(); isKnown {
+			debt = min(debt, maxDebtLengths*length)
+		}
+		state.credit = min(max(state.credit, -debt), max(1, state.share)*maxSlotCredit.Seconds())
 	}
 	state.settledAt = now
 }
@@ -75,7 +105,7 @@
 	rate := probedShare * float64(tolerance)
 	if now.Sub(state.reportedAt) <= maxLoadAge {
 		answered := float64(max(0, state.published.Sent-state.totalRejected(now))) / budgetTime.Seconds()
-		free := state.room(now, target, tolerance) - float64(state.load.Running+state.sentSince)
+		free := state.room(now, target, tolerance) - state.expected(now)
 		rate = max(rate, keptShare*answered+free/reactionTime.Seconds())
 	}
 	return rate / max(state.published.Demand, state.demand.rate(now))
@@ -130,12 +160,29 @@
 
 // isFull reports whether the target's load leaves no room for another request.
 func (state *roomState) isFull(now time.Time) bool {
-	return state.isReported(now) && (state.load.Waiting > 0 || state.load.Running+state.sentSince >= state.slots)
+	limit := state.slots
+	if state.load.Waiting > 0 {
+		limit = min(limit, state.load.Running)
+	}
+	return state.isReported(now) && state.expected(now)+1 > float64(limit)
+}
+
+// expected returns the number of requests that the target now runs or keeps waiting: those of the last report that have not ended, and those that
+// have been sent since.
+func (state *roomState) expected(now time.Time) float64 {
+	reported := float64(state.load.Running + state.load.Waiting)
+	length, isKnown := state.lengths.mean()
+	if !isKnown || reported == 0 {
+		return reported + float64(state.sentSince)
+	}
+	left := math.Exp(-now.Sub(state.reportedAt).Seconds() / length * float64(state.load.Running) / reported)
+	others := float64(state.published.Sent) / budgetTime.Seconds() * length * (1 - left)
+	return reported*left + max(others, float64(state.sentSince))
 }
 
 // hasRoom reports whether the target's load is known to leave room for several more requests.
 func (state *roomState) hasRoom(now time.Time) bool {
-	return state.isReported(now) && state.load.Waiting == 0 && 4*(state.load.Running+state.sentSince) <= 3*state.slots
+	return state.isReported(now) && state.load.Waiting == 0 && 4*state.expected(now) <= float64(3*state.slots)
 }
 
 // totalRejected returns the number of requests of all routers that the target has turned away in the last 4 s.
--- a/throttle/rooms.go
+++ b/throttle/rooms.go
@@ -24,6 +24,11 @@
 	maxSlotDebt   = 5 * time.Second
 	// reactionTime is the time after which routers see in the leader's figures what they have sent.
 	reactionTime = 1400 * time.Millisecond
+	// minEnded and maxEnded are the numbers of requests from and over which their mean length is known.
+	minEnded = 4
+	maxEnded = 64
+	// maxDebtLengths is the largest slot time that a router owes in mean lengths of requests, once these are known.
+	maxDebtLengths = 2
 	// keptShare is the share of the answered requests that may be sent again while there is no other room.
 	keptShare = 0.7
 	// firstSlotDebt is the largest slot time that a router owes before its first request to a target.
@@ -45,11 +50,13 @@
 	node     celerylanding.NodeID
 	targets  map[celerylanding.TargetID]*roomState
 	services map[celerylanding.ServiceID]brittleness
+	lengths  map[celerylanding.ServiceID]*lengths
 }
 
 // NewRooms returns the rooms of a router that knows no brittle target.
 func NewRooms(node celerylanding.NodeID) *Rooms {
-	return &Rooms{node: node, targets: make(map[celerylanding.TargetID]*roomState), services: make(map[celerylanding.ServiceID]brittleness)}
+	return &Rooms{node: node, targets: make(map[celerylanding.TargetID]*roomState), services: make(map[celerylanding.ServiceID]brittleness),
+		lengths: make(map[celerylanding.ServiceID]*lengths)}
 }
 
 // Clone returns a copy that shares nothing with the rooms.
@@ -57,6 +64,8 @@
 	clone := NewRooms(rooms.node)
 	for id, state := range rooms.targets {
 		copied := *state
+		copied.lengths = clone.lengthsOf(state.service)
+		*copied.lengths = *state.lengths
 		clone.targets[id] = &copied
 	}
 	for id, known := range rooms.services {
@@ -77,13 +86,20 @@
 	if state == nil || state.incarnation != incarnation {
 		// The first debt differs between routers; otherwise each of them would send its first request to a target at the same time.
 		seed := xxhash.Sum64String(string(rooms.node) + "\x00" + string(id))
-		state = &roomState{incarnation: incarnation, service: service, draw: float64(seed>>11) / (1 << 53)}
+		state = &roomState{incarnation: incarnation, service: service, lengths: rooms.lengthsOf(service), draw: float64(seed>>11) / (1 << 53)}
 		state.credit = -state.draw * firstSlotDebt.Seconds()
 		rooms.targets[id] = state
 	}
 	return state
 }
 
+func (rooms *Rooms) lengthsOf(service celerylanding.ServiceID) *lengths {
+	if rooms.lengths[service] == nil {
+		rooms.lengths[service] = &lengths{}
+	}
+	return rooms.lengths[service]
+}
+
 // RecordAnswer records whether an answer says that its target is brittle. It reports whether this differs from the last answer.
 func (rooms *Rooms) RecordAnswer(now time.Time, target *feed.Target, tolerance int, isBrittle bool) bool {
 	state := rooms.targets[target.ID]
@@ -122,6 +138,13 @@
 	}
 }
 
+// RecordEnd records that a target has answered a request completely.
+func (rooms *Rooms) RecordEnd(target *feed.Target) {
+	if state := rooms.known(target); state != nil {
+		state.lengths.recordEnd()
+	}
+}
+
 // RecordLoad records a report of a target's load that was made at a time.
 func (rooms *Rooms) RecordLoad(at time.Time, target *feed.Target, load celerylanding.TargetLoad, slots int) {
 	if state := rooms.known(target); state != nil && !at.Before(state.reportedAt) {
@@ -258,6 +281,9 @@
 	for service, known := range rooms.services {
 		if now.Sub(known.at) > brittleTTL {
 			delete(rooms.services, service)
+			if len(rooms.targets) == 0 {
+				clear(rooms.lengths)
+			}
 		}
 	}
 	return reports
