--- a/preview/target.go
+++ b/preview/target.go
@@ -19,7 +19,7 @@
 	ExcludedSilent Exclusion = "silent"
 	// ExcludedOutlier means that several routers report that the target fails nearly all requests.
 	ExcludedOutlier Exclusion = "outlier"
-	// ExcludedLimit means that the limit that the target announces leaves no request to this router now.
+	// ExcludedLimit means that the limit that the target announces, or its room if it is brittle, leaves no request to this router now.
 	ExcludedLimit Exclusion = "limit"
 	// ExcludedSoftware means that the stream was begun by another version of the software.
 	ExcludedSoftware Exclusion = "software"
