--- a/control/feed.go
+++ b/control/feed.go
@@ -78,6 +78,9 @@
 	// limits lists the targets with a limit on requests, as of limitsAt; another node than the leader has it from the leader.
 	limits   []feed.TargetLimit
 	limitsAt time.Time
+	// brittle lists the targets that say that they are brittle, likewise.
+	brittle   []feed.BrittleTarget
+	brittleAt time.Time
 	// routerTotal is the number of all routers, as the leader has sent it.
 	routerTotal int
 	// relayAddresses are the relays that the leader has named.
@@ -178,19 +181,6 @@
 	ctl.feed.watchers = append(ctl.feed.watchers, watcher{args: *args, reply: reply, due: now.Add(watchTimeout)})
 }
 
-// locate returns where the leader's state is, without that state.
-func (ctl *Control) locate(now time.Time, isOutdated bool) feed.WatchReply {
-	reply := feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
-	switch {
-	case isOutdated:
-	case ctl.leads(now):
-		reply.Leads, reply.Relays = true, ctl.relayCandidates(now)
-	case ctl.relays(now):
-		reply.Relayed, reply.Relays = true, ctl.feed.relayAddresses
-	}
-	return reply
-}
-
 // applyReport applies what a router or relay reports to the leader.
 func (ctl *Control) applyReport(now time.Time, args *feed.WatchArgs) {
 	if args.Router {
@@ -205,9 +195,7 @@
 	ctl.recordAnswered(args.Node, args.Answered)
 	ctl.addReports(now, args.Reports)
 	ctl.recordWork(now, args.Reports)
-	for _, report := range args.Limits {
-		ctl.recordLimit(now, report)
-	}
+	ctl.recordTargets(now, args)
 	for _, origin := range args.Origins {
 		ctl.origins.Record(now, origin.Call, origin.Software)
 	}
@@ -379,7 +367,7 @@
 	if ctl.leads(now) {
 		reply.Leads, reply.Leader = true, ctl.member.Address
 		reply.Version = ctl.newestVersion()
-		reply.Limits = ctl.publishedLimits(now)
+		reply.Limits, reply.Brittle = ctl.publishedLimits(now), ctl.publishedBrittle(now)
 		reply.Routers = ctl.feed.countRouters()
 		if args.Router || args.Relay != "" {
 			reply.Relays = ctl.relayCandidates(now)
@@ -388,7 +376,7 @@
 		reply.Relayed = true
 		reply.Age, reply.Version = ctl.feed.age(now), ctl.version()
 		reply.Routers, reply.Relays = ctl.feed.routerTotal, ctl.feed.relayAddresses
-		reply.Limits = ctl.feed.limits
+		reply.Limits, reply.Brittle = ctl.feed.limits, ctl.feed.brittle
 	}
 	if withConfiguration {
 		configuration := *ctl.configuration
