A router that reaches no target connects to targets through another one

It judged each target alone and had no other way to them.

A router now finds out that it reaches no target (reach.Tracker): by connections that fail in all failure domains while none is made, for which it probes targets after a first failure. From then on its connections to targets lead through other routers (tunnel), which pass bytes on and know nothing of requests: all rules for requests stay with the one router that took them from their callers, and a connection can't be passed on a second time. Routers learn of each other through the feed. If there is none, a request is refused at once as not run.

--- a/control/api.go
+++ b/control/api.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
 )
 
@@ -122,3 +123,12 @@
 	ctl.post(ctx, func(now time.Time) { ctl.recordForwarded(now, args.Announcement) })
 	return nil
 }
+
+// findOrigin returns the software version that began a stream.
+func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
+	if !ctl.leads(now) {
+		return feed.OriginReply{}
+	}
+	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
+	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software, IsStarting: ctl.origins.IsStarting(now)}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 	"celerylanding.example/celerylanding/quorum"
 	"celerylanding.example/celerylanding/quorum/rpc"
 	"celerylanding.example/celerylanding/quorum/wal"
+	"celerylanding.example/celerylanding/reach"
 	"celerylanding.example/celerylanding/resume"
 	"celerylanding.example/celerylanding/routing"
 	"celerylanding.example/celerylanding/throttle"
@@ -88,6 +89,8 @@
 	// proposed its own.
 	settledTerm uint64
 	isSettling  bool
+	// detours lists the routers that reach targets.
+	detours *reach.Directory
 	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
 	board *forecast.Board
 	// origins are the software versions that began streams, as routers have reported them to this leader.
@@ -137,6 +140,7 @@
 		quarantine: newQuarantineState(),
 		limits:     throttle.NewLedger(),
 		board:      forecast.NewBoard(),
+		detours:    reach.NewDirectory(),
 		origins:    resume.NewLedger(now),
 		relay:      newRelayReports(),
 	}
--- a/control/feed.go
+++ b/control/feed.go
@@ -159,6 +159,7 @@
 // watch records the crashes, outcomes and usage that a watch request reports, and queues the request until there are changes. A node that
 // neither leads nor relays replies at once with the address of the leader.
 func (ctl *Control) watch(now time.Time, args *feed.WatchArgs, reply chan<- feed.WatchReply) {
+	ctl.recordDetours(now, args)
 	// A node that knows a later term has better state than this one.
 	isOutdated := args.Term > ctl.feedTerm()
 	switch {
@@ -233,15 +234,6 @@
 	}
 }
 
-// findOrigin returns the software version that began a stream.
-func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
-	if !ctl.leads(now) {
-		return feed.OriginReply{}
-	}
-	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
-	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software, IsStarting: ctl.origins.IsStarting(now)}
-}
-
 // serviceOf returns the service whose engine settings list the model, or "" if there is none.
 func (ctl *Control) serviceOf(id celerylanding.ModelID) celerylanding.ServiceID {
 	if ctl.configuration == nil {
@@ -393,5 +385,6 @@
 		reply.Kept, reply.KeptNext = ctl.feed.prompts.Since(now, keptSince)
 	}
 	reply.Targets = ctl.feed.changesSince(key)
+	ctl.addDetours(now, args, &reply)
 	return reply
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -249,6 +249,7 @@
 			args := ctl.relay.collect(ctl.options.Clock())
 			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
 			args.KeptNext = keptNext
+			args.Detours, args.DetoursDigest = ctl.detours.Gather(ctl.options.Clock()), ctl.detours.Digest()
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
 			return args
--- a/control/relay.go
+++ b/control/relay.go
@@ -318,6 +318,7 @@
 	ctl.feed.word = access.NewWord(sent, reply.Age, reply.Version)
 	ctl.feed.routerTotal, ctl.feed.relayAddresses = reply.Routers, reply.Relays
 	ctl.feed.quarantined, ctl.feed.suspects, ctl.feed.trials, ctl.feed.limits = reply.Quarantined, reply.Suspects, reply.Trials, reply.Limits
+	ctl.detours.Adopt(reply.Detours)
 	ctl.feed.prompts.Relay(now, reply.Kept, reply.KeptNext)
 	for _, report := range reply.Reports {
 		ctl.board.Adopt(now, report)
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -216,6 +216,15 @@
 	}
 }
 
+// ForgetBackoffs makes targets usable again that could not be connected to.
+func (picker *Picker) ForgetBackoffs() {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	for _, stats := range picker.stats {
+		stats.backoff, stats.backoffUntil = 0, time.Time{}
+	}
+}
+
 // UpdateLoad records a target's report of its load and its number of slots.
 func (picker *Picker) UpdateLoad(now time.Time, target *feed.Target, load celerylanding.TargetLoad, slots int) {
 	picker.mutex.Lock()
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -26,9 +26,14 @@
 	// leaving are the targets that get no new requests, of which operators are told.
 	leaving map[celerylanding.ServiceID][]*feed.Target
 	byID    map[celerylanding.TargetID]*feed.Target
-	routers int
+	// addresses are those of byID.
+	addresses map[string]bool
+	routers   int
 }
 
+// HasTargetAt reports whether a target that accepts new requests has the address.
+func (table *Table) HasTargetAt(address string) bool { return table.addresses[address] }
+
 // Routes returns the current routes, or nil while no configuration is known.
 func (table *Table) Routes() *routing.Table { return table.routes }
 
@@ -157,6 +162,7 @@
 		byUnit:    make(map[unitKey][]*feed.Target),
 		leaving:   make(map[celerylanding.ServiceID][]*feed.Target),
 		byID:      make(map[celerylanding.TargetID]*feed.Target),
+		addresses: make(map[string]bool),
 		routers:   roster.routers,
 	}
 	for _, known := range roster.targets {
@@ -166,6 +172,7 @@
 			continue
 		}
 		table.byID[target.ID] = &target
+		table.addresses[target.Address] = true
 		table.byService[target.Service] = append(table.byService[target.Service], &target)
 		for _, model := range target.Loaded {
 			if model.Draining {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -125,6 +125,21 @@
 	// that others have reported.
 	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
 	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
+	// Detour is the router itself, if it connects other routers to targets; IsCut is set while it reaches none. Detours are the routers of a relay that
+	// reach targets.
+	Detour  *Detour  `cbor:"30,keyasint,omitempty"`
+	Detours []Detour `cbor:"31,keyasint,omitempty"`
+	IsCut   bool     `cbor:"33,keyasint,omitempty"`
+	// DetoursDigest identifies the list of routers that the node has last received.
+	DetoursDigest uint64 `cbor:"32,keyasint,omitempty"`
+}
+
+// Detour is a router that reaches targets and connects others to them.
+type Detour struct {
+	_ struct{} `cbor:",toarray"`
+	// Address is where it accepts the connections of other routers.
+	Address string
+	Domain  celerylanding.FailureDomain
 }
 
 // TargetReport is what one router, the routers of a relay, or all routers know of a target's load.
@@ -240,6 +255,13 @@
 	Run uint64 `cbor:"5,keyasint,omitempty"`
 }
 
+// DetourList is a list of routers, or the part of it that a router gets. The digest identifies the whole list.
+type DetourList struct {
+	_       struct{} `cbor:",toarray"`
+	Digest  uint64
+	Detours []Detour
+}
+
 // WatchReply holds the changes since the last reply.
 type WatchReply struct {
 	// Leads is set if the node is the leader. Unless Leads or Relayed is set, only Leader and Members are.
@@ -273,6 +295,8 @@
 	// Kept lists the parts of prompts that targets have read, as routers have reported them, and KeptNext is the number from which to ask next.
 	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
 	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
+	// Detours lists routers that reach targets; nil if the node has the list.
+	Detours *DetourList `cbor:"30,keyasint,omitempty"`
 }
 
 // IsState reports whether the reply holds the leader's state, from the leader itself or from a relay.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -54,6 +54,7 @@
 	}
 	defer func() { response.Close(handler.options.Clock()) }()
 	call.sends++
+	call.via = response.Via
 	reply := handler.options.HeaderCodec.ParseResponse(response.Status, response.Header)
 	if reply.Slots > 0 {
 		handler.picker.UpdateLoad(handler.options.Clock(), target, reply.Load, reply.Slots)
@@ -154,7 +155,7 @@
 	call.cause = celerylanding.MessageOf(err)
 	isDone := ctx.Err() != nil
 	if errorx.IsOfType(err, upstream.ErrConnRefused) {
-		handler.confirmCrash(now, target.Endpoint())
+		handler.confirmRefusal(now, target.Endpoint())
 	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultUnreachable))
@@ -162,6 +163,10 @@
 			return false, deadlineExceeded(call)
 		}
 		call.exclude(target)
+		if handler.options.Pool.HasChangedSince(call.sentAt) {
+			// The targets are reached in another way now.
+			call.excluded = nil
+		}
 		return true, nil
 	}
 	call.sends++
@@ -262,7 +267,7 @@
 	if handler.picker.IsLeaving(handler.state.table(), target) {
 		return nil
 	}
-	if sleep(ctx, probeDelay) && handler.options.Pool.RefusesConnections(ctx, handler.options.Clock(), target.Address) {
+	if sleep(ctx, probeDelay) && handler.options.Pool.MayBeGone(ctx, handler.options.Clock(), target.Address) {
 		return errors.Join(errAnswerBroken, errTargetGone)
 	}
 	return nil
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -85,6 +85,8 @@
 	// to another target.
 	refusals   []celerylanding.Endpoint
 	lastTarget celerylanding.TargetID
+	// via is the address of the router through which the last answer came, or "".
+	via string
 	// target is the target of the current attempt, outlook what it was chosen for, and sentAt when the attempt began.
 	target  *feed.Target
 	outlook forecast.Outlook
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -144,6 +144,7 @@
 		explanation.decideQuota,
 		explanation.decideOrigin,
 		func() bool { return explanation.refuseIf(call.checkTime(now)) },
+		func() bool { return explanation.refuseIf(handler.refuseStranded(now, call)) },
 	} {
 		isDecided = isDecided || decides()
 	}
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -74,6 +74,9 @@
 	case call.isTruncated:
 		outcome = "cut"
 	}
+	if call.via != "" {
+		event = event.Str("via", call.via)
+	}
 	if call.workspace != nil {
 		event = event.Str("workspace", call.workspaceName())
 	}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -205,6 +205,9 @@
 	if refusal := handler.refuseQuarantined(call); refusal != nil {
 		return refusal
 	}
+	if refusal := handler.refuseStranded(now, call); refusal != nil {
+		return refusal
+	}
 	if call.sends >= maxSends {
 		return unavailableOrFailed(call, celerylanding.ReasonTargetRefused, busyRetryDelay, call.cause)
 	}
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -85,6 +85,14 @@
 	state.changed = make(chan struct{})
 }
 
+// announce notifies those who wait for another table, although it is the same.
+func (state *tableState) announce() {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	close(state.changed)
+	state.changed = make(chan struct{})
+}
+
 func (state *tableState) recordContact(now time.Time) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
--- a/tests/repository_test.go
+++ b/tests/repository_test.go
@@ -19,7 +19,7 @@
 var layers = map[string]int{
 	"": 0, "common/hlc": 0, "common/tasks": 0, "common/boottime": 0, "delivery": 0, "chart": 1, "demand": 1,
 	"routing": 1, "config": 2, "quorum": 2, "lease": 2, "keepalive": 2, "membership": 3, "router": 3, "feed": 3, "preview": 3, "quarantine": 3, "access": 3,
-	"state": 4, "loadplan": 4, "throttle": 4, "forecast": 4, "promptcache": 4, "resume": 4, "dispatch": 5, "placement": 5, "executor": 5,
+	"state": 4, "loadplan": 4, "throttle": 4, "forecast": 4, "promptcache": 4, "resume": 4, "reach": 4, "tunnel": 5, "dispatch": 5, "placement": 5, "executor": 5,
 	"simulation": 6,
 	"quorum/wal": 6, "common/rpccodec": 6, "quorum/rpc": 7, "target": 6, "target/fake": 7, "timeline": 6, "upstream": 6, "explain": 6, "gateway": 7,
 	"watch": 8, "proxy": 8, "node": 8, "control": 9, "platform": 10, "platform/fake": 10, "soak": 11, "commands": 11, "docs/measures/report": 12,
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -60,6 +60,8 @@
 	Length int64
 	// EndsWithConnection is set when the body has neither a length nor chunks, so that only the end of the connection ends it.
 	EndsWithConnection bool
+	// Via is the address of the router through which the answer came, or "" if it came directly.
+	Via string
 
 	body        io.Reader
 	pool        *Pool
@@ -101,12 +103,15 @@
 			pool.CloseIdle(address)
 		}
 		if errors.Is(err, syscall.ETIMEDOUT) {
+			if conn.via == "" {
+				pool.settings.Tunnels.RecordFailed(address)
+			}
 			return nil, ErrUnacknowledged.Wrap(err, "%s", address)
 		}
 		return nil, ErrBroken.Wrap(err, "%s", address)
 	}
 	answer := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
-		pool: pool, conn: conn, address: address, stopCancel: stop}
+		pool: pool, conn: conn, address: address, stopCancel: stop, Via: conn.via}
 	answer.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	answer.isReusable = !response.Close
 	answer.idleTimeout = keepAlive(response.Header)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/tunnel"
 )
 
 const (
@@ -47,13 +48,20 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept if its target sends no Keep-Alive timeout.
 	IdleTimeout time.Duration
+	// Dial opens connections; nil means over TCP, where unacknowledged bytes end a connection.
+	Dial tunnel.Dialer
+	// Tunnels leads to the targets while none is reached directly; nil means that they always are.
+	Tunnels *tunnel.Client
 }
 
 // pooledConn is a connection to a target with its read buffer.
 type pooledConn struct {
 	net.Conn
-	raw    syscall.RawConn
-	reader *bufio.Reader
+	raw syscall.RawConn
+	// via is the address of the router through which the connection leads, or "", and reusableUntil when such a connection gets no more requests.
+	via           string
+	reusableUntil time.Time
+	reader        *bufio.Reader
 	// limit bounds the bytes of the next header.
 	limit *readLimit
 	// namesRequests is set when the last answer on the connection named its request.
@@ -66,12 +74,18 @@
 	expires   time.Time
 }
 
+// idleKey identifies the connections to an address: the direct ones, or those through other routers.
+type idleKey struct {
+	address    string
+	isTunneled bool
+}
+
 // Pool holds idle connections by address.
 type Pool struct {
 	settings  Settings
-	dialer    net.Dialer
+	direct    tunnel.Dialer
 	mutex     sync.Mutex
-	idle      map[string][]*pooledConn
+	idle      map[idleKey][]*pooledConn
 	opened    uint64
 	reused    uint64
 	idleLimit idleLimit
@@ -79,11 +93,19 @@
 
 // New returns an empty pool.
 func New(settings Settings) *Pool {
-	pool := &Pool{settings: settings, idle: make(map[string][]*pooledConn)}
-	pool.dialer = net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	pool := &Pool{settings: settings, idle: make(map[idleKey][]*pooledConn), direct: settings.Dial}
+	if pool.direct == nil {
+		pool.direct = NewDialer(settings.DialTimeout)
+	}
 	return pool
 }
 
+// NewDialer returns a dialer whose connections end when sent bytes are not acknowledged in time.
+func NewDialer(timeout time.Duration) tunnel.Dialer {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext
+}
+
 // setUserTimeout makes the kernel close a connection whose sent bytes are not acknowledged in time.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
@@ -110,8 +132,9 @@
 // get returns a usable idle connection, or a new one. A request is not sent twice on one connection, since a late copy of the answer to the first
 // send would be taken for the answer to the second.
 func (pool *Pool) get(ctx context.Context, now time.Time, address, requestID string) (conn *pooledConn, isNew bool, err error) {
+	key := idleKey{address, pool.settings.Tunnels.IsCut()}
 	for {
-		conn := pool.takeIdle(address, requestID)
+		conn := pool.takeIdle(key, requestID)
 		if conn == nil {
 			break
 		}
@@ -121,30 +144,67 @@
 		}
 		_ = conn.Close()
 	}
-	conn, err = pool.dial(ctx, address)
+	conn, err = pool.dial(ctx, now, address)
 	return conn, true, err
 }
 
-func (pool *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
-	dialed, err := pool.dialer.DialContext(ctx, "tcp", address)
+// dial connects to a target, through another router if no target is reached directly.
+func (pool *Pool) dial(ctx context.Context, now time.Time, address string) (*pooledConn, error) {
+	if !pool.settings.Tunnels.IsCut() {
+		dialed, err := pool.DialDirect(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return pool.newConn(dialed), nil
+	}
+	dialed, err := pool.settings.Tunnels.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	conn := pool.newConn(dialed)
+	conn.via, conn.reusableUntil = dialed.Via(), now.Add(tunnel.ReuseTime)
+	return conn, nil
+}
+
+// DialDirect connects to a target and records whether it was reached.
+func (pool *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	dialed, err := pool.direct(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		pool.settings.Tunnels.RecordConnected(address)
+	case ctx.Err() == nil:
+		pool.settings.Tunnels.RecordFailed(address)
+	}
+	return dialed, err
+}
+
+// Probe connects to a target directly, to find out whether targets are reached. A connection that is made is kept for the next request.
+func (pool *Pool) Probe(ctx context.Context, now time.Time, address string) {
+	if conn, err := pool.DialDirect(ctx, address); err == nil {
+		pool.put(now, address, pool.newConn(conn), 0)
+	}
+}
+
+func (pool *Pool) newConn(dialed net.Conn) *pooledConn {
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
 	limit := &readLimit{reader: dialed}
 	conn := &pooledConn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
-	if tcp, ok := dialed.(*net.TCPConn); ok {
+	if tcp, ok := dialed.(syscall.Conn); ok {
 		// Without the raw connection an idle connection can't be checked and is not reused.
 		conn.raw, _ = tcp.SyscallConn()
 	}
-	return conn, nil
+	return conn
 }
 
-// RefusesConnections reports whether nothing listens at the address. A connection that is made is kept for the next request.
+// RefusesConnections reports whether nothing listens at the address. A connection that is made is kept for the next request. While this router may be
+// cut off from all targets, a refusal proves nothing.
 func (pool *Pool) RefusesConnections(ctx context.Context, now time.Time, address string) bool {
-	conn, err := pool.dial(ctx, address)
+	conn, err := pool.dial(ctx, now, address)
+	if errors.Is(err, syscall.ECONNREFUSED) && !pool.settings.Tunnels.Settle(ctx) {
+		conn, err = pool.dial(ctx, now, address)
+	}
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -152,18 +212,45 @@
 	return false
 }
 
+// MayBeGone reports whether nothing may listen at the address: it refuses connections, or it is reached through other routers only and none has
+// connected to it. A connection that is made is kept for the next request.
+func (pool *Pool) MayBeGone(ctx context.Context, now time.Time, address string) bool {
+	if !pool.settings.Tunnels.IsCut() {
+		return pool.RefusesConnections(ctx, now, address)
+	}
+	conn, err := pool.dial(ctx, now, address)
+	if err == nil {
+		pool.put(now, address, conn, 0)
+	}
+	return err != nil
+}
+
+// IsSuspected reports whether this router may be cut off from all targets, which is being found out.
+func (pool *Pool) IsSuspected(now time.Time) bool { return pool.settings.Tunnels.IsSuspected(now) }
+
+// HasChangedSince reports whether this router has lost or regained all targets since a time.
+func (pool *Pool) HasChangedSince(at time.Time) bool {
+	return pool.settings.Tunnels.HasChangedSince(at)
+}
+
+// Settle waits until it is known whether targets are reached directly, and reports whether they are.
+func (pool *Pool) Settle(ctx context.Context) bool { return pool.settings.Tunnels.Settle(ctx) }
+
+// IsStranded reports whether no target is reached, neither directly nor through another router.
+func (pool *Pool) IsStranded(now time.Time) bool { return pool.settings.Tunnels.IsStranded(now) }
+
 // takeIdle removes and returns the idle connection that was used last, without those on which the request was sent; nil if there is none.
-func (pool *Pool) takeIdle(address, requestID string) *pooledConn {
+func (pool *Pool) takeIdle(key idleKey, requestID string) *pooledConn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	list := pool.idle[address]
+	list := pool.idle[key]
 	for at := len(list) - 1; at >= 0; at-- {
 		conn := list[at]
 		if conn.hasSent(requestID) {
 			continue
 		}
-		if pool.idle[address] = slices.Delete(list, at, at+1); len(list) == 1 {
-			delete(pool.idle, address)
+		if pool.idle[key] = slices.Delete(list, at, at+1); len(list) == 1 {
+			delete(pool.idle, key)
 		}
 		pool.reused++
 		return conn
@@ -199,16 +286,23 @@
 		return
 	}
 	conn.idleSince, conn.expires = now, now.Add(idleTimeout)
+	key := idleKey{address, conn.via != ""}
+	if key.isTunneled && conn.reusableUntil.Before(conn.expires) {
+		conn.expires = conn.reusableUntil
+	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.idle[address] = append(pool.idle[address], conn)
+	pool.idle[key] = append(pool.idle[key], conn)
 }
 
 // CloseIdle closes the idle connections to an address, for example after a failed exchange with its target.
 func (pool *Pool) CloseIdle(address string) {
 	pool.mutex.Lock()
-	list := pool.idle[address]
-	delete(pool.idle, address)
+	var list []*pooledConn
+	for _, key := range []idleKey{{address, false}, {address, true}} {
+		list = append(list, pool.idle[key]...)
+		delete(pool.idle, key)
+	}
 	pool.mutex.Unlock()
 	for _, conn := range list {
 		_ = conn.Close()
@@ -219,7 +313,7 @@
 func (pool *Pool) CloseExpired(now time.Time) {
 	var expired []*pooledConn
 	pool.mutex.Lock()
-	for address, list := range pool.idle {
+	for key, list := range pool.idle {
 		kept := list[:0]
 		for _, conn := range list {
 			if now.Before(conn.expires) {
@@ -228,8 +322,8 @@
 				expired = append(expired, conn)
 			}
 		}
-		if pool.idle[address] = kept; len(kept) == 0 {
-			delete(pool.idle, address)
+		if pool.idle[key] = kept; len(kept) == 0 {
+			delete(pool.idle, key)
 		}
 	}
 	pool.mutex.Unlock()
