--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -60,7 +60,7 @@
 	if refusal != nil || call.isTruncated {
 		level = zerolog.WarnLevel
 	}
-	event := handler.options.Log.WithLevel(level).Str("request", call.metadata.ID).Str("target", string(call.lastTarget)).
+	event := call.withVia(handler.options.Log.WithLevel(level)).Str("request", call.metadata.ID).Str("target", string(call.lastTarget)).
 		Dur("took", handler.options.Clock().Sub(call.arrived)).Dur("first", call.firstByte).Dur("waited", call.waited).Int("sends", call.sends)
 	if call.route != nil {
 		event = event.Str("route", call.route.Name).Str("unit", call.unit.String()).
@@ -74,9 +74,6 @@
 	case call.isTruncated:
 		outcome = "cut"
 	}
-	if call.via != "" {
-		event = event.Str("via", call.via)
-	}
 	if call.workspace != nil {
 		event = event.Str("workspace", call.workspaceName())
 	}
@@ -109,6 +106,14 @@
 	handler.recordMetrics(call, outcome)
 }
 
+// withVia adds the router through which the last answer came, if there is one.
+func (call *call) withVia(event *zerolog.Event) *zerolog.Event {
+	if call.via == "" {
+		return event
+	}
+	return event.Str("via", call.via)
+}
+
 // latencyBuckets range from the latency of a plain service to the longest wait for a model load.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 14)
 
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -127,12 +127,11 @@
 }
 
 // Dial connects to a target through another router. No byte is sent to the target unless it succeeds.
-func (client *Client) Dial(ctx context.Context, address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, client.options.Timeout)
+func (client *Client) Dial(caller context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(caller, client.options.Timeout)
 	defer cancel()
 	for range maxTries {
-		now := client.options.Clock()
-		via := client.options.Peers.Choose(now, rand.IntN)
+		via := client.options.Peers.Choose(client.options.Clock(), rand.IntN)
 		if via == "" {
 			break
 		}
@@ -146,24 +145,34 @@
 			return conn, nil
 		}
 		client.options.Peers.Release(via)
-		switch {
-		case err == nil && answer == statusRefused:
-			return nil, fmt.Errorf("%s through %s: %w", address, via, syscall.ECONNREFUSED)
-		case err == nil && answer == statusFailed:
-			return nil, fmt.Errorf("%s through %s: %w", address, via, errUnreachable)
-		case err == nil && answer == statusBusy:
-			client.options.Peers.Avoid(via, now.Add(reach.BusyTime))
-		case err == nil && answer == statusUnknown:
-		case ctx.Err() == nil || err == nil:
-			client.options.Peers.Avoid(via, now.Add(reach.AvoidTime))
+		if err != nil && ctx.Err() != nil {
+			err = ctx.Err()
 		}
-		if ctx.Err() != nil {
-			return nil, fmt.Errorf("%s through %s: %w", address, via, ctx.Err())
+		if isFinal, failure := client.judge(caller, client.options.Clock(), via, answer, err); isFinal {
+			return nil, fmt.Errorf("%s through %s: %w", address, via, failure)
 		}
 	}
 	return nil, fmt.Errorf("%s: %w", address, errNoRouter)
 }
 
+// judge decides what follows from a connection that a router has not made: an error if no other router need be tried.
+func (client *Client) judge(ctx context.Context, now time.Time, via string, answer status, err error) (isFinal bool, failure error) {
+	switch {
+	case ctx.Err() != nil:
+		return true, ctx.Err()
+	case err != nil || answer == statusCut:
+		client.options.Peers.Avoid(via, now.Add(reach.AvoidTime))
+		return errors.Is(err, context.DeadlineExceeded), err
+	case answer == statusBusy:
+		client.options.Peers.Avoid(via, now.Add(reach.BusyTime))
+	case answer == statusRefused:
+		return true, syscall.ECONNREFUSED
+	case answer == statusFailed:
+		return true, errUnreachable
+	}
+	return false, nil
+}
+
 // dialThrough connects through one router; the connection is nil unless the status says that the target is connected.
 func (client *Client) dialThrough(ctx context.Context, via, address string) (*Conn, status, error) {
 	dialed, err := client.options.Dial(ctx, "tcp", via)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -95,20 +95,7 @@
 	}
 	if err != nil {
 		stop()
-		conn.discard()
-		if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
-			pool.idleLimit.recordReset(address, now.Sub(conn.idleSince))
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() == nil {
-			pool.CloseIdle(address)
-		}
-		if errors.Is(err, syscall.ETIMEDOUT) {
-			if conn.via == "" {
-				pool.settings.Tunnels.RecordFailed(address)
-			}
-			return nil, ErrUnacknowledged.Wrap(err, "%s", address)
-		}
-		return nil, ErrBroken.Wrap(err, "%s", address)
+		return nil, pool.endFailed(ctx, now, address, conn, isNew, err)
 	}
 	answer := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
 		pool: pool, conn: conn, address: address, stopCancel: stop, Via: conn.via}
@@ -118,6 +105,24 @@
 	return answer, nil
 }
 
+// endFailed closes a connection whose exchange has failed, and returns the error for it.
+func (pool *Pool) endFailed(ctx context.Context, now time.Time, address string, conn *pooledConn, isNew bool, err error) error {
+	conn.discard()
+	if !isNew && ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		pool.idleLimit.recordReset(address, now.Sub(conn.idleSince))
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() == nil {
+		pool.CloseIdle(address)
+	}
+	if !errors.Is(err, syscall.ETIMEDOUT) {
+		return ErrBroken.Wrap(err, "%s", address)
+	}
+	if conn.via == "" {
+		pool.settings.Tunnels.RecordFailed(address)
+	}
+	return ErrUnacknowledged.Wrap(err, "%s", address)
+}
+
 // discard closes the connection and drops the bytes that the target has not acknowledged. The kernel would otherwise go on sending them, and a
 // request that was given up during a network partition would arrive after its end.
 func (conn *pooledConn) discard() {
--- a/upstream/tunnel_test.go
+++ b/upstream/tunnel_test.go
@@ -111,19 +111,20 @@
 	defer func() { _ = silent.Close() }()
 	other, dials := otherRouter(t)
 	for name, tc := range map[string]struct {
-		other, target string
-		isRefused     bool
+		other, target     string
+		isRefused, isLost bool
 	}{
-		"refused":        {other, closed.Addr().String(), true},
-		"unknown target": {other, "127.0.0.1:9", false},
-		"router gone":    {closed.Addr().String(), "127.0.0.1:1", false},
-		"router silent":  {silent.Addr().String(), "127.0.0.1:1", false},
+		"refused":        {other, closed.Addr().String(), true, false},
+		"unknown target": {other, "127.0.0.1:9", false, false},
+		"router gone":    {closed.Addr().String(), "127.0.0.1:1", false, true},
+		"router silent":  {silent.Addr().String(), "127.0.0.1:1", false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := dials.Load()
 			pool := cutPool(tc.other)
 			err := get(t, pool, time.Now(), tc.target, "id")
 			assert.Assert(t, isNotSent(err), "%v", err)
+			assert.Equal(t, pool.IsStranded(time.Now()), tc.isLost, "the router that failed is tried again at once")
 			assert.Equal(t, isRefused(err), tc.isRefused, "%v", err)
 			assert.Assert(t, tc.isRefused || dials.Load() == before, "an unknown address was connected to")
 			assert.Equal(t, pool.RefusesConnections(t.Context(), time.Now(), tc.target), tc.isRefused)
