A cut that is found while an attempt fails is no crash of its target

A refusal over a direct connection, handled after this router was found to be cut off, counted as a crash of the target, since nothing was suspected any more. Requests could be quarantined for it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -155,7 +155,7 @@
 	call.cause = celerylanding.MessageOf(err)
 	isDone := ctx.Err() != nil
 	if errorx.IsOfType(err, upstream.ErrConnRefused) {
-		handler.confirmRefusal(now, target.Endpoint())
+		handler.confirmRefusal(now, call.sentAt, target.Endpoint())
 	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		handler.picker.Done(now, target, resultOf(isDone, dispatch.ResultUnreachable))
--- a/proxy/reach.go
+++ b/proxy/reach.go
@@ -18,10 +18,14 @@
 	return handler.state.table().HasTargetAt(address)
 }
 
-// confirmRefusal records that a target refuses connections, unless that is so because this router reaches no target.
-func (handler *Handler) confirmRefusal(now time.Time, endpoint celerylanding.Endpoint) {
-	if !handler.options.Pool.IsSuspected(now) {
-		handler.confirmCrash(now, endpoint)
+// confirmRefusal records that a target refuses connections, for an attempt that began at a time, unless that is so because this router reaches no
+// target.
+func (handler *Handler) confirmRefusal(now, began time.Time, endpoint celerylanding.Endpoint) {
+	pool := handler.options.Pool
+	if !pool.IsSuspected(now) {
+		if !pool.IsCut() || !pool.HasChangedSince(began) {
+			handler.confirmCrash(now, endpoint)
+		}
 		return
 	}
 	handler.probes.Go(func(ctx context.Context) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -228,6 +228,9 @@
 // IsSuspected reports whether this router may be cut off from all targets, which is being found out.
 func (pool *Pool) IsSuspected(now time.Time) bool { return pool.settings.Tunnels.IsSuspected(now) }
 
+// IsCut reports whether targets are reached through other routers only.
+func (pool *Pool) IsCut() bool { return pool.settings.Tunnels.IsCut() }
+
 // HasChangedSince reports whether this router has lost or regained all targets since a time.
 func (pool *Pool) HasChangedSince(at time.Time) bool {
 	return pool.settings.Tunnels.HasChangedSince(at)
