--- a/proxy/state.go
+++ b/proxy/state.go
@@ -88,6 +88,14 @@
 	state.changed = make(chan struct{})
 }
 
+// announce notifies those who wait for another table, although it is the same.
+func (state *tableState) announce() {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	close(state.changed)
+	state.changed = make(chan struct{})
+}
+
 // age returns the time since the leader's state was last known, and false if it has never been.
 func (state *tableState) age(now time.Time) (time.Duration, bool) {
 	state.mutex.Lock()
