Hop: silent routers, silent targets, short requests and a lack of descriptors

Sockets to targets for other routers kept the 500 ms after which unread bytes end a connection, so that a long request to a target that is silent for a second broke off over the hop only. Another router that accepts and says nothing took the whole time for a connection, and was not avoided when the request ended first; a try has half of the time now. Any error of accept but a timeout ended the listener and with it the router. A connection whose request ended before its dial timeout was no sign of a cut, so that routers with short deadlines never found one; such a target is probed now. Mutations for all four.

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -276,3 +276,7 @@
 mutate hops-list-unbounded reach/directory.go ./reach TestDirectoryIsBounded 's/min\(len\(group\), maxDetours\/2\)/len(group)/'
 mutate hops-list-not-adopted reach/directory.go ./control TestRoutersLearn 's/directory\.list, directory\.digest = list\.Detours, list\.Digest/_ = list.Detours/'
 mutate hops-list-outlives-routers reach/directory.go ./reach TestDirectoryForgets 's/now\.Sub\(report\.at\) > reportTimeout/false/'
+mutate hop-drops-long-requests upstream/tunneled.go ./upstream TestSilentTargetGets 's/err = setAckTimeout\(raw, silentAckTimeout\)/_ = raw/'
+mutate silent-router-takes-all-time tunnel/client.go ./upstream TestSilentRouterLeaves 's/client\.options\.Timeout\/2\)/client.options.Timeout)/'
+mutate no-descriptors-no-router tunnel/server.go ./tunnel TestLackOf 's/if errors\.Is\(err, net\.ErrClosed\) \{/if err != nil {/'
+mutate short-requests-prove-nothing upstream/tunneled.go ./upstream TestShortRequests 's/\t\tpool\.settings\.Tunnels\.RecordDoubt\(address\)\n//'
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -22,6 +22,8 @@
 	maxTries = 3
 	// ReuseTime is how long after its begin a connection is used for further requests. A router that stops keeps its connections for longer.
 	ReuseTime = 2 * time.Second
+	// silentTime is the time without a word from a router after which it is avoided although the request has ended.
+	silentTime = 200 * time.Millisecond
 	// settleInterval is the interval at which Settle looks at the results of probes.
 	settleInterval = 30 * time.Millisecond
 )
@@ -52,13 +54,14 @@
 // Client connects to targets through other routers while this one reaches none.
 type Client struct {
 	options ClientOptions
-	// wake starts a round of probes.
-	wake chan struct{}
+	// wake starts a round of probes, and doubts receives targets of which it is not known whether they can be reached.
+	wake   chan struct{}
+	doubts chan string
 }
 
 // NewClient returns a client that knows no other routers.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, wake: make(chan struct{}, 1)}
+	return &Client{options: options, wake: make(chan struct{}, 1), doubts: make(chan string, 1)}
 }
 
 // IsCut reports whether this router reaches no target itself.
@@ -97,6 +100,17 @@
 	}
 }
 
+// RecordDoubt records that a request had too little time for a connection to a target, which is then probed.
+func (client *Client) RecordDoubt(address string) {
+	if client == nil {
+		return
+	}
+	select {
+	case client.doubts <- address:
+	default:
+	}
+}
+
 // RecordConnected records that a direct connection to a target was made.
 func (client *Client) RecordConnected(address string) {
 	if client == nil {
@@ -135,7 +149,11 @@
 		if via == "" {
 			break
 		}
-		conn, answer, err := client.dialThrough(ctx, via, address)
+		// A router that says nothing leaves time for another one.
+		tryCtx, endTry := context.WithTimeout(ctx, client.options.Timeout/2)
+		began := client.options.Clock()
+		conn, answer, err := client.dialThrough(tryCtx, via, address)
+		endTry()
 		outcome := answer.String()
 		if err != nil {
 			outcome = "unreachable"
@@ -145,10 +163,11 @@
 			return conn, nil
 		}
 		client.options.Peers.Release(via)
-		if err != nil && ctx.Err() != nil {
-			err = ctx.Err()
+		now := client.options.Clock()
+		if err != nil && ctx.Err() != nil && now.Sub(began) >= silentTime {
+			client.options.Peers.Avoid(via, now.Add(reach.BusyTime))
 		}
-		if isFinal, failure := client.judge(caller, client.options.Clock(), via, answer, err); isFinal {
+		if isFinal, failure := client.judge(ctx, now, via, answer, err); isFinal {
 			return nil, fmt.Errorf("%s through %s: %w", address, via, failure)
 		}
 	}
@@ -162,7 +181,6 @@
 		return true, ctx.Err()
 	case err != nil || answer == statusCut:
 		client.options.Peers.Avoid(via, now.Add(reach.AvoidTime))
-		return errors.Is(err, context.DeadlineExceeded), err
 	case answer == statusBusy:
 		client.options.Peers.Avoid(via, now.Add(reach.BusyTime))
 	case answer == statusRefused:
@@ -211,6 +229,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-client.wake:
+		case address := <-client.doubts:
+			// A failure is recorded and wakes this loop.
+			probe(ctx, address)
+			continue
 		}
 		for tracker.IsCut() || tracker.IsSuspected(client.options.Clock()) {
 			probes := tracker.NextProbes(client.options.Clock(), rand.Perm)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -23,6 +24,8 @@
 	writeTimeout = 30 * time.Second
 	// keepAliveInterval is the interval of the probes that find out whether the other router is gone.
 	keepAliveInterval = time.Second
+	// acceptPause is the time until the next connection is accepted after an error, such as a lack of descriptors.
+	acceptPause = 100 * time.Millisecond
 )
 
 // ServerOptions configure a server.
@@ -37,6 +40,7 @@
 	Settle func(ctx context.Context) bool
 	// OwnLoad returns the number of requests of this router's own callers.
 	OwnLoad func() int
+	Log     zerolog.Logger
 	Metrics tally.Scope
 }
 
@@ -77,12 +81,20 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
 		if err != nil {
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
+			server.options.Log.Warn().Err(err).Msg("connection of another router not accepted")
+			if !sleep(ctx, acceptPause) {
+				return nil
 			}
-			return err
+			continue
+		}
+		if server.open.Load() >= 2*maxConnections {
+			// They have not said yet what they want, or are being refused.
+			_ = conn.Close()
+			continue
 		}
 		connections.Add(1)
 		go func() {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -188,18 +188,6 @@
 	return conn, nil
 }
 
-// DialDirect connects to a target and records whether it was reached.
-func (pool *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	dialed, err := pool.direct(ctx, "tcp", address)
-	switch {
-	case err == nil:
-		pool.settings.Tunnels.RecordConnected(address)
-	case ctx.Err() == nil:
-		pool.settings.Tunnels.RecordFailed(address)
-	}
-	return dialed, err
-}
-
 // Probe connects to a target directly, to find out whether targets are reached. A connection that is made is kept for the next request.
 func (pool *Pool) Probe(ctx context.Context, now time.Time, address string) {
 	if conn, err := pool.DialDirect(ctx, address); err == nil {
--- a/upstream/tunnel_test.go
+++ b/upstream/tunnel_test.go
@@ -26,10 +26,11 @@
 func otherRouter(t *testing.T) (address string, dials *atomic.Int64) {
 	t.Helper()
 	dials = &atomic.Int64{}
+	direct := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute})
 	server := tunnel.NewServer(tunnel.ServerOptions{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			dials.Add(1)
-			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return direct.DialForOthers(ctx, address)
 		},
 		Allows:  func(address string) bool { return address != "127.0.0.1:9" },
 		IsCut:   func() bool { return false },
@@ -135,3 +136,57 @@
 func isNotSent(err error) bool { return errorx.IsOfType(err, upstream.ErrNotSent) }
 
 func isRefused(err error) bool { return errorx.IsOfType(err, upstream.ErrConnRefused) }
+
+// TestSilentTargetGetsALongRequestThroughAnotherRouter guards against a connection that the other router gives up because a living target reads nothing.
+func TestSilentTargetGetsALongRequestThroughAnotherRouter(t *testing.T) {
+	other, _ := otherRouter(t)
+	pool, address := cutPool(other), listenSilently(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	response, err := pool.Do(ctx, time.Now(), address, &upstream.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+		Body: make([]byte, 4<<20)})
+	assert.NilError(t, err)
+	response.Close(time.Now())
+}
+
+// TestSilentRouterLeavesTimeForAnother guards against requests that fail because one of the other routers accepts connections and says nothing.
+func TestSilentRouterLeavesTimeForAnother(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("x")) }))
+	defer target.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	for number := range 10 {
+		other, _ := otherRouter(t)
+		assert.NilError(t, get(t, cutPool(silent.Addr().String(), other), time.Now(), target.Listener.Addr().String(), fmt.Sprint(number)))
+	}
+}
+
+// TestShortRequestsFindACut guards against a cut that is never found since all requests end before a connection counts as failed.
+func TestShortRequestsFindACut(t *testing.T) {
+	tracker := reach.NewTracker("d")
+	tracker.Update([]*feed.Target{{Address: "0"}, {Address: "1"}, {Address: "2"}})
+	client := tunnel.NewClient(tunnel.ClientOptions{Tracker: tracker, Peers: reach.NewPeers("d"), Changed: func() {}, Clock: time.Now, Log: zerolog.Nop(),
+		Metrics: tally.NoopScope})
+	pool := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, Tunnels: client,
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, 350*time.Millisecond)
+			defer cancel()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Run(ctx, func(ctx context.Context, address string) { pool.Probe(ctx, time.Now(), address) })
+	}()
+	for began := time.Now(); !client.IsCut(); {
+		assert.Assert(t, time.Since(began) < 3*time.Second, "no cut is found")
+		callCtx, endCall := context.WithTimeout(ctx, 100*time.Millisecond)
+		_, err := pool.Do(callCtx, time.Now(), "0", &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		endCall()
+		assert.Assert(t, err != nil)
+	}
+	cancel()
+	assert.NilError(t, <-ended)
+}
