--- a/review/stand/case_notice.go
+++ b/review/stand/case_notice.go
@@ -9,9 +9,6 @@
 	"time"
 )
 
-// standBinary is this program, which is also that of the servers.
-const standBinary = "target/bin/review-2"
-
 const (
 	// noticeMs is the time between the notice and the end of the server.
 	noticeMs = 2000
@@ -60,7 +57,7 @@
 		id := fmt.Sprintf("stream-%d", number)
 		answers.Add(2)
 		go check(call{id: id, method: http.MethodPost, path: pathStream + "x", model: model, limit: 17 * time.Second, body: "prompt"},
-			streamBody(id, noticeEvents))
+			streamBody(id, "v1", noticeEvents))
 		id = fmt.Sprintf("safe-%d", number)
 		go check(call{id: id, method: http.MethodGet, path: pathSafe + fmt.Sprint(number), limit: 17 * time.Second}, plainBody(id, 800))
 	}
--- a/review/stand/configuration.go
+++ b/review/stand/configuration.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
 // The path prefixes of the routes.
 const (
-	pathStream, pathSafe, pathUnsafe, pathRoot = "/stream/", "/safe/", "/unsafe/", "/"
+	pathStream, pathResumable, pathSafe, pathUnsafe, pathRoot = "/stream/", "/resumable/", "/safe/", "/unsafe/", "/"
 )
 
 // The services of the configuration.
@@ -17,6 +18,9 @@
 	serviceEngines, servicePlain = "engines", "plain"
 )
 
+// resumableObjectiveMs is the latency target of the streams that may be resumed.
+const resumableObjectiveMs = 1000
+
 // model is the only model of the configuration; its adapters are a1, a2 and so on.
 const model = "m1"
 
@@ -26,22 +30,29 @@
 		return map[string]any{"name": "r" + path, "host": host, "pathPrefix": path, "type": kind, "timeoutMs": timeout.Milliseconds(),
 			"targetLatencyMs": 600, "priority": 0, "service": service, "attempts": attempts, "sticky": kind == "stream", "resumable": false, "gapAimMs": 400}
 	}
+	resumable := route(pathResumable, "stream", serviceEngines, 2, 20*time.Second)
+	resumable["resumable"], resumable["targetLatencyMs"] = true, resumableObjectiveMs
 	engine := map[string]any{"slots": 64, "kvCapacity": 255051, "kvTokenBytes": 163840, "linkMbps": 260000.0, "weightsMb": 200000.0,
 		"adapterSlots": adapterSlots, "loadsPerS": 3.7, "maxCount": 12, "stride": 1, "models": []any{map[string]any{"name": model, "weightsMb": 42700.0,
 			"loadS": 6.0, "adapters": adapters, "adapterMb": 66.0, "warmS": 0.44, "diskS": 0.68}}}
 	return map[string]any{"version": version,
-		"routes": []any{route(pathStream, "stream", serviceEngines, 1, 20*time.Second), route(pathSafe, "safe", servicePlain, 2, 20*time.Second),
-			route(pathUnsafe, "unsafe", servicePlain, 1, 20*time.Second)},
+		"routes": []any{route(pathStream, "stream", serviceEngines, 1, 20*time.Second), resumable, route(pathSafe, "safe", servicePlain, 2, 20*time.Second),
+			route(pathUnsafe, "unsafe", servicePlain, 1, 20*time.Second), route(pathRoot, "unsafe", servicePlain, 1, 20*time.Second)},
 		"services": []any{map[string]any{"name": serviceEngines, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false, "engine": engine},
 			map[string]any{"name": servicePlain, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 }
 
+// zoneOf returns the zone of the node or server with the number.
+func zoneOf(number int) string { return fmt.Sprintf("sul-%c", 'a'+(number-1)%3) }
+
 // startServer starts a stand-in of a server.
 func (fleet *fleet) startServer(number int, options serverOptions) (*child, error) {
 	options.ID = fmt.Sprintf("i-%04d", number)
 	options.Address = fmt.Sprintf("%s%d:8080", fleet.network, 100+number)
-	options.Zone = fmt.Sprintf("sul-%c", 'a'+(number-1)%3)
+	if options.Zone == "" {
+		options.Zone = zoneOf(number)
+	}
 	options.Controllers = fleet.controlAddresses()
 	if options.Version == "" {
 		options.Version = "v1"
@@ -53,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return fleet.launch("server-"+options.ID, nil, standBinary, "server", string(text))
+	return fleet.launch("server-"+options.ID, nil, os.Args[0], "server", string(text))
 }
 
 // awaitReady waits until all routers say that they are ready, and each answers a request.
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -143,8 +143,7 @@
 		host, class, serves = 10+number, "edge", "edge"
 	}
 	name, ip := fmt.Sprintf("%s-%d", role, number), fmt.Sprintf("%s%d", fleet.network, host)
-	zone := fmt.Sprintf("sul-%c", 'a'+(number-1)%3)
-	lines := []string{"node=" + name, "role=" + role, "class=" + class, "serves=" + serves, "ip=" + ip, "zone=" + zone, "region=sul",
+	lines := []string{"node=" + name, "role=" + role, "class=" + class, "serves=" + serves, "ip=" + ip, "zone=" + zoneOf(number), "region=sul",
 		"internalPorts=7380,7395", "seeds=" + strings.Join(fleet.controlAddresses(), ","), fmt.Sprintf("bootstrap=%v", bootstrap), "inTolerance=false",
 		"limits.cpuShare=0.6", "limits.cores=1", "limits.maxFds=6150", "limits.linkMbps=1500.0", "discovery=register", "entry=vip",
 		"heartbeatIntervalMs=1200", "contracts=base,drain,config,cost,retry,recover,fleet,stream,engine", "faultTolerance.machines=1",
@@ -222,6 +221,31 @@
 	return false
 }
 
+// leader returns the number of the controller that leads: the address for further pings that a ping is answered with.
+func (fleet *fleet) leader() (int, error) {
+	number := 0
+	err := fleet.await(func() bool {
+		body := `{"service":"nobody","address":"127.0.0.1:1","zone":"sul-a","version":"v1","slots":1,"state":"ready","seq":1,"born":1}`
+		request, err := http.NewRequest(http.MethodPut, "http://"+fleet.controlAddresses()[0]+"/instances/question", strings.NewReader(body))
+		if err != nil {
+			return false
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		var reply struct{ HeartbeatAddr string }
+		if json.NewDecoder(response.Body).Decode(&reply) != nil {
+			return false
+		}
+		count, _ := fmt.Sscanf(reply.HeartbeatAddr, fleet.network+"%d:", &number)
+		return count == 1
+	})
+	fleet.log.add("case", "controller-%d leads", number)
+	return number, err
+}
+
 // await waits until a condition holds.
 func (fleet *fleet) await(holds func() bool) error {
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -239,7 +239,7 @@
 			say("dropped %s after event %d", id, number-1)
 			return
 		}
-		_, _ = io.WriteString(writer, event(id, number))
+		_, _ = io.WriteString(writer, event(id, server.options.Version, number))
 		_ = http.NewResponseController(writer).Flush()
 	}
 	say("answered %s whole: %d events", id, server.options.Events)
@@ -256,7 +256,9 @@
 }
 
 // event is an event of the stream that answers a request.
-func event(id string, number int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", number, id) }
+func event(id, version string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", number, id, version)
+}
 
 // plainBody is the plain answer to a request.
 func plainBody(id string, length int) string {
