--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/bin
-go build -ldflags=-linkmode=external -o target/bin/review-2 ./review/stand
+go build -tags review -ldflags=-linkmode=external -o target/bin/review-2 ./review/stand
--- a/review/stand/case_origin.go
+++ b/review/stand/case_origin.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
