--- a/review/stand/case_memory.go
+++ b/review/stand/case_memory.go
@@ -23,8 +23,8 @@
 	memoryCalm, memoryTime = 6 * time.Second, 12 * time.Second
 	// memoryBody is the length of a request's body, as large as the limits of the configuration allow.
 	memoryBody = 4 << 20
-	// memoryEvents and memoryEventMs make an answer last 3 s.
-	memoryEvents, memoryEventMs = 30, 100
+	// memoryWorkMs is the time that the server works on a request.
+	memoryWorkMs = 3000
 	// memoryLost is the number of requests that may be lost.
 	memoryLost = 3
 )
@@ -52,11 +52,10 @@
 	if err := fleet.startPrograms(1, configuration(1, 0, 8)); err != nil {
 		return nil, err
 	}
-	if _, err := fleet.startServer(1, serverOptions{Service: serviceEngines, Models: []string{model}, Events: memoryEvents, EventMs: memoryEventMs,
-		AdapterSlots: 8, Slots: 128}); err != nil {
+	if _, err := fleet.startServer(1, serverOptions{Service: servicePlain, WorkMs: memoryWorkMs, BodyBytes: 800, Slots: 128}); err != nil {
 		return nil, err
 	}
-	if err := fleet.awaitReady(call{method: http.MethodPost, path: pathStream + "x", model: model, limit: 8 * time.Second, body: "prompt"}); err != nil {
+	if err := fleet.awaitReady(call{method: http.MethodPost, path: pathUnsafe + "x", limit: 8 * time.Second, body: "transfer"}); err != nil {
 		return nil, err
 	}
 	state.router = fleet.routers[0]
@@ -162,11 +161,11 @@
 func (state *memoryCase) send(client *http.Client, id, body string) {
 	isKept := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { isKept = info.Reused }}
-	got := state.fleet.sendTraced(client, state.current(), call{id: id, method: http.MethodPost, path: pathStream + "x", model: model, body: body,
-		limit: 8 * time.Second}, trace)
+	got := state.fleet.sendTraced(client, state.current(), call{id: id, method: http.MethodPost, path: pathUnsafe + "x", body: body, limit: 8 * time.Second},
+		trace)
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	if got.failed != nil && isKept && state.ran[id] {
+	if got.status == 0 && isKept && state.ran[id] {
 		state.lost = append(state.lost, id)
 	}
 }
