--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -32,7 +32,10 @@
 	stopTime = 500 * time.Millisecond
 )
 
-var errNotReady = errors.New("the programs or servers did not become ready")
+var (
+	errNotReady = errors.New("the programs or servers did not become ready")
+	errOver     = errors.New("the case is over")
+)
 
 // child is a process that a case has started.
 type child struct {
@@ -55,6 +58,8 @@
 
 	mutex    sync.Mutex
 	children []*child
+	// isOver is set once the processes are ended; no further one is started.
+	isOver bool
 	// heard receives the lines of the stand-in servers.
 	heard func(server, text string)
 
@@ -102,13 +107,10 @@
 		return nil, err
 	}
 	command.Stderr = command.Stdout
-	if err := command.Start(); err != nil {
+	child := &child{name: name, command: command, ended: make(chan struct{})}
+	if err := fleet.begin(child); err != nil {
 		return nil, err
 	}
-	child := &child{name: name, command: command, ended: make(chan struct{})}
-	fleet.mutex.Lock()
-	fleet.children = append(fleet.children, child)
-	fleet.mutex.Unlock()
 	go func() {
 		defer close(child.ended)
 		fleet.listen(name, output)
@@ -118,6 +120,20 @@
 	return child, nil
 }
 
+// begin starts a process, unless the case is over.
+func (fleet *fleet) begin(child *child) error {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.isOver {
+		return errOver
+	}
+	if err := child.command.Start(); err != nil {
+		return err
+	}
+	fleet.children = append(fleet.children, child)
+	return nil
+}
+
 // listen records the output of a process; that of the programs goes to a file beside the settings.
 func (fleet *fleet) listen(name string, output io.Reader) {
 	isServer := strings.HasPrefix(name, "server")
@@ -262,6 +278,7 @@
 func (fleet *fleet) stop() {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	fleet.isOver = true
 	for _, child := range fleet.children {
 		child.signal(syscall.SIGCONT)
 		child.signal(syscall.SIGTERM)
