Proxy: log how an answer of a leaving target ends

Two hypotheses: the check of the end is skipped since the target leaves, or it is made and misled by a new connection. The log did not tell them apart, nor how the ends of killed and of orderly targets differ.

Now the router logs such an end with the time for which the target had sent nothing.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -241,7 +241,7 @@
 	if len(body) > maxBufferedBody {
 		return handler.forwardUnbuffered(ctx, writer, call, target, response, body)
 	}
-	if err := handler.confirmEnd(ctx, call, target); err != nil {
+	if err := handler.confirmEnd(ctx, call, target, response); err != nil {
 		return handler.endBroken(ctx, call, target, err)
 	}
 	handler.endComplete(call, target, response)
@@ -261,11 +261,13 @@
 
 // confirmEnd checks that a target whose answer has ended with its connection has not crashed: a target that is killed ends its connections in the
 // same way, and refuses new ones. A target that leaves may do so as well after its last answer.
-func (handler *Handler) confirmEnd(ctx context.Context, call *call, target *feed.Target) error {
+func (handler *Handler) confirmEnd(ctx context.Context, call *call, target *feed.Target, response *upstream.Response) error {
 	if !call.head.IsUnframed {
 		return nil
 	}
 	if handler.picker.IsLeaving(handler.state.table(), target) {
+		handler.options.Log.Info().Str("call", call.metadata.ID).Str("target", string(target.ID)).Dur("silence", response.Silence()).
+			Msg("answer of a leaving target ended with its connection")
 		return nil
 	}
 	if sleep(ctx, probeDelay) && handler.options.Pool.MayBeGone(ctx, handler.options.Clock(), target.Address) {
@@ -283,7 +285,7 @@
 		_, err = io.Copy(writer, response)
 	}
 	if err == nil {
-		err = handler.checkEnd(ctx, call, target)
+		err = handler.checkEnd(ctx, call, target, response)
 	}
 	if err != nil {
 		call.isTruncated, call.cause = true, err.Error()
@@ -295,8 +297,8 @@
 }
 
 // checkEnd checks that the caller's body may end as the target's answer has ended.
-func (handler *Handler) checkEnd(ctx context.Context, call *call, target *feed.Target) error {
-	if err := handler.confirmEnd(ctx, call, target); err != nil {
+func (handler *Handler) checkEnd(ctx context.Context, call *call, target *feed.Target, response *upstream.Response) error {
+	if err := handler.confirmEnd(ctx, call, target, response); err != nil {
 		return err
 	}
 	return call.delivery.CheckEnd(call.head)
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -41,7 +41,7 @@
 		err = errors.Join(errStreamStalled, err)
 	}
 	if err == nil {
-		err = handler.checkEnd(ctx, call, target)
+		err = handler.checkEnd(ctx, call, target, response)
 	}
 	if err == nil {
 		handler.recordAnswer(handler.options.Clock(), call, target)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -73,6 +73,8 @@
 	// stopCancel detaches the connection from the context; it reports false if the context has ended before.
 	stopCancel func() bool
 	isComplete bool
+	// silence is how long the last read has waited.
+	silence time.Duration
 }
 
 // Do sends the request once and reads the header of its answer. The context bounds the whole exchange, including the read of the body.
@@ -210,13 +212,21 @@
 
 // Read reads the body; io.EOF means that the body is complete.
 func (response *Response) Read(buffer []byte) (int, error) {
+	began := time.Now()
 	count, err := response.body.Read(buffer)
+	response.silence = 0
+	if count == 0 {
+		response.silence = time.Since(began)
+	}
 	if errors.Is(err, io.EOF) {
 		response.isComplete = true
 	}
 	return count, err
 }
 
+// Silence returns how long the target sent nothing before the end of the body that the last read has found.
+func (response *Response) Silence() time.Duration { return response.silence }
+
 // Close returns the connection to the pool if the answer was read to its end; otherwise it closes the connection, which signals the target
 // to stop.
 func (response *Response) Close(now time.Time) {
