Delivery: a leaving target that is killed at work does not complete its answer

Cause: such an answer ends with its connection, and the check whether the target was killed was left out for targets that leave, since one that shuts down in order may refuse connections too.

Change: every such target is asked for a connection. A leaving one that refuses has answered only if the connection ended right after the last byte, nothing else broke off there at that time, and its notice had not ended. Heartbeats' remainingMs travels through leader and relays to the routers for that.

--- a/control/slow_links_test.go
+++ b/control/slow_links_test.go
@@ -72,6 +72,34 @@
 	assert.Assert(t, targets[0].Leaving, "the departure was acknowledged")
 }
 
+// TestNoticeReachesRouters guards against routers that do not know when a leaving target is taken away: they watch the leader or a relay, and the target
+// may have said that it leaves before it named a time.
+func TestNoticeReachesRouters(t *testing.T) {
+	cluster := newCluster(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
+	defer cancel()
+	cluster.submit(cluster.nodes[0], 1)
+	cluster.announceUntilAccepted(ctx, announcement("t1", 1, true))
+	peers := newTestPeers(t)
+	cluster.awaitRelays(ctx, peers, "t1")
+	args := announcement("t1", 2, true)
+	args.Announcement.Notice = 2 * time.Second
+	cluster.announceUntilAccepted(ctx, args)
+	for {
+		replies := cluster.awaitRelays(ctx, peers, "t1")
+		known := 0
+		for _, reply := range replies {
+			if reply.Targets.All()[0].Notice == 2*time.Second {
+				known++
+			}
+		}
+		if known == len(replies) {
+			return
+		}
+		assert.NilError(t, ctx.Err(), "known by %d of %d nodes", known, len(replies))
+	}
+}
+
 // TestDeparturesOutlastSnapshots guards against a target that is used again by nodes that know its departure from a snapshot only.
 func TestDeparturesOutlastSnapshots(t *testing.T) {
 	cluster := newCluster(t, 0)
--- a/control/views.go
+++ b/control/views.go
@@ -23,13 +23,13 @@
 	ctl.feed.targets[view.ID] = &publishedTarget{target: view, revision: ctl.feed.revision}
 }
 
-// isSameView reports whether two published states are equal, apart from the sequence of the last heartbeat.
+// isSameView reports whether two published states are equal, apart from the sequence of the last heartbeat and the time that a notice has left.
 func isSameView(a, b *feed.Target) bool {
 	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving &&
 		a.Silent == b.Silent && a.Slots == b.Slots && slices.EqualFunc(a.Loaded, b.Loaded, func(x, y feed.LoadedModel) bool {
 		return x.Model == y.Model && x.Draining == y.Draining && slices.Equal(x.Adapters, y.Adapters)
 	}) && a.Domain == b.Domain && slices.Equal(a.OnDisk, b.OnDisk) && slices.Equal(a.InMemory, b.InMemory) && a.Fetching == b.Fetching &&
-		a.Outlier == b.Outlier && a.Software == b.Software
+		a.Outlier == b.Outlier && a.Software == b.Software && (a.Notice > 0) == (b.Notice > 0)
 }
 
 func (ctl *Control) targetView(now time.Time, target *membership.Target) feed.Target {
@@ -42,6 +42,7 @@
 		Domain:      announcement.Domain,
 		Slots:       announcement.Slots,
 		Leaving:     announcement.Leaving,
+		Notice:      announcement.Notice,
 		Silent:      !target.IsRoutable(),
 		Sequence:    announcement.Sequence,
 		Software:    announcement.Software,
@@ -103,6 +104,7 @@
 		Group:       string(view.Service),
 		Address:     view.Address,
 		Leaving:     view.Leaving,
+		Notice:      view.Notice,
 		Slots:       view.Slots,
 		Fetching:    view.Fetching,
 		Software:    view.Software,
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -28,7 +28,14 @@
 	byID    map[celerylanding.TargetID]*feed.Target
 	// addresses are those of byID.
 	addresses map[string]bool
-	routers   int
+	// noticeEnds holds when targets are taken away, for those that have said so.
+	noticeEnds map[celerylanding.Endpoint]time.Time
+	routers    int
+}
+
+// NoticeEnd returns when an incarnation of a target is taken away, whatever it is running, or zero if that is not known.
+func (table *Table) NoticeEnd(endpoint celerylanding.Endpoint) time.Time {
+	return table.noticeEnds[endpoint]
 }
 
 // HasTargetAt reports whether a target that accepts new requests has the address.
@@ -77,6 +84,8 @@
 	term   uint64
 	// orphanedSince is when a new leader was first seen not to list the target.
 	orphanedSince time.Time
+	// noticeEnd is when the target is taken away, by the earliest word on it; zero if it has not said so.
+	noticeEnd time.Time
 }
 
 // Roster holds the routes and targets that leaders have published; it is not safe for concurrent use.
@@ -115,7 +124,7 @@
 	changed := isNewer || reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
 	roster.term, roster.revision, roster.routers = reply.Term, reply.Revision, reply.Routers
 	for i := range targets {
-		roster.upsert(reply.Term, targets[i])
+		roster.upsert(now, reply.Term, targets[i])
 	}
 	changed = roster.removeOrphans(now) || changed
 	if !changed {
@@ -134,17 +143,25 @@
 }
 
 // upsert stores a target unless a later incarnation is known; leaving is final for an incarnation.
-func (roster *Roster) upsert(term uint64, target feed.Target) {
+func (roster *Roster) upsert(now time.Time, term uint64, target feed.Target) {
+	entry := &rosterEntry{target: target, term: term}
+	if target.Notice > 0 {
+		entry.noticeEnd = now.Add(target.Notice)
+	}
 	known := roster.targets[target.ID]
 	if known != nil {
 		if known.target.Incarnation > target.Incarnation {
 			return
 		}
-		if known.target.Incarnation == target.Incarnation && known.target.Leaving {
-			target.Leaving = true
+		if known.target.Incarnation == target.Incarnation {
+			entry.target.Leaving = target.Leaving || known.target.Leaving
+			// A new leader repeats the notice without the time that has passed since.
+			if !known.noticeEnd.IsZero() && (entry.noticeEnd.IsZero() || known.noticeEnd.Before(entry.noticeEnd)) {
+				entry.noticeEnd = known.noticeEnd
+			}
 		}
 	}
-	roster.targets[target.ID] = &rosterEntry{target: target, term: term}
+	roster.targets[target.ID] = entry
 }
 
 // removeOrphans removes the targets, other than leaving ones, that the current leader has not listed for orphanTTL, and reports whether
@@ -166,16 +183,20 @@
 
 func (roster *Roster) buildTable() *Table {
 	table := &Table{
-		routes:    roster.routes,
-		byService: make(map[celerylanding.ServiceID][]*feed.Target),
-		byUnit:    make(map[unitKey][]*feed.Target),
-		leaving:   make(map[celerylanding.ServiceID][]*feed.Target),
-		byID:      make(map[celerylanding.TargetID]*feed.Target),
-		addresses: make(map[string]bool),
-		routers:   roster.routers,
+		routes:     roster.routes,
+		byService:  make(map[celerylanding.ServiceID][]*feed.Target),
+		byUnit:     make(map[unitKey][]*feed.Target),
+		leaving:    make(map[celerylanding.ServiceID][]*feed.Target),
+		byID:       make(map[celerylanding.TargetID]*feed.Target),
+		addresses:  make(map[string]bool),
+		noticeEnds: make(map[celerylanding.Endpoint]time.Time),
+		routers:    roster.routers,
 	}
 	for _, known := range roster.targets {
 		target := known.target
+		if !known.noticeEnd.IsZero() {
+			table.noticeEnds[target.Endpoint()] = known.noticeEnd
+		}
 		if target.Leaving {
 			table.leaving[target.Service] = append(table.leaving[target.Service], &target)
 			continue
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -55,6 +55,8 @@
 	Outlier bool `cbor:"14,keyasint,omitempty"`
 	// Software is the version of the target's software.
 	Software celerylanding.SoftwareVersion `cbor:"15,keyasint,omitempty"`
+	// Notice is the time after which a leaving target is taken away, whatever it is running, as of its publication; zero for none.
+	Notice time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Endpoint returns the incarnation's endpoint.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -259,23 +259,6 @@
 	return false, nil
 }
 
-// confirmEnd checks that a target whose answer has ended with its connection has not crashed: a target that is killed ends its connections in the
-// same way, and refuses new ones. A target that leaves may do so as well after its last answer.
-func (handler *Handler) confirmEnd(ctx context.Context, call *call, target *feed.Target, response *upstream.Response) error {
-	if !call.head.IsUnframed {
-		return nil
-	}
-	if handler.picker.IsLeaving(handler.state.table(), target) {
-		handler.options.Log.Info().Str("call", call.metadata.ID).Str("target", string(target.ID)).Dur("silence", response.Silence()).
-			Msg("answer of a leaving target ended with its connection")
-		return nil
-	}
-	if sleep(ctx, probeDelay) && handler.options.Pool.MayBeGone(ctx, handler.options.Clock(), target.Address) {
-		return errors.Join(errAnswerBroken, errTargetGone)
-	}
-	return nil
-}
-
 // forwardUnbuffered streams an answer that exceeds maxBufferedBody; prefix holds the bytes that are already read.
 func (handler *Handler) forwardUnbuffered(ctx context.Context, writer http.ResponseWriter, call *call, target *feed.Target,
 	response *upstream.Response, prefix []byte) (bool, *refusal) {
@@ -296,14 +279,6 @@
 	return false, nil
 }
 
-// checkEnd checks that the caller's body may end as the target's answer has ended.
-func (handler *Handler) checkEnd(ctx context.Context, call *call, target *feed.Target, response *upstream.Response) error {
-	if err := handler.confirmEnd(ctx, call, target, response); err != nil {
-		return err
-	}
-	return call.delivery.CheckEnd(call.head)
-}
-
 // endComplete records that a whole answer has arrived; a status of 500 or higher counts as a failure of the target.
 func (handler *Handler) endComplete(call *call, target *feed.Target, response *upstream.Response) {
 	now := handler.options.Clock()
--- a/proxy/crashes.go
+++ b/proxy/crashes.go
@@ -49,6 +49,8 @@
 	rotatedAt                time.Time
 	// probes holds the probes by the address of the target.
 	probes map[string]*targetProbe
+	// brokenAt is when targets last broke off an exchange.
+	brokenAt map[celerylanding.Endpoint]time.Time
 }
 
 // targetProbe is the state of the probes of one target.
@@ -60,7 +62,8 @@
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probes: make(map[string]*targetProbe)}
+	return &crashTracker{answered: make(map[uint64]bool), answeredBefore: make(map[uint64]bool), probes: make(map[string]*targetProbe),
+		brokenAt: make(map[celerylanding.Endpoint]time.Time)}
 }
 
 // fingerprints returns hashes of what requests can have in common: the whole request, which is the same for all attempts, also by its caller
@@ -103,6 +106,22 @@
 	tracker.suspects = append(tracker.suspects, brokenExchange{endpoint, call.fingerprints(), run, now})
 }
 
+// recordBreak records that a target has broken off an exchange.
+func (tracker *crashTracker) recordBreak(now time.Time, endpoint celerylanding.Endpoint) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	maps.DeleteFunc(tracker.brokenAt, func(_ celerylanding.Endpoint, at time.Time) bool { return now.Sub(at) > crashWindow })
+	tracker.brokenAt[endpoint] = now
+}
+
+// hasBroken reports whether a target has broken off an exchange since a time, at most crashWindow ago.
+func (tracker *crashTracker) hasBroken(endpoint celerylanding.Endpoint, since time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	at, ok := tracker.brokenAt[endpoint]
+	return ok && !at.Before(since)
+}
+
 // confirmation is the result of a refused connection to a target.
 type confirmation struct {
 	// crashed are the exchanges with the target that it explains, and copies is the largest number of them with the same request.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -134,6 +134,7 @@
 // suspectCrash records an interrupted exchange as a possible crash.
 func (handler *Handler) suspectCrash(now time.Time, call *call, endpoint celerylanding.Endpoint) {
 	handler.crashes.suspect(now, call, endpoint)
+	handler.crashes.recordBreak(now, endpoint)
 	delay, isNeeded := handler.crashes.beginProbe(now, endpoint.Address)
 	if !isNeeded {
 		return
--- a/types.go
+++ b/types.go
@@ -150,6 +150,8 @@
 	Fetching ModelID `json:"fetching,omitempty" cbor:"16,keyasint,omitempty"`
 	// Software is the version of the target's software, or "" if it is not stated.
 	Software SoftwareVersion `json:"software,omitempty" cbor:"17,keyasint,omitempty"`
+	// Notice is the time after which a leaving target is taken away, whatever it is running; zero if it has not said so. The platform's targets state it.
+	Notice time.Duration `json:"-" cbor:"18,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of an announcement that changes frequently.
