Control: log streams of unknown origin

The log did not tell a record that the new leader lacks from one under another key, or from a leader that has just started.

--- a/control/api.go
+++ b/control/api.go
@@ -126,11 +126,19 @@
 	return nil
 }
 
+// unknownOriginLogInterval is the time between two log lines on streams of unknown origin.
+const unknownOriginLogInterval = time.Second
+
 // findOrigin returns the software version that began a stream.
 func (ctl *Control) findOrigin(now time.Time, args *feed.OriginArgs) feed.OriginReply {
 	if !ctl.leads(now) {
 		return feed.OriginReply{}
 	}
 	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
+	if !isKnown && !now.Before(ctl.unknownOriginLogDue) {
+		ctl.unknownOriginLogDue = now.Add(unknownOriginLogInterval)
+		ctl.options.Log.Info().Str("service", string(args.Service)).Int("records", ctl.origins.Len()).Dur("leader_for", now.Sub(ctl.leaderSince)).
+			Msg("origin of a stream is not known")
+	}
 	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software, IsStarting: ctl.origins.IsStarting(now)}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -107,6 +107,8 @@
 	board *forecast.Board
 	// origins are the software versions that began streams, as routers have reported them to this leader.
 	origins *resume.Ledger
+	// unknownOriginLogDue is when an unknown origin is logged again.
+	unknownOriginLogDue time.Time
 	// started is when this process started.
 	started time.Time
 	// leaderSince is when this node became the leader; zero while it is not.
--- a/resume/ledger.go
+++ b/resume/ledger.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// Len returns the number of records.
+func (ledger *Ledger) Len() int { return len(ledger.records) }
+
 // ObserveVersion records that a target of the service has the version.
 func (ledger *Ledger) ObserveVersion(now time.Time, service celerylanding.ServiceID, software celerylanding.SoftwareVersion) {
 	versions := ledger.versions[service]
