Resume: control nodes keep the origins of streams for their new leader

Cause: the version that began a stream was known to its router and to the leader only. The same cause when both are lost in turn: a router that takes a stream up recorded it under its own attempt only, and not under the one that the caller's next attempt names.

Change: the leader passes its records on to the control nodes, which keep them when they become the leader; relays keep those of their routers; a router records a stream that it takes up under the first attempt too.

Tests of control, resume, watch and proxy pass.

--- a/control/control.go
+++ b/control/control.go
@@ -105,7 +105,7 @@
 	detours *reach.Directory
 	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
 	board *forecast.Board
-	// origins are the software versions that began streams, as routers have reported them to this leader.
+	// origins are the software versions that began streams, as routers have reported them to this leader, or the leader to this node.
 	origins *resume.Ledger
 	// unknownOriginLogDue is when an unknown origin is logged again.
 	unknownOriginLogDue time.Time
--- a/control/feed.go
+++ b/control/feed.go
@@ -7,6 +7,7 @@
 	"celerylanding.example/celerylanding/access"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/promptcache"
+	"celerylanding.example/celerylanding/resume"
 )
 
 const (
@@ -175,6 +176,7 @@
 	case !isOutdated && args.Router && ctl.relays(now):
 		ctl.relay.add(now, args)
 		ctl.addReports(now, args.Reports)
+		ctl.recordOrigins(now, args.Origins)
 		ctl.feed.routers[args.Node] = now
 	default:
 		reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
@@ -198,9 +200,7 @@
 	ctl.addReports(now, args.Reports)
 	ctl.recordWork(now, args.Reports)
 	ctl.recordTargets(now, args)
-	for _, origin := range args.Origins {
-		ctl.origins.Record(now, origin.Call, origin.Software)
-	}
+	ctl.recordOrigins(now, args.Origins)
 	ctl.feed.prompts.Add(now, args.Kept)
 	for _, outcome := range args.Outcomes {
 		node := outcome.Node
@@ -219,6 +219,19 @@
 	}
 }
 
+// recordOrigins records which software versions have begun streams.
+func (ctl *Control) recordOrigins(now time.Time, origins []feed.Origin) {
+	for _, origin := range origins {
+		ctl.origins.Record(now, origin)
+	}
+}
+
+// hasOrigins reports whether a control node gets records of streams before its request's timeout, so that it has them if it succeeds the leader.
+func (ctl *Control) hasOrigins(now time.Time, watcher *watcher) bool {
+	next := watcher.args.OriginsNext
+	return next > 0 && next < ctl.origins.Next() && now.Sub(watcher.due) >= reportInterval-watchTimeout && ctl.leads(now)
+}
+
 // addReports adds what routers know of the targets' load.
 func (ctl *Control) addReports(now time.Time, reports []feed.TargetReport) {
 	for _, report := range reports {
@@ -281,7 +294,7 @@
 		switch {
 		case !hasState:
 			watcher.reply <- feed.WatchReply{Leader: ctl.leaderAddress(), Members: ctl.memberAddresses(), Term: ctl.core.Term()}
-		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due) || ctl.hasReports(now, &watcher):
+		case includeConfiguration || ctl.isUrgent(&watcher.args, isPushDue) || !now.Before(watcher.due) || ctl.hasReports(now, &watcher) || ctl.hasOrigins(now, &watcher):
 			watcher.reply <- ctl.watchReply(now, &watcher.args, includeConfiguration)
 			pushed = true
 			if includeConfiguration {
@@ -382,9 +395,12 @@
 		reply.Reports = ctl.board.Next(now, args.Node, rate)
 	}
 	key := listKey{since: args.Revision, isRouter: args.Router}
-	keptSince := args.KeptNext
+	keptSince, originsSince := args.KeptNext, args.OriginsNext
 	if args.Term != reply.Term {
-		key.since, keptSince = 0, 0
+		key.since, keptSince, originsSince = 0, 0, resume.FirstRecord
+	}
+	if reply.Leads && args.OriginsNext > 0 {
+		reply.Origins, reply.OriginsNext = ctl.origins.Since(now, originsSince)
 	}
 	if args.Router || args.Routers > 0 {
 		reply.Kept, reply.KeptNext = ctl.feed.prompts.Since(now, keptSince)
--- a/control/leader.go
+++ b/control/leader.go
@@ -114,7 +114,7 @@
 		ctl.quarantine.resetEvidence()
 		ctl.limits, ctl.brittle = throttle.NewLedger(), throttle.NewTally()
 		ctl.resetQuotas(now)
-		ctl.origins = resume.NewLedger(now)
+		ctl.origins.Lead(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
@@ -283,6 +283,7 @@
 // watchLeader keeps a follower's directory up to date, so that it can take over and pass the leader's state on to routers.
 func (ctl *Control) watchLeader(ctx context.Context) error {
 	var term, revision, keptNext uint64
+	originsNext := resume.FirstRecord
 	watcher := watch.New(watch.Options{
 		Direct: true,
 		Clock:  ctl.options.Clock,
@@ -296,7 +297,7 @@
 		NextArgs: func() feed.WatchArgs {
 			args := ctl.relay.collect(ctl.options.Clock())
 			args.Node, args.Term, args.Revision, args.Relay = ctl.options.Node, term, revision, ctl.member.Address
-			args.KeptNext, args.Format = keptNext, logFormat
+			args.KeptNext, args.OriginsNext, args.Format = keptNext, originsNext, logFormat
 			args.Detours, args.DetoursDigest = ctl.detours.Gather(ctl.options.Clock()), ctl.detours.Digest()
 			// Followers receive the configuration through the log, so the feed need not send it.
 			args.Version = ^uint64(0)
@@ -308,6 +309,8 @@
 				ctl.relay.repeatAll()
 			}
 			term, revision, keptNext = reply.Term, reply.Revision, reply.KeptNext
+			// A leader of an earlier build sends none.
+			originsNext = max(resume.FirstRecord, reply.OriginsNext)
 			ctl.post(ctx, func(now time.Time) { ctl.applyFeed(now, sent, reply) })
 		},
 		IsPaused: func() bool { return ctl.Leader() == "" || ctl.Leader() == ctl.member.Address },
--- a/control/relay.go
+++ b/control/relay.go
@@ -320,6 +320,7 @@
 func (ctl *Control) applyFeed(now, sent time.Time, reply *feed.WatchReply) {
 	targets := reply.Targets.All()
 	ctl.applyTargets(now, targets)
+	ctl.recordOrigins(now, reply.Origins)
 	if !ctl.leaderSince.IsZero() {
 		return
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -123,6 +123,8 @@
 	Brittle []BrittleReport `cbor:"40,keyasint,omitempty"`
 	// Origins list the streams that can be resumed and have begun since the last report that a leader has acknowledged.
 	Origins []Origin `cbor:"13,keyasint,omitempty"`
+	// OriginsNext is the number from which on a control node wants the leader's records of such streams; zero for a node that keeps none.
+	OriginsNext uint64 `cbor:"60,keyasint,omitempty"`
 	// Reports are what the node has learned of the targets' load since the last watch request.
 	Reports []TargetReport `cbor:"15,keyasint,omitempty"`
 	// Kept lists the parts of prompts that targets have read since the last report, and KeptNext is the number from which on the node wants those
@@ -225,6 +227,8 @@
 	// Call is a hash of the call's ID.
 	Call     uint64                        `cbor:"1,keyasint"`
 	Software celerylanding.SoftwareVersion `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the first event.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // OriginArgs ask the leader which software version began a stream.
@@ -305,6 +309,9 @@
 	// Kept lists the parts of prompts that targets have read, as routers have reported them, and KeptNext is the number from which to ask next.
 	Kept     []KeptPart `cbor:"20,keyasint,omitempty"`
 	KeptNext uint64     `cbor:"21,keyasint,omitempty"`
+	// Origins are records of the leader that a control node lacks, and OriginsNext is the number from which to ask next.
+	Origins     []Origin `cbor:"60,keyasint,omitempty"`
+	OriginsNext uint64   `cbor:"61,keyasint,omitempty"`
 	// Detours lists routers that reach targets; nil if the node has the list.
 	Detours *DetourList `cbor:"30,keyasint,omitempty"`
 }
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -62,3 +62,13 @@
 	defer cancel()
 	return handler.options.Leader.Origin(ctx, args)
 }
+
+// recordOrigin records which software version has begun the stream of a call, also under the ID of the call that brought its first event: the caller's
+// next attempt names that one, and the router that recorded it may be lost.
+func (handler *Handler) recordOrigin(call *call) {
+	now := handler.options.Clock()
+	handler.journal.Record(now, hash(call.metadata.ID), call.origin)
+	if call.metadata.ResumeAfter != "" && call.metadata.Resumes != "" {
+		handler.journal.Record(now, hash(call.metadata.Resumes), call.origin)
+	}
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -205,7 +205,7 @@
 		call.origin = call.target.Software
 	}
 	if !call.hasEvent && call.route.Resumable {
-		handler.journal.Record(handler.options.Clock(), hash(call.metadata.ID), call.origin)
+		handler.recordOrigin(call)
 	}
 	now := handler.options.Clock()
 	if call.streamedAt.IsZero() {
--- a/resume/journal.go
+++ b/resume/journal.go
@@ -58,7 +58,9 @@
 		entry := &journal.entries[i]
 		if !entry.isAcknowledged {
 			entry.isSent = true
-			origins = append(origins, entry.origin)
+			origin := entry.origin
+			origin.Age = now.Sub(entry.at)
+			origins = append(origins, origin)
 		}
 	}
 	return origins
--- a/resume/resume_test.go
+++ b/resume/resume_test.go
@@ -24,11 +24,14 @@
 		known   bool
 	}{
 		"recorded": {func(ledger *resume.Ledger) {
-			ledger.Record(later, 7, "v2")
+			ledger.Record(later, feed.Origin{Call: 7, Software: "v2"})
 			ledger.ObserveVersion(later, "s", "v1")
 			ledger.ObserveVersion(later, "s", "v2")
 		}, later, "v2", true},
-		"the first record holds":  {func(ledger *resume.Ledger) { ledger.Record(later, 7, "v2"); ledger.Record(later, 7, "v1") }, later, "v2", true},
+		"the first record holds": {func(ledger *resume.Ledger) {
+			ledger.Record(later, feed.Origin{Call: 7, Software: "v2"})
+			ledger.Record(later, feed.Origin{Call: 7, Software: "v1"})
+		}, later, "v2", true},
 		"one version":             {func(ledger *resume.Ledger) { ledger.ObserveVersion(later, "s", "v1") }, later, "v1", true},
 		"one version, new leader": {func(ledger *resume.Ledger) { ledger.ObserveVersion(start, "s", "v1") }, start.Add(time.Second), "", false},
 		"two versions": {func(ledger *resume.Ledger) {
@@ -62,8 +65,8 @@
 // TestOldRecordsAreForgotten guards against a ledger that grows without bound.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	ledger := resume.NewLedger(start)
-	ledger.Record(start, 1, "v1")
-	ledger.Record(start.Add(2*time.Minute), 2, "v1")
+	ledger.Record(start, feed.Origin{Call: 1, Software: "v1"})
+	ledger.Record(start.Add(2*time.Minute), feed.Origin{Call: 2, Software: "v1"})
 	_, isKnown := ledger.Find(start.Add(2*time.Minute), 1, "s")
 	assert.Assert(t, !isKnown)
 }
@@ -75,7 +78,7 @@
 		isNewLeader := false
 		deliver := func(origins []feed.Origin) {
 			for _, origin := range origins {
-				ledger.Record(now, origin.Call, origin.Software)
+				ledger.Record(now, origin)
 			}
 		}
 		const calls = 40
@@ -113,3 +116,72 @@
 		}
 	})
 }
+
+// TestCopiesHoldWhatTheLeaderHolds guards against records that a control node lacks when it succeeds the leader: it plays batches, lost replies, expiry
+// and changes of the leader at random.
+func TestCopiesHoldWhatTheLeaderHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		ledgers := []*resume.Ledger{resume.NewLedger(now), resume.NewLedger(now), resume.NewLedger(now)}
+		next := []uint64{resume.FirstRecord, resume.FirstRecord, resume.FirstRecord}
+		leader := 0
+		recorded := make(map[uint64]time.Time)
+		// update sends the leader's records to a follower; the reply may be lost.
+		update := func(follower int, isLost bool) {
+			origins, after := ledgers[leader].Since(now, next[follower])
+			if isLost {
+				return
+			}
+			for _, origin := range origins {
+				ledgers[follower].Record(now, origin)
+			}
+			next[follower] = after
+		}
+		for call := uint64(1); call <= 60; call++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			ledgers[leader].Record(now, feed.Origin{Call: call, Software: "v1"})
+			recorded[call] = now
+			for follower := range ledgers {
+				if follower != leader {
+					update(follower, rapid.Bool().Draw(t, "lost"))
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "change") > 0 {
+				continue
+			}
+			for follower := range ledgers {
+				if follower != leader {
+					update(follower, false)
+				}
+			}
+			ledgers[leader] = resume.NewLedger(now)
+			leader = (leader + 1) % len(ledgers)
+			ledgers[leader].Lead(now)
+			next = []uint64{resume.FirstRecord, resume.FirstRecord, resume.FirstRecord}
+			for call, at := range recorded {
+				_, isKnown := ledgers[leader].Find(now, call, "s")
+				assert.Equal(t, isKnown, now.Sub(at) <= time.Minute, "call %d after %v", call, now.Sub(at))
+			}
+		}
+	})
+}
+
+// TestRecordsComeInBatches guards against a reply with all records of a busy minute, and against records that are left out between two replies.
+func TestRecordsComeInBatches(t *testing.T) {
+	ledger, copied := resume.NewLedger(start), resume.NewLedger(start)
+	const calls = 10_000
+	for call := uint64(1); call <= calls; call++ {
+		ledger.Record(start, feed.Origin{Call: call, Software: "v1"})
+	}
+	replies := 0
+	for next := resume.FirstRecord; next < ledger.Next(); replies++ {
+		var origins []feed.Origin
+		origins, next = ledger.Since(start, next)
+		assert.Assert(t, len(origins) > 0 && len(origins) <= 4096)
+		for _, origin := range origins {
+			copied.Record(start, origin)
+		}
+	}
+	assert.Equal(t, replies, 3)
+	assert.Equal(t, copied.Len(), calls)
+}
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -301,3 +301,8 @@
 mutate notice-not-published control/views.go ./control TestNoticeReaches 's/ && \(a\.Notice > 0\) == \(b\.Notice > 0\)//'
 mutate notice-repeated dispatch/roster.go ./dispatch TestNoticeEnds 's/known\.noticeEnd\.Before\(entry\.noticeEnd\)/false/'
 mutate other-breaks-ignored proxy/crashes.go ./platform TestAnswerThatEndsAsItsTarget 's/return ok && !at\.Before\(since\)/return ok \&\& at.Before(since)/'
+mutate origins-lost-with-the-leader control/relay.go ./control TestOriginsOutlast 's/\tctl\.recordOrigins\(now, reply\.Origins\)\n//'
+mutate origins-forgotten-by-a-new-leader control/leader.go ./control TestOriginsOutlast 's/ctl\.origins\.Lead\(now\)/ctl.origins = resume.NewLedger(now)/'
+mutate origins-late-by-a-batch resume/ledger.go ./resume 'TestCopies|TestRecordsCome' 's/number \+ uint64\(len\(records\)\)/ledger.Next()/'
+mutate origins-live-forever resume/ledger.go ./resume TestCopies 's/record\{origin\.Call, origin\.Software, now\.Add\(-origin\.Age\)\}/record{origin.Call, origin.Software, now}/'
+mutate origin-under-the-last-attempt-only proxy/origin.go ./platform TestStreamTakenUpTwice 's/call\.metadata\.ResumeAfter != "" &&/false \&\&/'
