Tunnel: a reset that the write of a request finds is passed on as one

On other systems callers got a part of an answer as complete: the target answered a long upload at once, without a length, and reset the connection during the upload. The kernel reports a reset once; after a write that got it, a read finds an end in order.

A router that connects another one to a target reads beside the write, and passed such an end on in order.

Change: the end is passed on in order only if no write to the target has failed.

--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -306,3 +306,4 @@
 mutate origins-late-by-a-batch resume/ledger.go ./resume 'TestCopies|TestRecordsCome' 's/number \+ uint64\(len\(records\)\)/ledger.Next()/'
 mutate origins-live-forever resume/ledger.go ./resume TestCopies 's/record\{origin\.Call, origin\.Software, now\.Add\(-origin\.Age\)\}/record{origin.Call, origin.Software, now}/'
 mutate origin-under-the-last-attempt-only proxy/origin.go ./platform TestStreamTakenUpTwice 's/call\.metadata\.ResumeAfter != "" &&/false \&\&/'
+mutate hop-hides-a-reset tunnel/server.go ./upstream TestResetDuring 's/ && !upload\.hasFailed\(\)//'
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -159,23 +159,47 @@
 }
 
 // splice passes bytes on until one side ends. The end of the router's side ends the target's at once, since the request was given up; bytes that the
-// target has not got are dropped. The end of the target's side is passed on as it is: in order, or as a reset.
+// target has not got are dropped. The end of the target's side is passed on as it is: in order, or as a reset, which the write of a request may find.
 func splice(router, target net.Conn) {
 	done := make(chan struct{})
+	upload := &uploadConn{Conn: target}
 	go func() {
 		defer close(done)
-		if err := pass(target, router, 0); err != nil {
+		if err := pass(upload, router, 0); err != nil {
 			setLinger(target, 0)
 		}
 		_ = target.Close()
 	}()
-	if err := pass(router, target, writeTimeout); err == nil {
+	if err := pass(router, target, writeTimeout); err == nil && !upload.hasFailed() {
 		setLinger(router, -1)
 	}
 	_ = router.Close()
 	<-done
 }
 
+// uploadConn records whether a write has failed. The kernel reports a reset once: after a write that got it, a read finds an end in order.
+type uploadConn struct {
+	net.Conn
+	mutex  sync.Mutex
+	failed bool
+}
+
+// Write writes to the connection.
+func (conn *uploadConn) Write(bytes []byte) (int, error) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	count, err := conn.Conn.Write(bytes)
+	conn.failed = conn.failed || err != nil
+	return count, err
+}
+
+// hasFailed waits for the write that goes on, if any, and reports whether one has failed.
+func (conn *uploadConn) hasFailed() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.failed
+}
+
 // pass copies bytes until the end of the source; each write may take the timeout, if there is one.
 func pass(destination, source net.Conn, timeout time.Duration) error {
 	buffer := make([]byte, bufferSize)
--- a/upstream/tunnel_test.go
+++ b/upstream/tunnel_test.go
@@ -24,13 +24,18 @@
 
 // otherRouter starts a router that connects others to targets, and returns the number of its connections.
 func otherRouter(t *testing.T) (address string, dials *atomic.Int64) {
+	t.Helper()
+	return otherRouterWith(t, upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute}).DialForOthers)
+}
+
+// otherRouterWith starts such a router that connects to targets with a function.
+func otherRouterWith(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error)) (address string, dials *atomic.Int64) {
 	t.Helper()
 	dials = &atomic.Int64{}
-	direct := upstream.New(upstream.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute})
 	server := tunnel.NewServer(tunnel.ServerOptions{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			dials.Add(1)
-			return direct.DialForOthers(ctx, address)
+			return dial(ctx, address)
 		},
 		Allows:  func(address string) bool { return address != "127.0.0.1:9" },
 		IsCut:   func() bool { return false },
