--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,11 +30,10 @@
 
 var plays = map[string]play{
 	"two-versions":     playTwoVersions,
-	"left-again":       playLeftAgain,
+	"same-id":          playSameID,
 	"missed-departure": playMissedDeparture,
 	"early-end":        playEarlyEnd,
 	"handover":         playHandover,
-	"double-slash":     playDoubleSlash,
 }
 
 func main() {
--- a/review/rig/left_again.go
+++ b/review/rig/same_id.go
@@ -115,9 +115,9 @@
 		response.Header.Get("Server-Leaving"), last, call.isComplete)
 }
 
-// playLeftAgain lets a server go dark while requests run there, and start again under the same ID. Later it leaves, says so in its answers, and the ping
+// playSameID lets a server go dark while requests run there, and start again under the same ID. Later it leaves, says so in its answers, and the ping
 // that says so is late. Then the callers of the old requests give them up.
-func playLeftAgain(ctx context.Context, rec *record, isTroubled bool) (verdict, error) {
+func playSameID(ctx context.Context, rec *record, isTroubled bool) (verdict, error) {
 	fleet, err := newFleet(rec, 3, 2)
 	if err != nil {
 		return verdict{}, err
