--- a/review/rig/missed_departure.go
+++ b/review/rig/missed_departure.go
@@ -19,7 +19,7 @@
 
 // playMissedDeparture freezes a router while a server leaves, and kills all control nodes after they have acknowledged its departure. Then the router wakes.
 func playMissedDeparture(ctx context.Context, rec *record, isTroubled bool) (verdict, error) {
-	fleet, err := newFleet(rec, 3, 4)
+	fleet, err := newFleet(rec, 3, 7)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -38,7 +38,7 @@
 	defer stopTraffic()
 	traffic := &traffic{fleet: fleet, passed: passedOn{at: make(map[string]time.Time)}, leaver: first.id}
 	var group sync.WaitGroup
-	group.Go(func() { traffic.run(trafficCtx, 15*time.Millisecond) })
+	group.Go(func() { traffic.run(trafficCtx, 9*time.Millisecond) })
 	pause(ctx, 3*time.Second)
 	acked, inTouch, err := departUnseen(ctx, traffic, first, isTroubled)
 	if err != nil {
