Control: a leader that has just started does not guess which software version began a stream

Cause, by trace: the restarted leader has no record of the streams and takes the only version that it has seen for the one that began them. A follower that starts after a target was replaced in place, and takes over, guesses in the same way; no loss of all control nodes is needed.

Change: the control log holds the versions that services have had lately, with the term of the leader that says so. A leader infers a version only if the leader before it has recorded that history, or after two minutes in which it has led. The log says what was inferred, and from what.

--- a/control/api.go
+++ b/control/api.go
@@ -135,10 +135,11 @@
 		return feed.OriginReply{}
 	}
 	software, isKnown := ctl.origins.Find(now, args.Call, args.Service)
-	if !isKnown && !now.Before(ctl.unknownOriginLogDue) {
+	if _, isRecorded := ctl.origins.Recorded(now, args.Call); !isRecorded && !now.Before(ctl.unknownOriginLogDue) {
 		ctl.unknownOriginLogDue = now.Add(unknownOriginLogInterval)
 		ctl.options.Log.Info().Str("service", string(args.Service)).Int("records", ctl.origins.Len()).Dur("leader_for", now.Sub(ctl.leaderSince)).
-			Msg("origin of a stream is not known")
+			Bool("history", ctl.origins.HasHistory(now)).Bool("inferred", isKnown).Str("software", string(software)).
+			Msg("origin of a stream is not recorded")
 	}
 	return feed.OriginReply{Leads: true, IsKnown: isKnown, Software: software, IsStarting: ctl.origins.IsStarting(now)}
 }
--- a/control/command.go
+++ b/control/command.go
@@ -68,7 +68,7 @@
 		return ErrBadCommand.Wrap(err, "the command can't be applied")
 	}
 	switch {
-	case len(command.Departed) > 0 || command.hasFingerprints() || command.SettledTerm > 0:
+	case len(command.Departed) > 0 || command.hasFingerprints() || command.SettledTerm > 0 || command.Versions != nil:
 		return nil
 	case command.Version == 0:
 		return ErrBadCommand.New("the command has no content")
--- a/control/control.go
+++ b/control/control.go
@@ -107,6 +107,8 @@
 	board *forecast.Board
 	// origins are the software versions that began streams, as routers have reported them to this leader, or the leader to this node.
 	origins *resume.Ledger
+	// versions are the software versions that services have had lately, by the log.
+	versions versionState
 	// unknownOriginLogDue is when an unknown origin is logged again.
 	unknownOriginLogDue time.Time
 	// started is when this process started.
@@ -229,6 +231,7 @@
 	}
 	ctl.quarantine.fingerprints = state.Quarantined
 	ctl.settledTerm = state.SettledTerm
+	ctl.versions.restore(state.Versions)
 	ctl.departures.replace(state.Departed)
 	ctl.markDeparted(ctl.departures.list)
 	return nil
--- a/control/enginecache.go
+++ b/control/enginecache.go
@@ -154,6 +154,7 @@
 		announcement := announcementOf(engine)
 		announcement.Inventory, announcement.Cached = report.Inventory, report.Cached
 		if ctl.directory.Observe(now, ctl.withDeparture(announcement)) {
+			ctl.observeVersion(now, &announcement)
 			ctl.observeTarget(now, engine.ID)
 			ctl.planner.HandleReport(now, engine.Endpoint(), report)
 		}
--- a/control/leader.go
+++ b/control/leader.go
@@ -44,6 +44,7 @@
 	ctl.saveEngineCache(now)
 	ctl.sendHeartbeatBatch(now)
 	ctl.maintainDepartures(now)
+	ctl.maintainVersions(now)
 	if ctl.leaderSince.IsZero() || !ctl.core.HasLeaderLease(now) {
 		return
 	}
@@ -114,7 +115,7 @@
 		ctl.quarantine.resetEvidence()
 		ctl.limits, ctl.brittle = throttle.NewLedger(), throttle.NewTally()
 		ctl.resetQuotas(now)
-		ctl.origins.Lead(now)
+		ctl.leadOrigins(now)
 		ctl.observeAll(now)
 		ctl.beginHandover(now)
 		ctl.inspectCachedEngines(now)
@@ -159,7 +160,6 @@
 	if spec := ctl.engineSpec(celerylanding.ServiceID(announcement.Group)); spec != nil {
 		isEjected := ctl.outliers.IsEjected(now, id, announcement.Incarnation)
 		ctl.planner.Observe(now, announcement, spec, target.IsRoutable() && !isEjected)
-		ctl.origins.ObserveVersion(now, celerylanding.ServiceID(announcement.Group), announcement.Software)
 	}
 	ctl.publish(now, target)
 }
@@ -179,7 +179,6 @@
 	}
 	for _, target := range ctl.directory.Targets() {
 		id := target.Announcement().Target
-		ctl.origins.ObserveVersion(now, celerylanding.ServiceID(target.Announcement().Group), target.Announcement().Software)
 		if target.Announcement().Leaving && now.Sub(target.LastSeen()) > departedRetention {
 			ctl.directory.Remove(id, target.Announcement().Incarnation)
 			ctl.planner.Remove(id)
@@ -209,7 +208,9 @@
 			// A target that is leaving does not return within the same incarnation, so that a late heartbeat can't bring it back.
 			args.Announcement.Leaving = true
 		}
-		changed = ctl.directory.Observe(now, ctl.withDeparture(*args.Announcement))
+		if changed = ctl.directory.Observe(now, ctl.withDeparture(*args.Announcement)); changed {
+			ctl.observeVersion(now, args.Announcement)
+		}
 		if args.Announcement.Leaving && !wasLeaving {
 			ctl.options.Log.Info().Str("target", string(id)).Msg("target is leaving")
 			ctl.engineCache.saveDue = time.Time{}
@@ -324,8 +325,12 @@
 	for i := range targets {
 		known, ok := ctl.directory.Target(targets[i].ID)
 		wasLeaving := ok && known.Announcement().Leaving
-		if ctl.directory.Observe(now, ctl.withDeparture(announcementOf(&targets[i]))) && targets[i].Leaving && !wasLeaving {
-			ctl.engineCache.saveDue = time.Time{}
+		announcement := ctl.withDeparture(announcementOf(&targets[i]))
+		if ctl.directory.Observe(now, announcement) {
+			ctl.observeVersion(now, &announcement)
+			if targets[i].Leaving && !wasLeaving {
+				ctl.engineCache.saveDue = time.Time{}
+			}
 		}
 		if targets[i].Silent {
 			ctl.directory.MarkSilent(targets[i].ID)
--- a/control/log.go
+++ b/control/log.go
@@ -213,7 +213,7 @@
 	proposal.reply <- ProposeReply{Leads: isOwn, Committed: isOwn, Version: ctl.version()}
 }
 
-// applyCommand applies a committed change of the quarantine, of the settled term or of the departures, or activates a committed configuration if its
+// applyCommand applies a committed change of the quarantine, of the settled term, of the departures or of the software versions, or activates a committed configuration if its
 // version is higher than the active one.
 func (ctl *Control) applyCommand(entry quorum.Entry) error {
 	command, err := decodeReplicated(entry.Data)
@@ -225,6 +225,10 @@
 		ctl.applyDepartures(command.Departed)
 		return nil
 	}
+	if command.Versions != nil {
+		ctl.versions.history = *command.Versions
+		return nil
+	}
 	ctl.commandsSinceSnapshot++
 	if command.hasFingerprints() {
 		ctl.applyQuarantine(command)
@@ -274,6 +278,9 @@
 	}
 	state := replicated{Quarantined: ctl.quarantine.fingerprints, SettledTerm: ctl.settledTerm, Departed: ctl.departures.list,
 		Format: ctl.requiredFormat}
+	if history := ctl.versions.history; history.Term > 0 {
+		state.Versions = &history
+	}
 	if ctl.configuration != nil {
 		state.Configuration = *ctl.configuration
 	}
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -37,6 +37,8 @@
 	// Format is the format of the log that a build must apply in order to read the command, or any command that the snapshot stands for; zero if every
 	// build may skip or apply it.
 	Format uint64 `cbor:"20,keyasint,omitempty"`
+	// Versions are the software versions that services have had lately.
+	Versions *versionHistory `cbor:"21,keyasint,omitempty"`
 }
 
 // hasFingerprints reports whether a command changes the quarantine.
--- a/resume/ledger.go
+++ b/resume/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -22,8 +23,16 @@
 	versionMemory = 2 * time.Minute
 	// discoveryTime is the time after its start in which a ledger may not have all records and versions: a heartbeat interval.
 	discoveryTime = 1500 * time.Millisecond
+	// maxListed is the number of versions of a service in a list of versions: with two, none of them is the only one.
+	maxListed = 2
 )
 
+// ServiceVersion is a software version that targets of a service have.
+type ServiceVersion struct {
+	Service  celerylanding.ServiceID       `cbor:"1,keyasint"`
+	Software celerylanding.SoftwareVersion `cbor:"2,keyasint,omitempty"`
+}
+
 // record is the version that began a stream.
 type record struct {
 	call     uint64
@@ -41,16 +50,27 @@
 	known   map[uint64]uint64
 	// versions holds when a target of each version was last seen, by service.
 	versions map[celerylanding.ServiceID]map[celerylanding.SoftwareVersion]time.Time
+	// watchedSince is the time since which no version can have been missed.
+	watchedSince time.Time
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(now time.Time) *Ledger {
-	return &Ledger{started: now, first: FirstRecord, known: make(map[uint64]uint64),
+	return &Ledger{started: now, watchedSince: now, first: FirstRecord, known: make(map[uint64]uint64),
 		versions: make(map[celerylanding.ServiceID]map[celerylanding.SoftwareVersion]time.Time)}
 }
 
-// Lead records that the node becomes the leader: routers and targets report to it from now on. What it has learned as a follower stays.
-func (ledger *Ledger) Lead(now time.Time) { ledger.started = now }
+// Lead records that the node becomes the leader: routers and targets report to it from now on. What it has learned as a follower stays. The history
+// lists the versions that earlier leaders have seen lately; hasHistory is set if none is missing.
+func (ledger *Ledger) Lead(now time.Time, history []ServiceVersion, hasHistory bool) {
+	ledger.started, ledger.watchedSince = now, now
+	if hasHistory {
+		ledger.watchedSince = time.Time{}
+	}
+	for _, entry := range history {
+		ledger.ObserveVersion(now, entry.Service, entry.Software)
+	}
+}
 
 // Record stores the version that sent the first event of a call. The first record of a call holds.
 func (ledger *Ledger) Record(now time.Time, origin feed.Origin) {
@@ -90,14 +110,40 @@
 // Len returns the number of records.
 func (ledger *Ledger) Len() int { return len(ledger.records) }
 
-// ObserveVersion records that a target of the service has the version.
-func (ledger *Ledger) ObserveVersion(now time.Time, service celerylanding.ServiceID, software celerylanding.SoftwareVersion) {
+// ObserveVersion records that a target of the service has the version, and reports whether none had it lately.
+func (ledger *Ledger) ObserveVersion(now time.Time, service celerylanding.ServiceID, software celerylanding.SoftwareVersion) (isNew bool) {
 	versions := ledger.versions[service]
 	if versions == nil {
 		versions = make(map[celerylanding.SoftwareVersion]time.Time)
 		ledger.versions[service] = versions
 	}
+	seen, isKnown := versions[software]
 	versions[software] = now
+	return !isKnown || now.Sub(seen) > versionMemory
+}
+
+// HasHistory reports whether the ledger knows all versions that may have begun a stream.
+func (ledger *Ledger) HasHistory(now time.Time) bool {
+	return now.Sub(ledger.watchedSince) >= versionMemory
+}
+
+// Versions returns the versions that services have had lately, ordered, two of each service at most.
+func (ledger *Ledger) Versions(now time.Time) []ServiceVersion {
+	var list []ServiceVersion
+	for _, service := range slices.Sorted(maps.Keys(ledger.versions)) {
+		versions := slices.Sorted(maps.Keys(ledger.recentVersions(now, service)))
+		for _, software := range versions[:min(len(versions), maxListed)] {
+			list = append(list, ServiceVersion{Service: service, Software: software})
+		}
+	}
+	return list
+}
+
+// recentVersions returns the versions that a service has had lately, and forgets the others.
+func (ledger *Ledger) recentVersions(now time.Time, service celerylanding.ServiceID) map[celerylanding.SoftwareVersion]time.Time {
+	versions := ledger.versions[service]
+	maps.DeleteFunc(versions, func(_ celerylanding.SoftwareVersion, seen time.Time) bool { return now.Sub(seen) > versionMemory })
+	return versions
 }
 
 // IsStarting reports whether routers and targets may not have reported to the ledger yet.
@@ -105,14 +151,12 @@
 
 // Find returns the version that began the call's stream: the recorded one, or the only one that the service has had lately.
 func (ledger *Ledger) Find(now time.Time, call uint64, service celerylanding.ServiceID) (software celerylanding.SoftwareVersion, isKnown bool) {
-	if number, ok := ledger.known[call]; ok {
-		if entry := ledger.records[number-ledger.first]; now.Sub(entry.at) <= recordTTL {
-			return entry.software, true
-		}
+	if software, isKnown = ledger.Recorded(now, call); isKnown {
+		return software, true
 	}
-	versions := ledger.versions[service]
-	maps.DeleteFunc(versions, func(_ celerylanding.SoftwareVersion, seen time.Time) bool { return now.Sub(seen) > versionMemory })
-	if len(versions) != 1 || ledger.IsStarting(now) {
+	versions := ledger.recentVersions(now, service)
+	// After a restart, the only version that has been seen need not be the only one that has begun streams.
+	if len(versions) != 1 || ledger.IsStarting(now) || !ledger.HasHistory(now) {
 		return "", false
 	}
 	for software := range versions {
@@ -120,3 +164,13 @@
 	}
 	return "", false
 }
+
+// Recorded returns the version that is recorded as the one that began the call's stream.
+func (ledger *Ledger) Recorded(now time.Time, call uint64) (software celerylanding.SoftwareVersion, isKnown bool) {
+	number, ok := ledger.known[call]
+	if !ok {
+		return "", false
+	}
+	entry := ledger.records[number-ledger.first]
+	return entry.software, now.Sub(entry.at) <= recordTTL
+}
--- a/resume/resume_test.go
+++ b/resume/resume_test.go
@@ -14,15 +14,44 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// TestStreamOfUnknownOriginNeedsOneVersion guards against a guess between versions, and against streams that are lost where there is only one.
+// TestStreamOfUnknownOriginNeedsOneVersion guards against a guess between versions, also by a leader that has just started and has seen only one of them,
+// and against streams that are lost where there is only one.
 func TestStreamOfUnknownOriginNeedsOneVersion(t *testing.T) {
 	later := start.Add(5 * time.Second)
+	lead := func(ledger *resume.Ledger, now time.Time, hasHistory bool, history ...celerylanding.SoftwareVersion) {
+		var list []resume.ServiceVersion
+		for _, software := range history {
+			list = append(list, resume.ServiceVersion{Service: "s", Software: software})
+		}
+		ledger.Lead(now, list, hasHistory)
+	}
 	for name, tc := range map[string]struct {
 		prepare func(ledger *resume.Ledger)
 		now     time.Time
 		want    celerylanding.SoftwareVersion
 		known   bool
 	}{
+		"one version, history not known": {func(ledger *resume.Ledger) {
+			lead(ledger, start, false)
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "", false},
+		"one version, as listed": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true, "v2")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "v2", true},
+		"one version, the list has another": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true, "v1", "v2")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "", false},
+		"one version, an incomplete list has only that": {func(ledger *resume.Ledger) {
+			lead(ledger, start, false, "v2")
+			ledger.ObserveVersion(later, "s", "v2")
+		}, later, "", false},
+		"one version since long": {func(ledger *resume.Ledger) {
+			lead(ledger, start, false, "v1")
+			ledger.ObserveVersion(start.Add(3*time.Minute), "s", "v2")
+		}, start.Add(3 * time.Minute), "v2", true},
+		"no target, one version in the list": {func(ledger *resume.Ledger) { lead(ledger, start, true, "v1") }, later, "v1", true},
 		"recorded": {func(ledger *resume.Ledger) {
 			ledger.Record(later, feed.Origin{Call: 7, Software: "v2"})
 			ledger.ObserveVersion(later, "s", "v1")
@@ -32,21 +61,31 @@
 			ledger.Record(later, feed.Origin{Call: 7, Software: "v2"})
 			ledger.Record(later, feed.Origin{Call: 7, Software: "v1"})
 		}, later, "v2", true},
-		"one version":             {func(ledger *resume.Ledger) { ledger.ObserveVersion(later, "s", "v1") }, later, "v1", true},
-		"one version, new leader": {func(ledger *resume.Ledger) { ledger.ObserveVersion(start, "s", "v1") }, start.Add(time.Second), "", false},
+		"one version": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
+			ledger.ObserveVersion(later, "s", "v1")
+		}, later, "v1", true},
+		"one version, new leader": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
+			ledger.ObserveVersion(start, "s", "v1")
+		}, start.Add(time.Second), "", false},
 		"two versions": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
 			ledger.ObserveVersion(later, "s", "v1")
 			ledger.ObserveVersion(later, "s", "v2")
 		}, later, "", false},
 		"another version a minute ago": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
 			ledger.ObserveVersion(start, "s", "v1")
 			ledger.ObserveVersion(start.Add(time.Minute), "s", "v2")
 		}, start.Add(time.Minute), "", false},
 		"another version long ago": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
 			ledger.ObserveVersion(start, "s", "v1")
 			ledger.ObserveVersion(start.Add(3*time.Minute), "s", "v2")
 		}, start.Add(3 * time.Minute), "v2", true},
 		"versions of another service": {func(ledger *resume.Ledger) {
+			lead(ledger, start, true)
 			ledger.ObserveVersion(later, "other", "v1")
 			ledger.ObserveVersion(later, "s", "v2")
 		}, later, "v2", true},
@@ -156,7 +195,7 @@
 			}
 			ledgers[leader] = resume.NewLedger(now)
 			leader = (leader + 1) % len(ledgers)
-			ledgers[leader].Lead(now)
+			ledgers[leader].Lead(now, nil, true)
 			next = []uint64{resume.FirstRecord, resume.FirstRecord, resume.FirstRecord}
 			for call, at := range recorded {
 				_, isKnown := ledgers[leader].Find(now, call, "s")
