Dispatch, control: a router asks whether targets that a new leader does not list have left

Cause: the departure is in the control log, but a leader publishes the targets of its directory only, and nobody that has started since can list a target that pings no more. The router keeps what a new leader does not list for 5 s, as live targets need two heartbeats. What was not heard of counted as still there.

The same cause on related paths, each a case of the test: a departure that is acknowledged after the restart, also after the wake; at a relay; of a later incarnation of the target, seen or not; a late heartbeat of the earlier one; a router that stood still for longer than the leader lists a departed target.

Change: a router names the targets that its leader has not listed, every 0.5 s; the leader, or a relay, answers at once with those that have left by the log. A departure counts for its incarnation and all before it. After a minute without a reply a router asks for the whole list.

TestOrphansAreAskedFor- UntilTheyAreListed and TestRosterIsRenewedAfterALongSilence are of functions that are new.

--- a/control/departures.go
+++ b/control/departures.go
@@ -7,6 +7,7 @@
 	"unicode/utf8"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/feed"
 )
 
 // maxDepartures bounds the departures that are replicated; the oldest are forgotten first.
@@ -24,6 +25,8 @@
 	// list is ordered, oldest first.
 	list  []departure
 	known map[departure]bool
+	// newest is the last incarnation of each target that has left.
+	newest map[celerylanding.TargetID]celerylanding.Incarnation
 	// missing are those of the list that the log's state lacks, since a build that keeps no departures has written its snapshot.
 	missing map[departure]bool
 	// unrecordedSince holds when targets were first seen to leave without a record in the log.
@@ -48,6 +51,32 @@
 		set.known[left], set.missing[left] = true, true
 	}
 	set.list = append(kept, set.list...)
+	set.findNewest()
+}
+
+// findNewest finds the last incarnations that have left.
+func (set *departures) findNewest() {
+	set.newest = make(map[celerylanding.TargetID]celerylanding.Incarnation, len(set.list))
+	for _, left := range set.list {
+		set.newest[left.Target] = max(set.newest[left.Target], left.Incarnation)
+	}
+}
+
+// hasLeft reports whether an incarnation of a target, or one that began after it under the same ID, has left.
+func (set *departures) hasLeft(target celerylanding.TargetID, incarnation celerylanding.Incarnation) bool {
+	newest, isKnown := set.newest[target]
+	return isKnown && incarnation <= newest
+}
+
+// among returns those of a list of targets that have left, with the last incarnation that has.
+func (set *departures) among(list []feed.TargetIncarnation) []feed.TargetIncarnation {
+	var departed []feed.TargetIncarnation
+	for _, target := range list {
+		if set.hasLeft(target.Target, target.Incarnation) {
+			departed = append(departed, feed.TargetIncarnation{Target: target.Target, Incarnation: set.newest[target.Target]})
+		}
+	}
+	return departed
 }
 
 // isRecorded reports whether the log's state holds a departure.
@@ -68,6 +97,7 @@
 		delete(set.missing, forgotten)
 	}
 	set.list = append([]departure(nil), set.list[surplus:]...)
+	set.findNewest()
 }
 
 // departureOf returns what an announcement says of the departure of its target, and false if it is none.
@@ -126,9 +156,9 @@
 	}
 }
 
-// withDeparture returns an announcement that says that its target leaves if that is replicated.
+// withDeparture returns an announcement that says that its target leaves if that is replicated, also for a later incarnation: the announcement may be late.
 func (ctl *Control) withDeparture(announcement celerylanding.Announcement) celerylanding.Announcement {
-	announcement.Leaving = announcement.Leaving || ctl.departures.known[departure{announcement.Target, announcement.Incarnation}]
+	announcement.Leaving = announcement.Leaving || ctl.departures.hasLeft(announcement.Target, announcement.Incarnation)
 	return announcement
 }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -320,9 +320,9 @@
 }
 
 // isUrgent reports whether a watch request is answered before its timeout: that of a router or relay when there are changes and a push is
-// due, and that of any node that has not received a reply in this term.
+// due, that of a router which uses a target that has left, and that of any node that has not received a reply in this term.
 func (ctl *Control) isUrgent(args *feed.WatchArgs, isPushDue bool) bool {
-	if args.Term != ctl.feedTerm() {
+	if args.Term != ctl.feedTerm() || len(ctl.departures.among(args.Unlisted)) > 0 {
 		return true
 	}
 	return isPushDue && (args.Router || args.Relay != "") && args.Revision < ctl.feed.revision
@@ -406,6 +406,7 @@
 		reply.Kept, reply.KeptNext = ctl.feed.prompts.Since(now, keptSince)
 	}
 	reply.Targets = ctl.feed.changesSince(key)
+	reply.Departed = ctl.departures.among(args.Unlisted)
 	ctl.addDetours(now, args, &reply)
 	return reply
 }
--- a/control/schema_test.go
+++ b/control/schema_test.go
@@ -79,3 +79,14 @@
 		}
 	}
 }
+
+// TestKeysOfFieldsAreUnique guards against two fields of a type with the same key, which the codec leaves out without an error.
+func TestKeysOfFieldsAreUnique(t *testing.T) {
+	used := make(map[string]bool)
+	for _, line := range schemaOf(wireTypes) {
+		words := strings.Fields(line)
+		key := strings.Join(words[:2], " ")
+		assert.Assert(t, !used[key], "key %s is used twice", key)
+		used[key] = true
+	}
+}
--- a/control/views_test.go
+++ b/control/views_test.go
@@ -66,8 +66,10 @@
 func (router *viewRouter) args() feed.WatchArgs {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
+	router.roster.Expire(boottime.Now())
 	term, revision, version := router.roster.Position()
-	return feed.WatchArgs{Node: celerylanding.NodeID(router.host), Term: term, Revision: revision, Version: version, Router: true}
+	return feed.WatchArgs{Node: celerylanding.NodeID(router.host), Term: term, Revision: revision, Version: version, Router: true,
+		Unlisted: router.roster.Unlisted(boottime.Now())}
 }
 
 // view returns the version in force and the targets in use.
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -12,6 +12,13 @@
 // two heartbeat intervals.
 const orphanTTL = 5 * time.Second
 
+const (
+	// unlistedInterval is the time between two questions whether an orphan has left.
+	unlistedInterval = 500 * time.Millisecond
+	// viewTTL is the silence after which the whole list of targets is needed again. A leader lists a target that has left for two minutes.
+	viewTTL = time.Minute
+)
+
 // unitKey identifies a unit of a service.
 type unitKey struct {
 	service celerylanding.ServiceID
@@ -82,8 +89,9 @@
 type rosterEntry struct {
 	target feed.Target
 	term   uint64
-	// orphanedSince is when a new leader was first seen not to list the target.
+	// orphanedSince is when a new leader was first seen not to list the target, and askedAt when it was last asked whether the target has left.
 	orphanedSince time.Time
+	askedAt       time.Time
 	// noticeEnd is when the target is taken away, by the earliest word on it; zero if it has not said so.
 	noticeEnd time.Time
 }
@@ -95,6 +103,8 @@
 	routers  int
 	routes   *routing.Table
 	targets  map[celerylanding.TargetID]*rosterEntry
+	// appliedAt is when a reply was last applied.
+	appliedAt time.Time
 }
 
 // NewRoster returns an empty roster.
@@ -110,9 +120,48 @@
 	return roster.term, roster.revision, version
 }
 
+// Expire makes the roster ask for the whole list of targets if no reply was applied for viewTTL: the leader may list targets no more that have left since.
+func (roster *Roster) Expire(now time.Time) {
+	if roster.appliedAt.IsZero() || now.Sub(roster.appliedAt) <= viewTTL {
+		return
+	}
+	roster.revision = 0
+	for _, known := range roster.targets {
+		known.term = 0
+	}
+}
+
+// Unlisted returns the targets that the current leader has not listed, and that it is to be asked for now. What it does not list may have left before it
+// could hear of the target.
+func (roster *Roster) Unlisted(now time.Time) []feed.TargetIncarnation {
+	var list []feed.TargetIncarnation
+	for _, known := range roster.targets {
+		if known.term == roster.term || known.target.Leaving || now.Sub(known.askedAt) < unlistedInterval {
+			continue
+		}
+		known.askedAt = now
+		list = append(list, feed.TargetIncarnation{Target: known.target.ID, Incarnation: known.target.Incarnation})
+	}
+	return list
+}
+
+// markDeparted marks the targets whose incarnation, or a later one, has left, and reports whether any of them was in use.
+func (roster *Roster) markDeparted(departed []feed.TargetIncarnation) bool {
+	isChanged := false
+	for _, left := range departed {
+		known := roster.targets[left.Target]
+		if known == nil || known.target.Leaving || known.target.Incarnation > left.Incarnation {
+			continue
+		}
+		known.target.Leaving, isChanged = true, true
+	}
+	return isChanged
+}
+
 // Apply applies a leader's reply and returns the new table, or nil if nothing has changed. The targets of earlier terms and revisions are ignored.
 func (roster *Roster) Apply(now time.Time, reply *feed.WatchReply) *Table {
 	isNewer := roster.applyConfiguration(reply.Configuration)
+	isNewer = roster.markDeparted(reply.Departed) || isNewer
 	// A relay may be behind the one that answered before, also while it has a newer configuration through the log.
 	if reply.Term < roster.term || (reply.Term == roster.term && reply.Revision < roster.revision) {
 		if !isNewer {
@@ -122,7 +171,7 @@
 	}
 	targets := reply.Targets.All()
 	changed := isNewer || reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
-	roster.term, roster.revision, roster.routers = reply.Term, reply.Revision, reply.Routers
+	roster.term, roster.revision, roster.routers, roster.appliedAt = reply.Term, reply.Revision, reply.Routers, now
 	for i := range targets {
 		roster.upsert(now, reply.Term, targets[i])
 	}
--- a/dispatch/roster_test.go
+++ b/dispatch/roster_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	celerylanding "celerylanding.example/celerylanding"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
 	"celerylanding.example/celerylanding/routing"
@@ -51,3 +52,54 @@
 	target.Incarnation = 2
 	assert.Assert(t, apply(time.Second, 2, 4, target).IsZero(), "another incarnation")
 }
+
+// TestOrphansAreAskedForUntilTheyAreListed guards against requests to a target that has left while no leader could list it (DRAIN), and against questions
+// without end.
+func TestOrphansAreAskedForUntilTheyAreListed(t *testing.T) {
+	roster, now := dispatch.NewRoster(), time.Unix(1_700_000_000, 0)
+	list := func(ids ...celerylanding.TargetID) *feed.TargetList {
+		var targets []feed.Target
+		for _, id := range ids {
+			targets = append(targets, feed.Target{ID: id, Incarnation: 5, Service: "s"})
+		}
+		return feed.NewTargetList(targets)
+	}
+	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 3, Targets: list("left", "listed", "lost", "restarted")})
+	assert.Equal(t, len(roster.Unlisted(now)), 0)
+	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 2, Revision: 1})
+	assert.Equal(t, len(roster.Unlisted(now)), 4)
+	assert.Equal(t, len(roster.Unlisted(now.Add(100*time.Millisecond))), 0, "asked a moment ago")
+	table := roster.Apply(now, &feed.WatchReply{Leads: true, Term: 2, Revision: 2, Targets: list("listed"),
+		Departed: []feed.TargetIncarnation{{Target: "left", Incarnation: 5}, {Target: "restarted", Incarnation: 4}, {Target: "unknown", Incarnation: 1}}})
+	assert.Equal(t, len(table.Targets("s")), 3, "an earlier incarnation has left, not this one")
+	now = now.Add(time.Second)
+	assert.Equal(t, len(roster.Unlisted(now)), 2)
+	table = roster.Apply(now, &feed.WatchReply{Relayed: true, Term: 2, Revision: 1, Departed: []feed.TargetIncarnation{{Target: "restarted", Incarnation: 6}}})
+	assert.Equal(t, len(table.Targets("s")), 2, "a relay that is behind knows of departures, too")
+	now = now.Add(6 * time.Second)
+	table = roster.Apply(now, &feed.WatchReply{Leads: true, Term: 2, Revision: 3, Targets: list("left")})
+	assert.Equal(t, len(table.Targets("s")), 1, "leaving is final, and orphans are removed after a time")
+	assert.Equal(t, len(roster.Unlisted(now)), 0)
+}
+
+// TestRosterIsRenewedAfterALongSilence guards against a target that a router uses for ever: it has left while the router stood still, and the leader, which
+// is the same, lists it no more.
+func TestRosterIsRenewedAfterALongSilence(t *testing.T) {
+	roster, now := dispatch.NewRoster(), time.Unix(1_700_000_000, 0)
+	targets := []feed.Target{{ID: "left", Incarnation: 1, Service: "s"}, {ID: "stays", Incarnation: 1, Service: "s"}}
+	roster.Expire(now)
+	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 7, Targets: feed.NewTargetList(targets)})
+	now = now.Add(30 * time.Second)
+	roster.Expire(now)
+	_, revision, _ := roster.Position()
+	assert.Equal(t, revision, uint64(7))
+	now = now.Add(3 * time.Minute)
+	roster.Expire(now)
+	term, revision, _ := roster.Position()
+	assert.Equal(t, term, uint64(1))
+	assert.Equal(t, revision, uint64(0), "the whole list is wanted")
+	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 9, Targets: feed.NewTargetList(targets[1:])})
+	assert.DeepEqual(t, roster.Unlisted(now), []feed.TargetIncarnation{{Target: "left", Incarnation: 1}})
+	table := roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 9, Departed: []feed.TargetIncarnation{{Target: "left", Incarnation: 1}}})
+	assert.Equal(t, len(table.Targets("s")), 1)
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -143,6 +143,14 @@
 	DetoursDigest uint64 `cbor:"32,keyasint,omitempty"`
 	// Format is the newest format of the log that a control node applies; zero for a build that states none.
 	Format uint64 `cbor:"50,keyasint,omitempty"`
+	// Unlisted are targets that the router has from an earlier leader and that the one of Term has not listed.
+	Unlisted []TargetIncarnation `cbor:"62,keyasint,omitempty"`
+}
+
+// TargetIncarnation identifies an incarnation of a target.
+type TargetIncarnation struct {
+	Target      celerylanding.TargetID    `cbor:"1,keyasint"`
+	Incarnation celerylanding.Incarnation `cbor:"2,keyasint"`
 }
 
 // Detour is a router that reaches targets and connects others to them.
@@ -296,6 +304,8 @@
 	// Limits lists the targets that announce a limit on requests, and Brittle those that say that they are brittle.
 	Limits  []TargetLimit   `cbor:"14,keyasint,omitempty"`
 	Brittle []BrittleTarget `cbor:"40,keyasint,omitempty"`
+	// Departed are those of the request's unlisted targets that have left, each with the last incarnation that has.
+	Departed []TargetIncarnation `cbor:"62,keyasint,omitempty"`
 	// Relayed is set if the node is not the leader and passes on the leader's state, as of Age ago.
 	Relayed bool          `cbor:"10,keyasint,omitempty"`
 	Age     time.Duration `cbor:"11,keyasint,omitempty"`
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -106,10 +106,11 @@
 	return target.state != before
 }
 
-// MarkLeaving records that a target is leaving, and reports whether its state changed. Incarnation 0 matches any incarnation.
+// MarkLeaving records that an incarnation of a target is leaving, with which the earlier ones have ended, and reports whether the state of the known one
+// changed. Incarnation 0 matches any incarnation.
 func (directory *Directory) MarkLeaving(now time.Time, id celerylanding.TargetID, incarnation celerylanding.Incarnation) bool {
 	target, ok := directory.targets[id]
-	if !ok || (incarnation != 0 && target.announcement.Incarnation != incarnation) {
+	if !ok || (incarnation != 0 && target.announcement.Incarnation > incarnation) {
 		return false
 	}
 	before := target.state
