Control: records of streams outlast a restart of all control nodes

Seen: with targets of two software versions, all controllers and the router that began 24 streams are killed together.

Cause: all copies of the records were in the memory of processes.

Change: each control node appends its records to a file every 100 ms, without a sync, and reads them when it starts. Considered: entries of the control log, a durable write on each node for what is useless after a minute.

--- a/control/control.go
+++ b/control/control.go
@@ -106,7 +106,8 @@
 	// board holds the load of the targets as all routers know it; on a relay, the news of its own routers come before those of the others.
 	board *forecast.Board
 	// origins are the software versions that began streams, as routers have reported them to this leader, or the leader to this node.
-	origins *resume.Ledger
+	origins      *resume.Ledger
+	originWriter originWriter
 	// versions are the software versions that services have had lately, by the log.
 	versions versionState
 	// unknownOriginLogDue is when an unknown origin is logged again.
@@ -207,6 +208,7 @@
 		ctl.stall(now, recovered.Snapshot.Index, unreadable)
 	}
 	ctl.loadEngineCache()
+	ctl.loadOrigins(now)
 	ctl.options.Log.Info().Str("member", string(id)).Uint64("snapshot", recovered.Snapshot.Index).Int("entries", len(recovered.Entries)).
 		Int64("torn_bytes", recovered.TornBytes).Msg("control state recovered")
 	return nil
@@ -257,7 +259,7 @@
 	ctl.peers.Close()
 	ctl.outbox.Close()
 	ctl.closeLog()
-	return err
+	return errors.Join(err, ctl.originWriter.log.Close())
 }
 
 // Leader returns the peer address of the leader, or "" while none is known.
--- a/control/leader.go
+++ b/control/leader.go
@@ -45,6 +45,7 @@
 	ctl.sendHeartbeatBatch(now)
 	ctl.maintainDepartures(now)
 	ctl.maintainVersions(now)
+	ctl.saveOrigins(now)
 	if ctl.leaderSince.IsZero() || !ctl.core.HasLeaderLease(now) {
 		return
 	}
--- a/tests/software_version_test.go
+++ b/tests/software_version_test.go
@@ -63,7 +63,7 @@
 }
 
 // TestStreamsTakenUpAtOtherRoutersHoldOneSoftwareVersion guards against streams with events of two software versions, when their callers take them up
-// at another router, also after the first router or the leader was killed.
+// at another router, also after the first router or the leader was killed, or that router with all controllers.
 func TestStreamsTakenUpAtOtherRoutersHoldOneSoftwareVersion(t *testing.T) {
 	const streams = 24
 	log := &versionLog{versions: make(map[string][]string)}
@@ -91,6 +91,15 @@
 				proc.start(false)
 			}
 		},
+		func() {
+			fleet.routers[0].kill()
+			for _, proc := range fleet.controllers {
+				proc.kill()
+			}
+			for _, proc := range fleet.controllers {
+				proc.start(false)
+			}
+		},
 	} {
 		name := func(number int) string { return fmt.Sprintf("s%d-%d", phase, number) }
 		var calls sync.WaitGroup
