Dispatch, throttle: the end of an old request does not drop what is known of a later incarnation

Cause: Picker.statsOf keeps what is known of a target for one incarnation and replaced it when asked for any other, also an earlier one, as Done does at the end of an old request. The limits of throttle.Gate likewise.

Change: only a later incarnation replaces what is known; what is said of an earlier one is dropped. If the table lists an earlier one, the table counts.

Test, seen failing before: TestEndOfAnOldRequestForgetsNothing. Three mutations are noticed.

--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -86,3 +86,58 @@
 		}
 	})
 }
+
+// TestEndOfAnOldRequestForgetsNothing guards against requests to a target that leaves or pauses, or over its limit, since what its answers said is dropped
+// when a request to an earlier incarnation under the same ID ends.
+func TestEndOfAnOldRequestForgetsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before, old := availabilityTable(now, 1)
+	after, restarted := availabilityTable(now, 2)
+	picker := dispatch.NewPicker("n", "d")
+	picker.Update(before)
+	for range 8 {
+		picked, _ := picker.Pick(now, before, unitM)
+		assert.Assert(t, picked != nil)
+	}
+	picker.Update(after)
+	picker.RecordAvailability(now, &restarted[0], dispatch.Availability{IsLeaving: true})
+	picker.RecordAvailability(now, &restarted[1], dispatch.Availability{Pause: time.Second})
+	picker.RecordLimit(now, &restarted[1], 0.001, true)
+	for i := range old {
+		picker.Done(now, &old[i], dispatch.ResultAnswered)
+		picker.Done(now, &old[i], dispatch.ResultFailed)
+		picker.RecordAvailability(now, &old[i], dispatch.Availability{})
+		picker.RecordLimit(now, &old[i], 1000, true)
+		picker.RecordLimit(now, &old[i], 0, false)
+		assert.Equal(t, picker.InFlight(&restarted[i]), 0)
+	}
+	picked, _ := picker.Pick(now, after, unitM)
+	assert.Assert(t, picked == nil)
+	assert.Assert(t, picker.IsLeaving(after, &restarted[0]))
+	now = now.Add(1500 * time.Millisecond)
+	sent := 0
+	for range 20 {
+		if picked, _ = picker.Pick(now, after, unitM); picked != nil {
+			assert.Equal(t, picked.ID, restarted[1].ID)
+			sent++
+		}
+	}
+	assert.Assert(t, sent <= 1, "%d requests over the limit", sent)
+}
+
+// TestIncarnationThatIsListedCounts guards against a target of which nothing is remembered, since an entry with a later incarnation, which was wrong, came
+// before.
+func TestIncarnationThatIsListedCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	wrong, _ := availabilityTable(now, 9)
+	table, targets := availabilityTable(now, 1)
+	picker := dispatch.NewPicker("n", "d")
+	picked, _ := picker.Pick(now, wrong, unitM)
+	assert.Assert(t, picked != nil)
+	picker.Update(table)
+	for i := range targets {
+		picker.RecordAvailability(now, &targets[i], dispatch.Availability{IsLeaving: true})
+	}
+	picked, _ = picker.Pick(now, table, unitM)
+	assert.Assert(t, picked == nil)
+}
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -123,20 +123,38 @@
 	return choice.Target != nil
 }
 
+// statsOf returns what is known of an incarnation of a target. Requests to an earlier incarnation may end after a later one has begun; what they say is
+// kept apart, and forgotten.
 func (picker *Picker) statsOf(target *feed.Target) *targetStats {
-	stats := picker.stats[target.ID]
-	if stats == nil || stats.incarnation != target.Incarnation {
-		service := picker.services[target.Service]
-		if service == nil {
-			service = forecast.NewService()
-			picker.services[target.Service] = service
-		}
-		stats = &targetStats{incarnation: target.Incarnation, model: service.NewTarget(target.Slots)}
+	known := picker.stats[target.ID]
+	if known != nil && known.incarnation == target.Incarnation {
+		return known
+	}
+	service := picker.services[target.Service]
+	if service == nil {
+		service = forecast.NewService()
+		picker.services[target.Service] = service
+	}
+	stats := &targetStats{incarnation: target.Incarnation, model: service.NewTarget(target.Slots)}
+	if known == nil || known.incarnation < target.Incarnation {
 		picker.stats[target.ID] = stats
 	}
 	return stats
 }
 
+// Update forgets what is known of later incarnations than the table lists: their announcements were withdrawn, or wrong.
+func (picker *Picker) Update(table *Table) {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	for id, stats := range picker.stats {
+		if listed := table.byID[id]; listed != nil && listed.Incarnation < stats.incarnation {
+			delete(picker.stats, id)
+			picker.gate.Forget(id)
+			picker.rooms.Forget(id)
+		}
+	}
+}
+
 func (stats *targetStats) isUsable(now time.Time, target *feed.Target) bool {
 	cause, _ := stats.obstacle(now, target)
 	return cause == ""
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -96,6 +96,7 @@
 
 // Update replaces the table of routes and targets.
 func (handler *Handler) Update(table *dispatch.Table) {
+	handler.picker.Update(table)
 	handler.picker.PromptCache().Update(handler.options.Clock(), table.AllTargets())
 	handler.state.set(table)
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -318,3 +318,6 @@
 mutate origins-not-read control/originfile.go ./control TestOriginsOutlastARestart 's/\t\tctl\.origins\.Record\(now, origin\)\n//'
 mutate origins-not-written-again control/originfile.go ./control TestOriginsOutlastARestart 's/next: resume\.FirstRecord\}/next: max(resume.FirstRecord, ctl.origins.Next())}/'
 mutate torn-origins-accepted control/originfile.go ./control TestOriginLogIsRead 's/crc32\.ChecksumIEEE\(data\[:size\]\) != checksum/checksum == 0/'
+mutate old-request-forgets dispatch/picker.go ./dispatch TestEndOfAnOldRequest 's/if known == nil \|\| known\.incarnation < target\.Incarnation \{/if true {/'
+mutate old-answer-forgets-limit throttle/gate.go ./dispatch TestEndOfAnOldRequest 's/if known == nil \|\| known\.incarnation < incarnation \{/if true {/'
+mutate wrong-incarnation-stays dispatch/picker.go ./dispatch TestIncarnationThatIsListed 's/listed != nil && listed\.Incarnation < stats\.incarnation/listed == nil \&\& stats == nil/'
--- a/throttle/gate.go
+++ b/throttle/gate.go
@@ -75,17 +75,24 @@
 	return &clone
 }
 
+// state returns what is known of an incarnation of a target; one that is not kept if a later incarnation is known.
 func (gate *Gate) state(target celerylanding.TargetID, incarnation celerylanding.Incarnation) *gateState {
-	state := gate.targets[target]
-	if state == nil || state.incarnation != incarnation {
-		// The first credit differs between routers; otherwise each of them would send its first request to a target at the same time.
-		seed := xxhash.Sum64String(string(gate.node) + "\x00" + string(target))
-		state = &gateState{incarnation: incarnation, credit: float64(seed>>11) / (1 << 53)}
+	known := gate.targets[target]
+	if known != nil && known.incarnation == incarnation {
+		return known
+	}
+	// The first credit differs between routers; otherwise each of them would send its first request to a target at the same time.
+	seed := xxhash.Sum64String(string(gate.node) + "\x00" + string(target))
+	state := &gateState{incarnation: incarnation, credit: float64(seed>>11) / (1 << 53)}
+	if known == nil || known.incarnation < incarnation {
 		gate.targets[target] = state
 	}
 	return state
 }
 
+// Forget drops what is known of a target.
+func (gate *Gate) Forget(target celerylanding.TargetID) { delete(gate.targets, target) }
+
 // RecordAnswer records the limit that an answer names, or that it names none. It reports whether this differs from the last answer.
 func (gate *Gate) RecordAnswer(now time.Time, target *feed.Target, limit float64, hasLimit bool) bool {
 	if state := gate.targets[target.ID]; !hasLimit && (state == nil || state.incarnation != target.Incarnation) {
--- a/throttle/rooms.go
+++ b/throttle/rooms.go
@@ -81,18 +81,25 @@
 	return nil
 }
 
+// state returns what is known of an incarnation of a target; one that is not kept if a later incarnation is known.
 func (rooms *Rooms) state(id celerylanding.TargetID, incarnation celerylanding.Incarnation, service celerylanding.ServiceID) *roomState {
-	state := rooms.targets[id]
-	if state == nil || state.incarnation != incarnation {
-		// The first debt differs between routers; otherwise each of them would send its first request to a target at the same time.
-		seed := xxhash.Sum64String(string(rooms.node) + "\x00" + string(id))
-		state = &roomState{incarnation: incarnation, service: service, lengths: rooms.lengthsOf(service), draw: float64(seed>>11) / (1 << 53)}
-		state.credit = -state.draw * firstSlotDebt.Seconds()
+	known := rooms.targets[id]
+	if known != nil && known.incarnation == incarnation {
+		return known
+	}
+	// The first debt differs between routers; otherwise each of them would send its first request to a target at the same time.
+	seed := xxhash.Sum64String(string(rooms.node) + "\x00" + string(id))
+	state := &roomState{incarnation: incarnation, service: service, lengths: rooms.lengthsOf(service), draw: float64(seed>>11) / (1 << 53)}
+	state.credit = -state.draw * firstSlotDebt.Seconds()
+	if known == nil || known.incarnation < incarnation {
 		rooms.targets[id] = state
 	}
 	return state
 }
 
+// Forget drops what is known of a target.
+func (rooms *Rooms) Forget(target celerylanding.TargetID) { delete(rooms.targets, target) }
+
 func (rooms *Rooms) lengthsOf(service celerylanding.ServiceID) *lengths {
 	if rooms.lengths[service] == nil {
 		rooms.lengths[service] = &lengths{}
