Control: a leader that had to wait for orders passes that on to its successor

Cause: a new leader asks the members of the log for their last orders. The first leader is none any more after 2.5 s without an answer, and the second one, which still had to wait for it, answered that it had given no order.

Change: the answer says for how long its sender would still have had to wait.

--- a/control/handover.go
+++ b/control/handover.go
@@ -34,6 +34,8 @@
 	Stopping bool `cbor:"5,keyasint,omitempty"`
 	// Targets are the targets that the member knows, if requested.
 	Targets []feed.Target `cbor:"4,keyasint,omitempty"`
+	// Wait is the time for which the member, as the last leader, would still have had to wait for the orders of those before it.
+	Wait time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // handover decides when a new leader may begin to send orders. Orders of two leaders must be a lease apart, unless engines reject the
@@ -107,7 +109,8 @@
 	case reply.NoOrder:
 		sinceOrder = reply.Uptime
 	}
-	return now.Add(lease + maxClockDrift - sinceOrder)
+	// A leader before that one may have left the log already, so that nobody else is asked for its orders.
+	return later(now.Add(lease+maxClockDrift-sinceOrder), now.Add(reply.Wait))
 }
 
 func later(a, b time.Time) time.Time {
@@ -166,7 +169,8 @@
 
 // lastOrderReply builds the reply to a new leader's LastOrder call.
 func (ctl *Control) lastOrderReply(now time.Time, args *LastOrderArgs) LastOrderReply {
-	reply := LastOrderReply{NoOrder: ctl.lastOrder.IsZero(), Uptime: now.Sub(ctl.started), Stopping: ctl.stopping}
+	reply := LastOrderReply{NoOrder: ctl.lastOrder.IsZero(), Uptime: now.Sub(ctl.started), Stopping: ctl.stopping,
+		Wait: max(0, ctl.handover.notBefore.Sub(now))}
 	if !reply.NoOrder {
 		reply.Age, reply.Leads = now.Sub(ctl.lastOrder), ctl.core.Role() == quorum.Leader
 	}
--- a/control/unfenced_test.go
+++ b/control/unfenced_test.go
@@ -39,7 +39,7 @@
 }
 
 // TestRestartedProcessIsNoProofThatNothingWasOrdered guards against orders of two leaders within a lease where engines do not check fencing tokens: the
-// former leader has restarted, perhaps without its disk, and knows no order of its predecessor.
+// former leader has restarted, perhaps without its disk, and knows no order of its predecessor, or it had to wait for the orders of one that has left the log.
 func TestRestartedProcessIsNoProofThatNothingWasOrdered(t *testing.T) {
 	const lease = 3 * time.Second
 	now := time.Unix(1000, 0)
@@ -63,6 +63,9 @@
 		"no reply, fenced":                {true, control.LastOrderReply{}, failed, atOnce, 0},
 		"still leads":                     {true, control.LastOrderReply{Leads: true}, nil, 2 * time.Second, 2 * time.Second},
 		"stops, fenced":                   {true, control.LastOrderReply{Stopping: true, Age: time.Millisecond}, nil, atOnce, 0},
+		"gave none, had to wait":          {false, control.LastOrderReply{NoOrder: true, Uptime: time.Minute, Wait: time.Second}, nil, time.Second, lease},
+		"gave one, had to wait":           {false, control.LastOrderReply{Age: 2500 * time.Millisecond, Uptime: time.Minute, Wait: time.Second}, nil, time.Second, lease},
+		"had to wait, fenced":             {true, control.LastOrderReply{NoOrder: true, Uptime: time.Minute, Wait: time.Second}, nil, atOnce, 0},
 		"stops":                           {false, control.LastOrderReply{Stopping: true, Age: time.Millisecond}, nil, lease - time.Millisecond, lease + time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -321,3 +321,5 @@
 mutate old-request-forgets dispatch/picker.go ./dispatch TestEndOfAnOldRequest 's/if known == nil \|\| known\.incarnation < target\.Incarnation \{/if true {/'
 mutate old-answer-forgets-limit throttle/gate.go ./dispatch TestEndOfAnOldRequest 's/if known == nil \|\| known\.incarnation < incarnation \{/if true {/'
 mutate wrong-incarnation-stays dispatch/picker.go ./dispatch TestIncarnationThatIsListed 's/listed != nil && listed\.Incarnation < stats\.incarnation/listed == nil \&\& stats == nil/'
+mutate handover-wait-not-passed-on control/handover.go ./control TestRestartedProcess 's/return later\(now\.Add\(lease\+maxClockDrift-sinceOrder\), now\.Add\(reply\.Wait\)\)/return now.Add(lease + maxClockDrift - sinceOrder)/'
+mutate two-slashes-are-an-authority upstream/exchange.go ./upstream TestRequestTargets 's/if strings\.HasPrefix\(outgoing\.URL\.Opaque, "\/\/"\)/if false/'
