Upstream: a request target that begins with two slashes is sent unchanged

Cause: net/http takes an opaque target that begins with two slashes for an authority, and puts the scheme before it.

Change: the scheme is removed as the request line is written.

Test: TestRequestTargetsAreSentUnchanged; seven of its twelve targets were changed before.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -165,10 +166,32 @@
 // writeRequest writes a request. It returns the error of the connection, which net/http hides if it occurs in the body.
 func (conn *pooledConn) writeRequest(outgoing *http.Request) error {
 	recorder := &errorRecorder{writer: conn}
-	err := outgoing.Write(recorder)
+	var writer io.Writer = recorder
+	if strings.HasPrefix(outgoing.URL.Opaque, "//") {
+		// net/http takes such a target for an authority, and puts the scheme before it.
+		writer = &schemeRemover{writer: recorder, at: len(outgoing.Method) + len(" "), length: len(outgoing.URL.Scheme) + len(":")}
+	}
+	err := outgoing.Write(writer)
 	return cmp.Or(recorder.err, err)
 }
 
+// schemeRemover removes bytes from the first write, which holds the request line.
+type schemeRemover struct {
+	writer     io.Writer
+	at, length int
+}
+
+// Write writes to the writer what is not removed.
+func (remover *schemeRemover) Write(bytes []byte) (int, error) {
+	if remover.length == 0 {
+		return remover.writer.Write(bytes)
+	}
+	removed := remover.length
+	remover.length = 0
+	count, err := remover.writer.Write(append(slices.Clone(bytes[:remover.at]), bytes[remover.at+removed:]...))
+	return count + removed, err
+}
+
 // errorRecorder keeps the first error of a writer.
 type errorRecorder struct {
 	writer io.Writer
