Delivery: an answer of a target that is gone is whole only if the leader lists the target as leaving, without a notice

Cause: the target's answers say that it leaves, and that no notice had been heard counted as none. With a late heartbeat a notice also ends earlier than it seems.

Change: what proves an orderly end is the leader's word that the target leaves, without a notice; a target that shuts down in order serves for the drain time after its announcement was acknowledged. Whole answers of targets of which nobody has heard, in their last 10 ms, are cut or repeated: to their caller they can't be told from parts.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -67,15 +67,3 @@
 	}
 	return leaving, paused
 }
-
-// IsLeaving reports whether the target leaves, by its own answers or by the table, which may also know it no more.
-func (picker *Picker) IsLeaving(table *Table, target *feed.Target) bool {
-	for _, listed := range table.Targets(target.Service) {
-		if listed.ID == target.ID && listed.Incarnation == target.Incarnation && !listed.Leaving {
-			picker.mutex.Lock()
-			defer picker.mutex.Unlock()
-			return picker.statsOf(target).isLeaving
-		}
-	}
-	return true
-}
--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -113,7 +113,9 @@
 	}
 	picked, _ := picker.Pick(now, after, unitM)
 	assert.Assert(t, picked == nil)
-	assert.Assert(t, picker.IsLeaving(after, &restarted[0]))
+	leaving, paused := picker.Unavailable(now)
+	assert.Equal(t, leaving, 1)
+	assert.Equal(t, paused, 1)
 	now = now.Add(1500 * time.Millisecond)
 	sent := 0
 	for range 20 {
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	celerylanding "celerylanding.example/celerylanding"
@@ -45,6 +46,13 @@
 	return table.noticeEnds[endpoint]
 }
 
+// IsLeaving reports whether the leader has listed the incarnation of a target as one that leaves.
+func (table *Table) IsLeaving(target *feed.Target) bool {
+	return slices.ContainsFunc(table.leaving[target.Service], func(listed *feed.Target) bool {
+		return listed.ID == target.ID && listed.Incarnation == target.Incarnation
+	})
+}
+
 // HasTargetAt reports whether a target that accepts new requests has the address.
 func (table *Table) HasTargetAt(address string) bool { return table.addresses[address] }
 
--- a/proxy/ending.go
+++ b/proxy/ending.go
@@ -23,9 +23,10 @@
 	if !call.head.IsUnframed {
 		return nil
 	}
-	end := delivery.ConnectionEnd{At: handler.options.Clock(), Silence: response.Silence()}
+	endedAt := handler.options.Clock()
+	end := delivery.ConnectionEnd{Silence: response.Silence()}
 	if end.InterruptsWork() {
-		handler.crashes.recordBreak(end.At, target.Endpoint())
+		handler.crashes.recordBreak(endedAt, target.Endpoint())
 	}
 	if !sleep(ctx, probeDelay) {
 		return nil
@@ -35,11 +36,11 @@
 		return nil
 	}
 	table := handler.state.table()
-	end.IsLeaving, end.NoticeEnd = handler.picker.IsLeaving(table, target), table.NoticeEnd(target.Endpoint())
-	end.HasOtherBreaks = handler.crashes.hasBroken(target.Endpoint(), end.At.Add(-probeDelay))
+	end.IsLeaving, end.HasNotice = table.IsLeaving(target), !table.NoticeEnd(target.Endpoint()).IsZero()
+	end.HasOtherBreaks = handler.crashes.hasBroken(target.Endpoint(), endedAt.Add(-probeDelay))
 	isComplete := end.IsComplete()
 	handler.options.Log.Info().Str("call", call.metadata.ID).Str("target", string(target.ID)).Dur("silence", end.Silence).Bool("leaving", end.IsLeaving).
-		Bool("notice", !end.NoticeEnd.IsZero()).Bool("others_broken", end.HasOtherBreaks).Bool("complete", isComplete).
+		Bool("notice", end.HasNotice).Bool("others_broken", end.HasOtherBreaks).Bool("complete", isComplete).
 		Msg("target is gone after an answer that ended with its connection")
 	if !isComplete {
 		return errors.Join(errAnswerBroken, errTargetGone)
