Dispatch: a reply that waited while the router stood still does not renew its view

Found in review of: a router that stands still for minutes reads, when it wakes, the reply to its last request from before. That counted as a renewal of its view at that moment, so that it did not ask for the whole list, and used a target that had left for good. What counts now is when the request was sent.

Test: TestRosterIsRenewedAfterALongSilence plays such a reply; the mutation is noticed.

--- a/control/log.go
+++ b/control/log.go
@@ -213,8 +213,8 @@
 	proposal.reply <- ProposeReply{Leads: isOwn, Committed: isOwn, Version: ctl.version()}
 }
 
-// applyCommand applies a committed change of the quarantine, of the settled term, of the departures or of the software versions, or activates a committed configuration if its
-// version is higher than the active one.
+// applyCommand applies a committed change of the quarantine, of the settled term, of the departures or of the software versions, or activates a committed
+// configuration if its version is higher than the active one.
 func (ctl *Control) applyCommand(entry quorum.Entry) error {
 	command, err := decodeReplicated(entry.Data)
 	if err != nil {
--- a/control/unlisted_test.go
+++ b/control/unlisted_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	celerylanding "celerylanding.example/celerylanding"
+	"celerylanding.example/celerylanding/common/boottime"
 	"celerylanding.example/celerylanding/control"
 	"celerylanding.example/celerylanding/dispatch"
 	"celerylanding.example/celerylanding/feed"
@@ -16,14 +17,14 @@
 
 // poll sends one watch request of a router to a node, and applies the reply; it returns false if the node has no state.
 func (router *viewRouter) poll(ctx context.Context, peers *rpc.Peers, node *testNode) bool {
-	args := router.args()
+	sent, args := boottime.Now(), router.args()
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	var reply feed.WatchReply
 	if err := peers.Call(ctx, node.addr, "Peer.Watch", &args, &reply); err != nil || !reply.IsState() {
 		return false
 	}
-	router.apply(time.Now(), &reply)
+	router.apply(sent, &reply)
 	return true
 }
 
--- a/control/views_test.go
+++ b/control/views_test.go
@@ -58,6 +58,7 @@
 	if table := router.roster.Apply(boottime.Now(), reply); table != nil {
 		router.table = table
 	}
+	router.roster.Confirm(sent.Add(-reply.Age))
 	if at := sent.Add(-reply.Age); at.After(router.seenAt) {
 		router.seenAt = at
 	}
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -111,8 +111,8 @@
 	routers  int
 	routes   *routing.Table
 	targets  map[celerylanding.TargetID]*rosterEntry
-	// appliedAt is when a reply was last applied.
-	appliedAt time.Time
+	// asOf is the time as of which the targets are known.
+	asOf time.Time
 }
 
 // NewRoster returns an empty roster.
@@ -128,9 +128,12 @@
 	return roster.term, roster.revision, version
 }
 
-// Expire makes the roster ask for the whole list of targets if no reply was applied for viewTTL: the leader may list targets no more that have left since.
+// Confirm records that the targets are known as of a time, by the last reply that was applied.
+func (roster *Roster) Confirm(asOf time.Time) { roster.asOf = asOf }
+
+// Expire makes the roster ask for the whole list of targets if they were last known viewTTL ago: the leader may list targets no more that have left since.
 func (roster *Roster) Expire(now time.Time) {
-	if roster.appliedAt.IsZero() || now.Sub(roster.appliedAt) <= viewTTL {
+	if roster.asOf.IsZero() || now.Sub(roster.asOf) <= viewTTL {
 		return
 	}
 	roster.revision = 0
@@ -179,7 +182,7 @@
 	}
 	targets := reply.Targets.All()
 	changed := isNewer || reply.Term != roster.term || len(targets) > 0 || reply.Routers != roster.routers
-	roster.term, roster.revision, roster.routers, roster.appliedAt = reply.Term, reply.Revision, reply.Routers, now
+	roster.term, roster.revision, roster.routers = reply.Term, reply.Revision, reply.Routers
 	for i := range targets {
 		roster.upsert(now, reply.Term, targets[i])
 	}
--- a/dispatch/roster_test.go
+++ b/dispatch/roster_test.go
@@ -89,11 +89,15 @@
 	targets := []feed.Target{{ID: "left", Incarnation: 1, Service: "s"}, {ID: "stays", Incarnation: 1, Service: "s"}}
 	roster.Expire(now)
 	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 7, Targets: feed.NewTargetList(targets)})
-	now = now.Add(30 * time.Second)
-	roster.Expire(now)
+	roster.Confirm(now)
+	roster.Expire(now.Add(30 * time.Second))
 	_, revision, _ := roster.Position()
 	assert.Equal(t, revision, uint64(7))
+	// The reply to a request from before waits while the router stands still.
+	asOf := now.Add(time.Second)
 	now = now.Add(3 * time.Minute)
+	roster.Apply(now, &feed.WatchReply{Leads: true, Term: 1, Revision: 8})
+	roster.Confirm(asOf)
 	roster.Expire(now)
 	term, revision, _ := roster.Position()
 	assert.Equal(t, term, uint64(1))
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -314,7 +314,7 @@
 mutate unlisted-targets-not-asked-for dispatch/roster.go ./control TestRouterLearns 's/known\.term == roster\.term \|\| known\.target\.Leaving \|\| /true || /'
 mutate departures-of-one-incarnation control/departures.go ./control TestRouterLearns 's/incarnation <= newest/incarnation == newest/'
 mutate departure-of-a-later-incarnation-not-listed membership/directory.go ./control TestRouterLearns 's/target\.announcement\.Incarnation > incarnation/target.announcement.Incarnation != incarnation/'
-mutate roster-never-renewed dispatch/roster.go ./dispatch TestRosterIsRenewed 's/now\.Sub\(roster\.appliedAt\) <= viewTTL/true/'
+mutate roster-never-renewed dispatch/roster.go ./dispatch TestRosterIsRenewed 's/now\.Sub\(roster\.asOf\) <= viewTTL/true/'
 mutate origins-not-read control/originfile.go ./control TestOriginsOutlastARestart 's/\t\tctl\.origins\.Record\(now, origin\)\n//'
 mutate origins-not-written-again control/originfile.go ./control TestOriginsOutlastARestart 's/next: resume\.FirstRecord\}/next: max(resume.FirstRecord, ctl.origins.Next())}/'
 mutate torn-origins-accepted control/originfile.go ./control TestOriginLogIsRead 's/crc32\.ChecksumIEEE\(data\[:size\]\) != checksum/checksum == 0/'
